--- /dev/null
+++ b/modules/peridotmill_core/peridotmill_core.h
@@ -0,0 +1,23 @@
+// peridotmill_core: the vocabulary of all other modules.
+//
+// Strong ids and units, the clock interface, findings and error codes, reason
+// codes with their counters, hashing, random numbers and the value types of the
+// platform's key-value service.
+//
+// Dependencies: GLib (SHA-256), libxxhash, tl::expected.
+
+#ifndef PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
+#define PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
+
+#include "peridotmill_core/errors/error.h"
+#include "peridotmill_core/errors/finding.h"
+#include "peridotmill_core/hashing/hashing.h"
+#include "peridotmill_core/ids/ids.h"
+#include "peridotmill_core/maths/random.h"
+#include "peridotmill_core/reasons/reason.h"
+#include "peridotmill_core/reasons/reason_counters.h"
+#include "peridotmill_core/store/store_call.h"
+#include "peridotmill_core/time/clock.h"
+#include "peridotmill_core/units/units.h"
+
+#endif  // PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
