Add the operators' objects and the node's interface

Cause: all further modules need the objects, and the adapters and the node must agree on events and commands. Change: YAML reading, validation as a set, parts and head record; event and command variants of a node; host list, load and attempt outcome types. Conclusion: modules can now be written side by side.

--- /dev/null
+++ b/modules/peridotmill_config/peridotmill_config.h
@@ -0,0 +1,19 @@
+// peridotmill_config: the operators' objects.
+//
+// Reads objects from YAML, checks them as a whole set, splits a set into
+// immutable parts named by a head record, and reads parts back.
+//
+// Dependencies: peridotmill_core, yaml-cpp, nlohmann-json.
+
+#ifndef PERIDOTMILL_CONFIG_PERIDOTMILL_CONFIG_H_
+#define PERIDOTMILL_CONFIG_PERIDOTMILL_CONFIG_H_
+
+#include "peridotmill_config/objects/critical_path.h"
+#include "peridotmill_config/objects/enum_names.h"
+#include "peridotmill_config/objects/object_set.h"
+#include "peridotmill_config/parts/head.h"
+#include "peridotmill_config/parts/part.h"
+#include "peridotmill_config/reading/object_reader.h"
+#include "peridotmill_config/validation/object_validator.h"
+
+#endif  // PERIDOTMILL_CONFIG_PERIDOTMILL_CONFIG_H_
--- a/modules/peridotmill_core/peridotmill_core.h
+++ b/modules/peridotmill_core/peridotmill_core.h
@@ -9,11 +9,14 @@
 #ifndef PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
 #define PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
 
+#include "peridotmill_core/attempts/attempt_outcome.h"
 #include "peridotmill_core/errors/error.h"
 #include "peridotmill_core/errors/finding.h"
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/ids/ids.h"
 #include "peridotmill_core/maths/random.h"
+#include "peridotmill_core/platform/endpoint_load.h"
+#include "peridotmill_core/platform/host_list.h"
 #include "peridotmill_core/reasons/reason.h"
 #include "peridotmill_core/reasons/reason_counters.h"
 #include "peridotmill_core/store/store_call.h"
