--- a/modules/peridotmill_node/interface/node_command.h
+++ b/modules/peridotmill_node/interface/node_command.h
@@ -24,6 +24,9 @@
   std::string body;
   // Whether the answer is an engine's token stream.
   bool is_stream = false;
+  // Caller's key of an action, so that endpoints can recognise it; may be
+  // empty.
+  std::string action_key;
   // Allows the transport to reuse a connection that may break on reuse.
   bool is_idempotent = false;
   Duration timeout{};
