Add endpoint views, endpoint choice and the prefix index

Cause: the request engine needs to know where a stage can run. Conclusion: a first interface for the node; tests and estimates follow.

--- /dev/null
+++ b/modules/peridotmill_routing/peridotmill_routing.h
@@ -0,0 +1,18 @@
+// peridotmill_routing: where and when the stages of a request run.
+//
+// Keeps a node's view of the endpoints, chooses one for a stage, remembers
+// which endpoints may hold a prefix, learns service times, splits deadlines
+// over the remaining stages, and decides on retries and hedges.
+//
+// Dependencies: peridotmill_core, peridotmill_config.
+
+#ifndef PERIDOTMILL_ROUTING_PERIDOTMILL_ROUTING_H_
+#define PERIDOTMILL_ROUTING_PERIDOTMILL_ROUTING_H_
+
+#include "peridotmill_routing/endpoints/endpoint_table.h"
+#include "peridotmill_routing/endpoints/outlier_ejection.h"
+#include "peridotmill_routing/prefixes/prefix_index.h"
+#include "peridotmill_routing/selection/endpoint_choice.h"
+#include "peridotmill_routing/selection/endpoint_score.h"
+
+#endif  // PERIDOTMILL_ROUTING_PERIDOTMILL_ROUTING_H_
--- /dev/null
+++ b/modules/peridotmill_routing/selection/baseline_choice.cc
@@ -0,0 +1,68 @@
+#include "peridotmill_routing/selection/baseline_choice.h"
+
+#include <algorithm>
+
+namespace peridotmill {
+namespace {
+
+bool IsCandidate(const EndpointView& view, const ChoiceRequest& request) {
+  return view.is_listed && !view.is_leaving &&
+         std::find(request.excluded.begin(), request.excluded.end(), view.id) ==
+             request.excluded.end();
+}
+
+Choice Chosen(const EndpointView& view) {
+  Choice choice;
+  choice.outcome = ChoiceOutcome::kChosen;
+  choice.endpoint = view.id;
+  choice.is_foreign = !view.is_own_domain;
+  CandidateScore score;
+  score.endpoint = view.id;
+  choice.candidates.push_back(score);
+  return choice;
+}
+
+}  // namespace
+
+Choice ChooseRoundRobin(EndpointTable& table, const ChoiceRequest& request) {
+  const auto found = table.pools.find(request.pool);
+  if (found == table.pools.end()) {
+    return {};
+  }
+  PoolIndex& index = found->second;
+  for (size_t i = 0; i < index.members.size(); ++i) {
+    const size_t turn = index.round_robin_next++ % index.members.size();
+    const EndpointView& view = table.endpoints[index.members[turn]];
+    if (IsCandidate(view, request)) {
+      return Chosen(view);
+    }
+  }
+  return {};
+}
+
+Choice ChooseLeastLoad(const EndpointTable& table,
+                       const ChoiceRequest& request,
+                       Random& random) {
+  const auto found = table.pools.find(request.pool);
+  if (found == table.pools.end()) {
+    return {};
+  }
+  const EndpointView* best = nullptr;
+  uint64_t equal = 0;
+  for (const uint32_t position : found->second.members) {
+    const EndpointView& view = table.endpoints[position];
+    if (!IsCandidate(view, request)) {
+      continue;
+    }
+    if (best == nullptr || view.reported_load < best->reported_load) {
+      best = &view;
+      equal = 1;
+    } else if (view.reported_load == best->reported_load &&
+               random.Below(++equal) == 0) {
+      best = &view;
+    }
+  }
+  return best == nullptr ? Choice() : Chosen(*best);
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_routing/selection/endpoint_score.cc
@@ -0,0 +1,66 @@
+#include "peridotmill_routing/selection/endpoint_score.h"
+
+#include <algorithm>
+
+#include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_routing/endpoints/outlier_ejection.h"
+
+namespace peridotmill {
+namespace {
+
+// Share of the expected time that a warm prefix is credited with. At weight 0
+// it is doubled, since reuse saves cost as well as time.
+constexpr double kPrefixShare = 0.3;
+// Service time assumed when the caller expects none.
+constexpr double kFallbackExpectedMs = 1.0;
+
+double DistanceOf(const EndpointTable& table, const EndpointView& view) {
+  if (view.is_own_domain) {
+    return 0;
+  }
+  const auto found = table.distances.find(view.failure_domain);
+  return ToMilliseconds(found == table.distances.end() ? kDefaultDistance
+                                                       : found->second);
+}
+
+// A model that was never reported is not held against the endpoint.
+bool IsCold(const EndpointView& view, const std::string& model) {
+  return !model.empty() && view.has_report &&
+         std::find(view.loaded_models.begin(), view.loaded_models.end(),
+                   model) == view.loaded_models.end();
+}
+
+}  // namespace
+
+double AgedLoad(const EndpointView& view, TimePoint now) {
+  double load = view.in_flight;
+  if (view.foreign_load > 0) {
+    load +=
+        view.foreign_load * DecayOver(now - view.reported_at, kReportHalfLife);
+  }
+  return load;
+}
+
+CandidateScore ScoreEndpoint(const EndpointTable& table,
+                             const EndpointView& view,
+                             const ChoiceRequest& request,
+                             bool has_prefix,
+                             TimePoint now) {
+  const double expected =
+      std::max(kFallbackExpectedMs, ToMilliseconds(request.expected));
+  const double ratio = AgedLatencyRatio(view, now);
+  CandidateScore score;
+  score.endpoint = view.id;
+  score.wait = AgedLoad(view, now) / std::max(1, view.limit) * expected * ratio;
+  score.slowness = expected * std::max(0.0, ratio - 1.0);
+  score.failures = expected * std::min(view.consecutive_failures, 10);
+  score.distance = DistanceOf(table, view);
+  score.cold_model =
+      IsCold(view, request.model) ? ToMilliseconds(kColdModelPenalty) : 0;
+  score.prefix_benefit =
+      has_prefix ? kPrefixShare * (2.0 - request.attainment_weight) * expected
+                 : 0;
+  return score;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_routing/selection/endpoint_score.h
@@ -0,0 +1,28 @@
+#ifndef PERIDOTMILL_ROUTING_SELECTION_ENDPOINT_SCORE_H_
+#define PERIDOTMILL_ROUTING_SELECTION_ENDPOINT_SCORE_H_
+
+#include "peridotmill_routing/endpoints/endpoint_table.h"
+#include "peridotmill_routing/selection/choice.h"
+
+namespace peridotmill {
+
+// Half-life of a load report: reports lag, and all nodes see the same ones.
+inline constexpr Duration kReportHalfLife = std::chrono::milliseconds(500);
+inline constexpr Duration kDefaultDistance = std::chrono::milliseconds(2);
+// Loading a model takes seconds.
+inline constexpr Duration kColdModelPenalty = std::chrono::seconds(2);
+
+// Predicted cost of sending the request to the endpoint, relative to an idle
+// warm one of the own domain.
+CandidateScore ScoreEndpoint(const EndpointTable& table,
+                             const EndpointView& view,
+                             const ChoiceRequest& request,
+                             bool has_prefix,
+                             TimePoint now);
+
+// Own in-flight attempts plus the aged load that others cause.
+double AgedLoad(const EndpointView& view, TimePoint now);
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_ROUTING_SELECTION_ENDPOINT_SCORE_H_
