--- a/modules/peridotmill_routing/peridotmill_routing.h
+++ b/modules/peridotmill_routing/peridotmill_routing.h
@@ -11,7 +11,11 @@
 
 #include "peridotmill_routing/endpoints/endpoint_table.h"
 #include "peridotmill_routing/endpoints/outlier_ejection.h"
+#include "peridotmill_routing/estimates/service_time_estimator.h"
+#include "peridotmill_routing/estimates/stage_plan.h"
 #include "peridotmill_routing/prefixes/prefix_index.h"
+#include "peridotmill_routing/retries/hedge_decision.h"
+#include "peridotmill_routing/retries/retry_decision.h"
 #include "peridotmill_routing/selection/endpoint_choice.h"
 #include "peridotmill_routing/selection/endpoint_score.h"
 
