Add the node's request engine, pages and runner

Cause: requests must run through their stages without input or output. Change: intake, scheduling, attempts, endings, metrics and status pages; a runner that turns adapters' reports into events and carries out commands.

--- /dev/null
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -0,0 +1,224 @@
+#include "peridotmill_net/running/node_runner.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "peridotmill_net/logging/event_log.h"
+#include "peridotmill_node/metrics/metrics_page.h"
+#include "peridotmill_node/status/status_page.h"
+
+namespace peridotmill {
+namespace {
+
+constexpr std::string_view kAdminPrefix = "/admin/";
+constexpr std::string_view kExplainPrefix = "/admin/explain/";
+constexpr char kText[] = "text/plain; charset=utf-8";
+// Time for the last answers to leave the process.
+constexpr guint kExitDelayMs = 50;
+
+PageAnswer NotFound() {
+  return {404, "application/json",
+          RefusalBody(Reason::kBadRequest, Execution::kNotRun,
+                      "no such path or method", "")};
+}
+
+}  // namespace
+
+NodeRunner::NodeRunner(NodeState state, const Clock& clock)
+    : clock_(clock),
+      state_(std::move(state)),
+      loop_(g_main_loop_new(nullptr, FALSE)) {}
+
+NodeRunner::~NodeRunner() {
+  g_main_loop_unref(loop_);
+}
+
+Result<std::unique_ptr<NodeRunner>> NodeRunner::Create(
+    NodeState state,
+    const RunnerSettings& settings,
+    const Clock& clock) {
+  std::unique_ptr<NodeRunner> runner(new NodeRunner(std::move(state), clock));
+  if (auto opened = runner->Open(settings); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  return runner;
+}
+
+Result<void> NodeRunner::Open(const RunnerSettings& settings) {
+  auto store = StoreClient::Create(settings.store_addresses);
+  if (!store) {
+    return tl::unexpected(store.error());
+  }
+  store_ = *std::move(store);
+  CallerServerHandlers handlers;
+  handlers.on_event = [this](NodeEvent event) { Post(std::move(event)); };
+  handlers.next_request_id = [this] { return NextRequestId(state_); };
+  handlers.page = [this](const std::string& path, const std::string& token) {
+    return Page(path, token);
+  };
+  handlers.on_refused = [this](Reason reason) { state_.reasons.Add(reason); };
+  auto callers = CallerServer::Create(settings.caller_address, settings.limits,
+                                      std::move(handlers));
+  if (!callers) {
+    return tl::unexpected(callers.error());
+  }
+  callers_ = *std::move(callers);
+  endpoints_ = EndpointClient::Create(
+      [this](NodeEvent event) { Post(std::move(event)); });
+  hosts_ = HostListClient::Create(
+      settings.hosts_url, settings.hosts_interval_ms,
+      [this](HostList list) { Post(HostListRead{std::move(list)}); });
+  return {};
+}
+
+int NodeRunner::Run() {
+  Post(Tick{});
+  g_main_loop_run(loop_);
+  return exit_code_;
+}
+
+void NodeRunner::RequestShutdown() {
+  if (is_shutdown_requested_) {
+    LogWarning("shutdown_cut_short",
+               {{"open_requests", std::to_string(state_.requests.size())},
+                {"open_attempts", std::to_string(state_.attempts.size())}});
+    exit_code_ = 1;
+    g_main_loop_quit(loop_);
+    return;
+  }
+  is_shutdown_requested_ = true;
+  LogInfo("shutdown_requested",
+          {{"open_requests", std::to_string(state_.requests.size())}});
+  Post(ShutdownRequested{});
+}
+
+PageAnswer NodeRunner::Page(const std::string& path, const std::string& token) {
+  if (path == "/healthz") {
+    return {200, kText, "ok\n"};
+  }
+  if (path == "/readyz") {
+    const bool is_ready = IsReady(state_);
+    return {is_ready ? 200 : 503, kText, is_ready ? "ready\n" : "not ready\n"};
+  }
+  if (path == "/metrics") {
+    return {200, "text/plain; version=0.0.4", RenderMetrics(state_)};
+  }
+  if (path == "/v1/models") {
+    return {200, "application/json", RenderModels(state_, token)};
+  }
+  if (path.starts_with(kAdminPrefix)) {
+    return AdminPage(path, token);
+  }
+  return NotFound();
+}
+
+PageAnswer NodeRunner::AdminPage(const std::string& path,
+                                 const std::string& token) {
+  if (!state_.config.objects || !IsOperator(state_.config, token)) {
+    return {401, "application/json",
+            RefusalBody(Reason::kMissingToken, Execution::kNotRun,
+                        "an operator's token is needed", "Authorization")};
+  }
+  if (path == "/admin/status") {
+    return {200, "application/json", RenderStatus(state_, clock_.Now())};
+  }
+  if (path.starts_with(kExplainPrefix)) {
+    if (auto text = RenderExplanation(
+            state_, RequestId(path.substr(kExplainPrefix.size())),
+            clock_.Now())) {
+      return {200, "application/json", *std::move(text)};
+    }
+  }
+  return NotFound();
+}
+
+void NodeRunner::Post(NodeEvent event) {
+  events_.push_back(std::move(event));
+  if (!is_handling_) {
+    HandleEvents();
+  }
+}
+
+void NodeRunner::HandleEvents() {
+  is_handling_ = true;
+  while (!events_.empty()) {
+    const NodeEvent event = std::move(events_.front());
+    events_.pop_front();
+    for (const NodeCommand& command : Step(state_, event, clock_.Now())) {
+      std::visit([this](const auto& known) { Execute(known); }, command);
+    }
+  }
+  is_handling_ = false;
+  ArmTimer();
+}
+
+void NodeRunner::ArmTimer() {
+  const std::optional<TimePoint> wakeup = NextWakeup(state_);
+  if (!wakeup) {
+    timer_.Stop();
+    return;
+  }
+  const auto delay = std::max<int64_t>(
+      0, std::chrono::ceil<std::chrono::milliseconds>(*wakeup - clock_.Now())
+             .count());
+  timer_.Start(
+      static_cast<guint>(delay),
+      [](gpointer data) { static_cast<NodeRunner*>(data)->Post(Tick{}); },
+      this);
+}
+
+void NodeRunner::Execute(const StartAttempt& command) {
+  endpoints_->Start(command);
+}
+
+void NodeRunner::Execute(const CancelAttempt& command) {
+  endpoints_->Cancel(command);
+}
+
+void NodeRunner::Execute(const CallerFragment& command) {
+  callers_->Send(command);
+}
+
+void NodeRunner::Execute(const CallerAnswer& command) {
+  callers_->Send(command);
+}
+
+void NodeRunner::Execute(const CallerRefusal& command) {
+  callers_->Send(command);
+}
+
+void NodeRunner::Execute(const StoreCall& command) {
+  store_->Call(command.request, command.timeout,
+               [this, call = command.call](StoreAnswer answer) {
+                 Post(StoreAnswered{call, std::move(answer)});
+               });
+}
+
+void NodeRunner::Execute(const SendPeerFrame&) {}
+void NodeRunner::Execute(const ConnectPeer&) {}
+void NodeRunner::Execute(const ClosePeer&) {}
+
+void NodeRunner::Execute(const ReadLoad& command) {
+  endpoints_->Read(command);
+}
+
+void NodeRunner::Execute(const SendOrder& command) {
+  endpoints_->Send(command);
+}
+
+void NodeRunner::Execute(const LogEvent& command) {
+  LogInfo(command.name, command.fields);
+}
+
+void NodeRunner::Execute(const ExitNode& command) {
+  exit_code_ = command.code;
+  exit_timer_.Start(
+      kExitDelayMs,
+      [](gpointer data) {
+        g_main_loop_quit(static_cast<NodeRunner*>(data)->loop_);
+      },
+      this);
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_node/node.cc
@@ -0,0 +1,136 @@
+#include "peridotmill_node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotmill_node/requests/attempt_runner.h"
+#include "peridotmill_node/requests/request_ending.h"
+#include "peridotmill_node/requests/request_intake.h"
+#include "peridotmill_node/requests/stage_scheduler.h"
+
+namespace peridotmill {
+namespace {
+
+// Takes events; one overload for each kind.
+class EventHandler {
+ public:
+  explicit EventHandler(StepContext& context) : context_(context) {}
+
+  void operator()(const CallerRequest& event) { TakeRequest(context_, event); }
+  void operator()(const ActionQuery& event) {
+    context_.state.reasons.Add(Reason::kActionNotFound);
+    context_.Emit(CallerRefusal{event.id, Reason::kActionNotFound,
+                                Execution::kUnknown, "", "", false});
+  }
+  void operator()(const CallerGone& event) { DropRequest(context_, event.id); }
+  void operator()(const AttemptFragment& event) {
+    TakeFragment(context_, event);
+  }
+  void operator()(const AttemptFinished& event) {
+    TakeFinished(context_, event);
+  }
+  void operator()(const HostListRead& event) {
+    NodeState& state = context_.state;
+    state.host_list = event.list;
+    if (state.config.objects) {
+      ApplyHostList(state.endpoints, state.host_list,
+                    state.config.objects->pools, context_.now);
+      WakeAllPools(context_);
+    }
+  }
+  void operator()(const LoadRead& event) {
+    if (event.load) {
+      ApplyLoadReport(
+          context_.state.endpoints,
+          {event.endpoint, Incarnation(), *event.load, context_.now},
+          context_.now);
+    }
+  }
+  void operator()(const CacheEventsRead& event) {
+    ApplyCacheEvents(context_.state.prefixes, event.endpoint, event.events,
+                     context_.now);
+  }
+  void operator()(const Tick&) { WakeAllPools(context_); }
+  void operator()(const ShutdownRequested&) {
+    context_.state.is_shutting_down = true;
+  }
+  void operator()(const StoreAnswered&) {}
+  void operator()(const PeerFrame&) {}
+  void operator()(const PeerConnected&) {}
+  void operator()(const PeerDisconnected&) {}
+  void operator()(const OrderFinished&) {}
+
+ private:
+  StepContext& context_;
+};
+
+}  // namespace
+
+tl::expected<NodeState, Findings> MakeNode(NodeSettings settings) {
+  Findings findings;
+  if (settings.id.empty()) {
+    findings.push_back({{"", 0, "", "id"}, "missing"});
+  }
+  if (settings.failure_domain.empty()) {
+    findings.push_back({{"", 0, "", "failure_domain"}, "missing"});
+  }
+  if (!findings.empty()) {
+    return tl::unexpected(std::move(findings));
+  }
+  NodeState state;
+  state.random = Random(settings.seed);
+  state.endpoints = MakeEndpointTable(settings.id, settings.failure_domain);
+  state.settings = std::move(settings);
+  return state;
+}
+
+std::vector<NodeCommand> Step(NodeState& state,
+                              const NodeEvent& event,
+                              TimePoint now) {
+  std::vector<NodeCommand> commands;
+  StepContext context{state, now, commands};
+  std::visit(EventHandler(context), event);
+  ExpireRequests(context);
+  ServeWokenPools(context);
+  if (state.is_shutting_down && state.requests.empty() && !state.is_exit_sent) {
+    state.is_exit_sent = true;
+    context.Emit(ExitNode{0});
+  }
+  return commands;
+}
+
+std::optional<TimePoint> NextWakeup(const NodeState& state) {
+  std::optional<TimePoint> next;
+  const auto consider = [&next](TimePoint time) {
+    next = next ? std::min(*next, time) : time;
+  };
+  if (!state.deadlines.empty()) {
+    consider(state.deadlines.begin()->first);
+  }
+  return next;
+}
+
+bool IsReady(const NodeState& state) {
+  return state.config.objects != nullptr && !state.is_shutting_down;
+}
+
+RequestId NextRequestId(NodeState& state) {
+  return RequestId(state.settings.id.value() + "-" +
+                   std::to_string(state.settings.incarnation.value()) + "-r" +
+                   std::to_string(++state.request_count));
+}
+
+bool ApplyConfig(NodeState& state,
+                 Revision revision,
+                 std::shared_ptr<const ObjectSet> objects,
+                 TimePoint now) {
+  if (revision <= state.config.revision) {
+    return false;
+  }
+  state.config = MakeActiveConfig(revision, std::move(objects));
+  ApplyHostList(state.endpoints, state.host_list, state.config.objects->pools,
+                now);
+  return true;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_node/requests/request_ending.cc
@@ -0,0 +1,82 @@
+#include "peridotmill_node/requests/request_ending.h"
+
+#include <vector>
+
+#include "peridotmill_node/requests/attempt_runner.h"
+#include "peridotmill_node/requests/bodies.h"
+#include "peridotmill_node/requests/stage_scheduler.h"
+
+namespace peridotmill {
+namespace {
+
+// Removes the request and lets the pools that it used serve others.
+void Forget(StepContext& context, RequestState& request) {
+  NodeState& state = context.state;
+  for (const auto& [name, progress] : request.stages) {
+    WakePool(context, StageOf(request, name).pool);
+  }
+  const RequestId id = request.id;
+  state.deadlines.erase({request.deadline, id});
+  state.requests.erase(id);
+}
+
+void MarkSpendWasted(StepContext& context, const RequestState& request) {
+  for (const auto& [name, progress] : request.stages) {
+    if (progress.status == StageStatus::kCompleted) {
+      MarkWasted(context.state.ledger, {name, request.team, request.pipeline},
+                 progress.useful_spend);
+    }
+  }
+}
+
+}  // namespace
+
+void AnswerRequest(StepContext& context, RequestState& request) {
+  NodeState& state = context.state;
+  const int64_t created =
+      std::chrono::duration_cast<std::chrono::seconds>(
+          WallTimeAt(state.settings, context.now).time_since_epoch())
+          .count();
+  const bool is_stream = request.parsed.is_stream;
+  context.Emit(CallerAnswer{
+      request.id,
+      is_stream ? StreamEnd(request, created) : WholeAnswer(request, created),
+      is_stream});
+  ++state.statistics.completed_on_time;
+  state.statistics.request_duration.Add(context.now - request.arrived_at);
+  RecordDecision(state.decisions, request.id, context.now, "answered");
+  Forget(context, request);
+}
+
+void RefuseRequest(StepContext& context,
+                   RequestState& request,
+                   Reason reason,
+                   const std::string& message) {
+  NodeState& state = context.state;
+  // Before the attempts are cancelled: an open one makes the outcome unknown.
+  const Execution execution = ExecutionOf(request);
+  for (auto& [name, progress] : request.stages) {
+    CancelAttempts(context, request, name);
+  }
+  MarkSpendWasted(context, request);
+  state.reasons.Add(reason);
+  RecordDecision(state.decisions, request.id, context.now,
+                 "refused: " + std::string(ToString(reason)) + ", " +
+                     std::string(ToString(execution)));
+  if (!request.is_caller_gone) {
+    context.Emit(CallerRefusal{request.id, reason, execution, message, "",
+                               request.has_stream_begun});
+  }
+  Forget(context, request);
+}
+
+void ExpireRequests(StepContext& context) {
+  NodeState& state = context.state;
+  while (!state.deadlines.empty() &&
+         state.deadlines.begin()->first <= context.now) {
+    const RequestId id = state.deadlines.begin()->second;
+    RefuseRequest(context, state.requests.at(id), Reason::kDeadlineExpired);
+  }
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_node/requests/request_state.h
+++ b/modules/peridotmill_node/requests/request_state.h
@@ -39,9 +39,9 @@
   // Fragments that came ahead of their turn, by sequence.
   std::map<uint64_t, std::string> early_fragments;
   TimePoint queued_at;
-  TimePoint started_at;
-  TimePoint hedge_at;
+  // Spend of all attempts, and the part that the stage's result came of.
   MicroUnits spend;
+  MicroUnits useful_spend;
 };
 
 // One open request of this node.
--- /dev/null
+++ b/modules/peridotmill_node/state/node_state.h
@@ -0,0 +1,92 @@
+#ifndef PERIDOTMILL_NODE_STATE_NODE_STATE_H_
+#define PERIDOTMILL_NODE_STATE_NODE_STATE_H_
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "peridotmill_core/peridotmill_core.h"
+#include "peridotmill_node/cost/cost_ledger.h"
+#include "peridotmill_node/interface/node_command.h"
+#include "peridotmill_node/metrics/node_statistics.h"
+#include "peridotmill_node/requests/request_state.h"
+#include "peridotmill_node/state/active_config.h"
+#include "peridotmill_node/state/decision_log.h"
+#include "peridotmill_node/state/node_settings.h"
+#include "peridotmill_routing/peridotmill_routing.h"
+
+namespace peridotmill {
+
+// An attempt that has been started and not yet ended.
+struct AttemptState {
+  RequestId request;
+  StageId stage;
+  AttemptTicket ticket;
+  std::string address;
+  bool is_stream = false;
+  bool is_hedge = false;
+  TimePoint started_at;
+  // Tokens that this attempt delivered, and the time of the first.
+  uint64_t tokens = 0;
+  TimePoint first_token_at;
+};
+
+// A stage of a request that waits for an endpoint of its pool.
+struct WaitingStage {
+  RequestId request;
+  StageId stage;
+};
+
+// All state of one node. Only Step() changes it.
+struct NodeState {
+  NodeSettings settings;
+  Random random{0};
+
+  ActiveConfig config;
+  HostList host_list;
+  EndpointTable endpoints;
+  PrefixIndex prefixes;
+  ServiceTimeEstimator estimator;
+  RetryBudgets retry_budgets;
+
+  std::unordered_map<RequestId, RequestState> requests;
+  std::unordered_map<AttemptId, AttemptState> attempts;
+  std::map<PoolId, std::deque<WaitingStage>> queues;
+  // Pools whose queues are served at the end of the step.
+  std::set<PoolId> woken_pools;
+  // Deadlines of open requests, earliest first.
+  std::set<std::pair<TimePoint, RequestId>> deadlines;
+  // Times at which a stage may start a second attempt.
+  std::set<std::pair<TimePoint, RequestId>> hedges;
+  uint64_t attempt_count = 0;
+  uint64_t request_count = 0;
+
+  ReasonCounters reasons;
+  CostLedger ledger;
+  NodeStatistics statistics;
+  DecisionLog decisions;
+
+  bool is_shutting_down = false;
+  bool is_exit_sent = false;
+};
+
+// What a step works on.
+struct StepContext {
+  NodeState& state;
+  TimePoint now;
+  std::vector<NodeCommand>& commands;
+
+  template <typename Command>
+  void Emit(Command command) {
+    commands.push_back(std::move(command));
+  }
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_NODE_STATE_NODE_STATE_H_
--- /dev/null
+++ b/modules/peridotmill_node/status/status_page.cc
@@ -0,0 +1,104 @@
+#include "peridotmill_node/status/status_page.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace peridotmill {
+namespace {
+
+using nlohmann::json;
+
+int64_t MillisecondsBetween(TimePoint from, TimePoint to) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(to - from)
+      .count();
+}
+
+json EndpointStatus(const EndpointView& view, TimePoint now) {
+  return {{"id", view.id.value()},
+          {"pool", view.pool.value()},
+          {"failure_domain", view.failure_domain.value()},
+          {"address", view.address},
+          {"in_flight", view.in_flight},
+          {"limit", view.limit},
+          {"reported_load", view.reported_load},
+          {"leaving", view.is_leaving},
+          {"listed", view.is_listed},
+          {"ejected", view.ejected_until > now}};
+}
+
+json CostByStage(const CostLedger& ledger) {
+  json stages = json::object();
+  for (const auto& [account, entry] : ledger.entries) {
+    json& stage = stages[account.stage.value()];
+    stage["spend_micro_units"] =
+        stage.value("spend_micro_units", int64_t{0}) + entry.spend.value();
+    stage["wasted_micro_units"] =
+        stage.value("wasted_micro_units", int64_t{0}) + entry.wasted.value();
+    stage["attempts"] = stage.value("attempts", uint64_t{0}) + entry.attempts;
+  }
+  return stages;
+}
+
+}  // namespace
+
+std::string RenderStatus(const NodeState& state, TimePoint now) {
+  json endpoints = json::array();
+  for (const EndpointView& view : state.endpoints.endpoints) {
+    endpoints.push_back(EndpointStatus(view, now));
+  }
+  const char* phase = state.is_shutting_down            ? "leaving"
+                      : state.config.objects != nullptr ? "serving"
+                                                        : "starting";
+  return json{
+      {"node", state.settings.id.value()},
+      {"failure_domain", state.settings.failure_domain.value()},
+      {"incarnation", state.settings.incarnation.value()},
+      {"state", phase},
+      {"uptime_s", MillisecondsBetween(state.settings.started_at, now) / 1000},
+      {"revision", state.config.revision.value()},
+      {"open_requests", state.requests.size()},
+      {"endpoints", std::move(endpoints)},
+      {"cost_by_stage", CostByStage(state.ledger)}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<std::string> RenderExplanation(const NodeState& state,
+                                             const RequestId& request,
+                                             TimePoint now) {
+  const auto known = state.decisions.decisions.find(request);
+  if (known == state.decisions.decisions.end()) {
+    return std::nullopt;
+  }
+  json decisions = json::array();
+  for (const Decision& decision : known->second) {
+    decisions.push_back({{"ms_ago", MillisecondsBetween(decision.at, now)},
+                         {"decision", decision.text}});
+  }
+  return json{{"request", request.value()},
+              {"node", state.settings.id.value()},
+              {"decisions", std::move(decisions)}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::string RenderModels(const NodeState& state, const std::string& token) {
+  json models = json::array();
+  const Team* team =
+      state.config.objects ? FindTeam(state.config, token) : nullptr;
+  if (team != nullptr) {
+    for (const auto& [name, pipeline] : state.config.objects->pipelines) {
+      const bool is_allowed =
+          team->pipelines.empty() ||
+          std::find(team->pipelines.begin(), team->pipelines.end(), name) !=
+              team->pipelines.end();
+      if (is_allowed) {
+        models.push_back({{"id", name.value()},
+                          {"object", "model"},
+                          {"created", 0},
+                          {"owned_by", "peridotmill"}});
+      }
+    }
+  }
+  return json{{"object", "list"}, {"data", std::move(models)}}.dump();
+}
+
+}  // namespace peridotmill
