--- /dev/null
+++ b/modules/peridotmill_net/peers/frame_buffer.cc
@@ -0,0 +1,54 @@
+#include "peridotmill_net/peers/frame_buffer.h"
+
+#include <cassert>
+#include <cstdint>
+
+namespace peridotmill {
+namespace {
+
+uint32_t ReadLength(std::string_view bytes) {
+  uint32_t length = 0;
+  for (size_t i = kFrameHeaderSize; i > 0; --i) {
+    length = length << 8 | static_cast<unsigned char>(bytes[i - 1]);
+  }
+  return length;
+}
+
+}  // namespace
+
+std::string EncodeFrame(std::string_view payload) {
+  assert(!payload.empty() && payload.size() <= kMaxPeerFrame);
+  std::string frame;
+  frame.reserve(kFrameHeaderSize + payload.size());
+  for (size_t i = 0; i < kFrameHeaderSize; ++i) {
+    frame += static_cast<char>(payload.size() >> (8 * i) & 0xff);
+  }
+  return frame.append(payload);
+}
+
+void FrameBuffer::Append(std::string_view bytes) {
+  bytes_.erase(0, start_);
+  start_ = 0;
+  bytes_.append(bytes);
+}
+
+Result<std::optional<std::string>> FrameBuffer::Next() {
+  const std::string_view rest = std::string_view(bytes_).substr(start_);
+  if (rest.size() < kFrameHeaderSize) {
+    return std::nullopt;
+  }
+  const size_t length = ReadLength(rest);
+  if (length == 0) {
+    return tl::unexpected(make_error_code(Error::kMalformed));
+  }
+  if (length > max_frame_) {
+    return tl::unexpected(make_error_code(Error::kTooLarge));
+  }
+  if (rest.size() < kFrameHeaderSize + length) {
+    return std::nullopt;
+  }
+  start_ += kFrameHeaderSize + length;
+  return std::string(rest.substr(kFrameHeaderSize, length));
+}
+
+}  // namespace peridotmill
