--- /dev/null
+++ b/modules/peridotmill_membership/codec/peer_decoder.cc
@@ -0,0 +1,293 @@
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+#include "peridotmill_membership/codec/peer_codec.h"
+#include "peridotmill_membership/schema/peer_wire.h"
+
+namespace peridotmill {
+namespace {
+
+constexpr uint8_t kLeavingFlag = 1;
+constexpr uint8_t kUnreachableFlag = 2;
+
+std::string TextOf(const flatbuffers::String* text) {
+  return text == nullptr ? std::string() : text->str();
+}
+
+// A newer version's state reads as the most careful known one.
+MemberState FromWire(wire::State state) {
+  return std::min(static_cast<MemberState>(state), MemberState::kDead);
+}
+
+PeerClaimStatus FromWire(wire::ClaimStatus status) {
+  const auto value = static_cast<PeerClaimStatus>(status);
+  return value <= PeerClaimStatus::kNotFound ? value
+                                             : PeerClaimStatus::kUnknown;
+}
+
+EndpointValue FromWire(const wire::EndpointValue& value) {
+  EndpointValue result;
+  result.endpoint = value.endpoint();
+  result.running = value.running();
+  result.waiting = value.waiting();
+  result.incarnation_tag = value.incarnation_tag();
+  result.memory_use = value.memory_use();
+  result.is_leaving = (value.flags() & kLeavingFlag) != 0;
+  result.is_unreachable = (value.flags() & kUnreachableFlag) != 0;
+  return result;
+}
+
+CacheHint FromWire(const wire::CacheHint& hint) {
+  return {hint.endpoint(), hint.prefix()};
+}
+
+PoolSummary FromWire(const wire::PoolSummary& pool) {
+  return {pool.pool(), pool.capacity(), pool.load(), pool.live_endpoints()};
+}
+
+EndpointStamp FromWire(const wire::EndpointStamp& stamp) {
+  return {stamp.endpoint(), stamp.value_hash(), stamp.age_ms()};
+}
+
+AgedEndpointValue FromWire(const wire::AgedValue& aged) {
+  return {FromWire(aged.value()), aged.age_ms()};
+}
+
+Member FromWire(const wire::Member& member) {
+  Member result;
+  result.node = NodeId(TextOf(member.node()));
+  result.address = TextOf(member.address());
+  result.failure_domain = FailureDomainId(TextOf(member.failure_domain()));
+  result.incarnation = Incarnation(member.incarnation());
+  result.state = FromWire(member.state());
+  result.heartbeat = member.heartbeat();
+  return result;
+}
+
+EndpointModels FromWire(const wire::EndpointModels& entry) {
+  EndpointModels result;
+  result.endpoint = entry.endpoint();
+  if (entry.models() != nullptr) {
+    result.models.assign(entry.models()->begin(), entry.models()->end());
+  }
+  return result;
+}
+
+template <typename T, typename Vector>
+void ReadAll(const Vector* items, std::vector<T>& into) {
+  if (items == nullptr) {
+    return;
+  }
+  into.reserve(items->size());
+  for (const auto* item : *items) {
+    into.push_back(FromWire(*item));
+  }
+}
+
+PeerMessage Read(const wire::Heartbeat& body) {
+  HeartbeatMessage message;
+  message.node = NodeId(TextOf(body.node()));
+  message.incarnation = Incarnation(body.incarnation());
+  message.state = FromWire(body.state());
+  message.revision = Revision(body.revision());
+  message.counter = body.counter();
+  message.report_sequence = body.report_sequence();
+  return message;
+}
+
+PeerMessage Read(const wire::MemberDelta& body) {
+  MemberDeltaMessage message;
+  ReadAll(body.members(), message.members);
+  return message;
+}
+
+PeerMessage Read(const wire::Leaving& body) {
+  return LeavingMessage{NodeId(TextOf(body.node())),
+                        Incarnation(body.incarnation()), body.heartbeat()};
+}
+
+PeerMessage Read(const wire::ConfigHead& body) {
+  return ConfigHeadMessage{TextOf(body.text())};
+}
+
+PeerMessage Read(const wire::ConfigPartRequest& body) {
+  return ConfigPartRequestMessage{TextOf(body.digest())};
+}
+
+PeerMessage Read(const wire::ConfigPart& body) {
+  return ConfigPartMessage{TextOf(body.digest()), TextOf(body.content()),
+                           body.found()};
+}
+
+PeerMessage Read(const wire::EndpointReports& body) {
+  EndpointReportsMessage message;
+  message.reader_incarnation = Incarnation(body.reader_incarnation());
+  message.sequence = body.sequence();
+  ReadAll(body.values(), message.values);
+  ReadAll(body.models(), message.models);
+  return message;
+}
+
+PeerMessage Read(const wire::CacheHints& body) {
+  CacheHintsMessage message;
+  ReadAll(body.held(), message.held);
+  ReadAll(body.evicted(), message.evicted);
+  return message;
+}
+
+PeerMessage Read(const wire::TeamUse& body) {
+  TeamUseMessage message;
+  if (body.teams() != nullptr && body.use() != nullptr) {
+    const auto count = std::min(body.teams()->size(), body.use()->size());
+    for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
+      message.entries.push_back({body.teams()->Get(i), body.use()->Get(i)});
+    }
+  }
+  return message;
+}
+
+PeerMessage Read(const wire::DomainSummary& body) {
+  DomainSummaryMessage message;
+  message.failure_domain = FailureDomainId(TextOf(body.failure_domain()));
+  ReadAll(body.pools(), message.pools);
+  message.is_complete = body.is_complete();
+  return message;
+}
+
+PeerMessage Read(const wire::Digest& body) {
+  DigestMessage message;
+  message.members_hash = body.members_hash();
+  ReadAll(body.endpoints(), message.endpoints);
+  return message;
+}
+
+PeerMessage Read(const wire::DigestReply& body) {
+  DigestReplyMessage message;
+  ReadAll(body.values(), message.values);
+  ReadAll(body.models(), message.models);
+  ReadAll(body.members(), message.members);
+  return message;
+}
+
+PeerMessage Read(const wire::ClaimRequest& body) {
+  ClaimRequestMessage message;
+  message.request = body.request();
+  message.team = TeamId(TextOf(body.team()));
+  message.key = IdempotencyKey(TextOf(body.key()));
+  message.digest = TextOf(body.digest());
+  message.nonce = Nonce(TextOf(body.nonce()));
+  message.deadline_ms = body.deadline_ms();
+  return message;
+}
+
+PeerMessage Read(const wire::ClaimReply& body) {
+  return ClaimReplyMessage{body.request(), FromWire(body.status()),
+                           TextOf(body.answer())};
+}
+
+PeerMessage Read(const wire::OutcomeRecord& body) {
+  return OutcomeRecordMessage{TeamId(TextOf(body.team())),
+                              IdempotencyKey(TextOf(body.key())),
+                              Nonce(TextOf(body.nonce())),
+                              FromWire(body.status()), TextOf(body.answer())};
+}
+
+PeerMessage Read(const wire::OutcomeAck& body) {
+  return OutcomeAckMessage{TeamId(TextOf(body.team())),
+                           IdempotencyKey(TextOf(body.key())),
+                           Nonce(TextOf(body.nonce()))};
+}
+
+PeerMessage Read(const wire::VoidRecord& body) {
+  return VoidRecordMessage{TeamId(TextOf(body.team())),
+                           IdempotencyKey(TextOf(body.key())),
+                           Nonce(TextOf(body.nonce()))};
+}
+
+PeerMessage Read(const wire::ActionQuery& body) {
+  return ActionQueryMessage{body.request(), TeamId(TextOf(body.team())),
+                            IdempotencyKey(TextOf(body.key()))};
+}
+
+PeerMessage Read(const wire::ActionReply& body) {
+  return ActionReplyMessage{body.request(), FromWire(body.status()),
+                            TextOf(body.answer())};
+}
+
+template <typename T>
+PeerMessage ReadBody(const wire::Frame& frame) {
+  return Read(*static_cast<const T*>(frame.body()));
+}
+
+Result<PeerMessage> ReadFrame(const wire::Frame& frame) {
+  switch (frame.body_type()) {
+    case wire::Body::Heartbeat:
+      return ReadBody<wire::Heartbeat>(frame);
+    case wire::Body::MemberDelta:
+      return ReadBody<wire::MemberDelta>(frame);
+    case wire::Body::Leaving:
+      return ReadBody<wire::Leaving>(frame);
+    case wire::Body::ConfigHead:
+      return ReadBody<wire::ConfigHead>(frame);
+    case wire::Body::ConfigPartRequest:
+      return ReadBody<wire::ConfigPartRequest>(frame);
+    case wire::Body::ConfigPart:
+      return ReadBody<wire::ConfigPart>(frame);
+    case wire::Body::EndpointReports:
+      return ReadBody<wire::EndpointReports>(frame);
+    case wire::Body::CacheHints:
+      return ReadBody<wire::CacheHints>(frame);
+    case wire::Body::TeamUse:
+      return ReadBody<wire::TeamUse>(frame);
+    case wire::Body::DomainSummary:
+      return ReadBody<wire::DomainSummary>(frame);
+    case wire::Body::Digest:
+      return ReadBody<wire::Digest>(frame);
+    case wire::Body::DigestReply:
+      return ReadBody<wire::DigestReply>(frame);
+    case wire::Body::ClaimRequest:
+      return ReadBody<wire::ClaimRequest>(frame);
+    case wire::Body::ClaimReply:
+      return ReadBody<wire::ClaimReply>(frame);
+    case wire::Body::OutcomeRecord:
+      return ReadBody<wire::OutcomeRecord>(frame);
+    case wire::Body::OutcomeAck:
+      return ReadBody<wire::OutcomeAck>(frame);
+    case wire::Body::VoidRecord:
+      return ReadBody<wire::VoidRecord>(frame);
+    case wire::Body::ActionQuery:
+      return ReadBody<wire::ActionQuery>(frame);
+    case wire::Body::ActionReply:
+      return ReadBody<wire::ActionReply>(frame);
+    case wire::Body::NONE:
+      break;
+  }
+  return tl::unexpected(make_error_code(Error::kMalformed));
+}
+
+}  // namespace
+
+Result<PeerMessage> DecodePeerMessage(std::string_view payload) {
+  if (payload.size() > kMaxPeerPayload) {
+    return tl::unexpected(make_error_code(Error::kTooLarge));
+  }
+  // The verifier checks alignment by address, so the bytes must be aligned.
+  std::vector<uint64_t> aligned((payload.size() + 7) / 8);
+  if (!payload.empty()) {
+    std::memcpy(aligned.data(), payload.data(), payload.size());
+  }
+  const auto* bytes = reinterpret_cast<const uint8_t*>(aligned.data());
+  flatbuffers::Verifier verifier(bytes, payload.size());
+  if (payload.size() < sizeof(flatbuffers::uoffset_t) ||
+      !wire::VerifyFrameBuffer(verifier)) {
+    return tl::unexpected(make_error_code(Error::kMalformed));
+  }
+  const wire::Frame& frame = *wire::GetFrame(bytes);
+  if (frame.body() == nullptr) {
+    return tl::unexpected(make_error_code(Error::kMalformed));
+  }
+  return ReadFrame(frame);
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_membership/peridotmill_membership.h
@@ -0,0 +1,19 @@
+// peridotmill_membership: nodes and what they tell each other.
+//
+// Members with incarnations and failure detection, relays between failure
+// domains, the messages between nodes with their codec, and the knowledge that
+// nodes share about endpoints, caches and team use.
+//
+// Dependencies: peridotmill_core, FlatBuffers (headers).
+
+#ifndef PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
+#define PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
+
+#include "peridotmill_membership/codec/peer_codec.h"
+#include "peridotmill_membership/members/member.h"
+#include "peridotmill_membership/members/member_news.h"
+#include "peridotmill_membership/members/membership.h"
+#include "peridotmill_membership/members/topology.h"
+#include "peridotmill_membership/messages/peer_message.h"
+
+#endif  // PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
