Add the knowledge that nodes share about endpoints, caches and teams

Two readers per endpoint report changes with sequence numbers; gaps are repaired by digests. Summaries of pools cross failure domains through relays.

Compiles; not tested yet.

--- a/modules/peridotmill_membership/codec/peer_decoder.cc
+++ b/modules/peridotmill_membership/codec/peer_decoder.cc
@@ -149,9 +149,7 @@
 
 PeerMessage Read(const wire::DomainSummary& body) {
   DomainSummaryMessage message;
-  message.failure_domain = FailureDomainId(TextOf(body.failure_domain()));
   ReadAll(body.pools(), message.pools);
-  message.is_complete = body.is_complete();
   return message;
 }
 
--- a/modules/peridotmill_membership/codec/peer_encoder.cc
+++ b/modules/peridotmill_membership/codec/peer_encoder.cc
@@ -167,9 +167,7 @@
 }
 
 auto Put(Builder& builder, const DomainSummaryMessage& message) {
-  const Text domain = PutText(builder, message.failure_domain);
-  const auto pools = PutStructs(builder, message.pools);
-  return wire::CreateDomainSummary(builder, domain, pools, message.is_complete);
+  return wire::CreateDomainSummary(builder, PutStructs(builder, message.pools));
 }
 
 auto Put(Builder& builder, const DigestMessage& message) {
--- a/modules/peridotmill_membership/messages/peer_message.h
+++ b/modules/peridotmill_membership/messages/peer_message.h
@@ -83,7 +83,8 @@
 // Endpoints whose values changed since the sender's previous report.
 struct EndpointReportsMessage {
   Incarnation reader_incarnation;
-  // Grows by one with each report of this incarnation.
+  // Grows by one with each report of this incarnation; 0 for urgent news, which
+  // is sent ahead of the numbered reports and repeated in them.
   uint32_t sequence = 0;
   std::vector<EndpointValue> values;
   std::vector<EndpointModels> models;
@@ -116,6 +117,7 @@
 
 // One pool of one failure domain.
 struct PoolSummary {
+  // Names the failure domain and the pool. @see DomainPoolFingerprint
   Fingerprint pool = 0;
   // Requests the live endpoints can run at the same time, saturated.
   uint16_t capacity = 0;
@@ -126,11 +128,9 @@
   friend bool operator==(const PoolSummary&, const PoolSummary&) = default;
 };
 
+// Pools whose summary changed, of one or more failure domains.
 struct DomainSummaryMessage {
-  FailureDomainId failure_domain;
-  // Pools whose summary changed, or all pools when `is_complete`.
   std::vector<PoolSummary> pools;
-  bool is_complete = false;
 };
 
 struct EndpointStamp {
--- a/modules/peridotmill_membership/peridotmill_membership.h
+++ b/modules/peridotmill_membership/peridotmill_membership.h
@@ -10,6 +10,12 @@
 #define PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
 
 #include "peridotmill_membership/codec/peer_codec.h"
+#include "peridotmill_membership/knowledge/cache_hints.h"
+#include "peridotmill_membership/knowledge/domain_summaries.h"
+#include "peridotmill_membership/knowledge/endpoint_knowledge.h"
+#include "peridotmill_membership/knowledge/endpoint_readers.h"
+#include "peridotmill_membership/knowledge/endpoint_value.h"
+#include "peridotmill_membership/knowledge/team_use.h"
 #include "peridotmill_membership/members/member.h"
 #include "peridotmill_membership/members/member_news.h"
 #include "peridotmill_membership/members/membership.h"
--- a/modules/peridotmill_membership/schema/peer_generated.h
+++ b/modules/peridotmill_membership/schema/peer_generated.h
@@ -1337,26 +1337,15 @@
 struct DomainSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DomainSummaryBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_FAILURE_DOMAIN = 4,
-    VT_POOLS = 6,
-    VT_IS_COMPLETE = 8
+    VT_POOLS = 4
   };
-  const flatbuffers::String *failure_domain() const {
-    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
-  }
   const flatbuffers::Vector<const peridotmill::wire::PoolSummary *> *pools() const {
     return GetPointer<const flatbuffers::Vector<const peridotmill::wire::PoolSummary *> *>(VT_POOLS);
   }
-  bool is_complete() const {
-    return GetField<uint8_t>(VT_IS_COMPLETE, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
-           verifier.VerifyString(failure_domain()) &&
            VerifyOffset(verifier, VT_POOLS) &&
            verifier.VerifyVector(pools()) &&
-           VerifyField<uint8_t>(verifier, VT_IS_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -1365,15 +1354,9 @@
   typedef DomainSummary Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
-    fbb_.AddOffset(DomainSummary::VT_FAILURE_DOMAIN, failure_domain);
-  }
   void add_pools(flatbuffers::Offset<flatbuffers::Vector<const peridotmill::wire::PoolSummary *>> pools) {
     fbb_.AddOffset(DomainSummary::VT_POOLS, pools);
   }
-  void add_is_complete(bool is_complete) {
-    fbb_.AddElement<uint8_t>(DomainSummary::VT_IS_COMPLETE, static_cast<uint8_t>(is_complete), 0);
-  }
   explicit DomainSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1387,28 +1370,19 @@
 
 inline flatbuffers::Offset<DomainSummary> CreateDomainSummary(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const peridotmill::wire::PoolSummary *>> pools = 0,
-    bool is_complete = false) {
+    flatbuffers::Offset<flatbuffers::Vector<const peridotmill::wire::PoolSummary *>> pools = 0) {
   DomainSummaryBuilder builder_(_fbb);
   builder_.add_pools(pools);
-  builder_.add_failure_domain(failure_domain);
-  builder_.add_is_complete(is_complete);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<DomainSummary> CreateDomainSummaryDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *failure_domain = nullptr,
-    const std::vector<peridotmill::wire::PoolSummary> *pools = nullptr,
-    bool is_complete = false) {
-  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+    const std::vector<peridotmill::wire::PoolSummary> *pools = nullptr) {
   auto pools__ = pools ? _fbb.CreateVectorOfStructs<peridotmill::wire::PoolSummary>(*pools) : 0;
   return peridotmill::wire::CreateDomainSummary(
       _fbb,
-      failure_domain__,
-      pools__,
-      is_complete);
+      pools__);
 }
 
 struct Digest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
