--- a/modules/peridotmill_core/peridotmill_core.h
+++ b/modules/peridotmill_core/peridotmill_core.h
@@ -21,6 +21,7 @@
 #include "peridotmill_core/reasons/reason_counters.h"
 #include "peridotmill_core/store/store_call.h"
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_core/units/units.h"
 
 #endif  // PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
--- /dev/null
+++ b/modules/peridotmill_limits/teams/team_shares.cc
@@ -0,0 +1,204 @@
+#include "peridotmill_limits/teams/team_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "peridotmill_core/time/milliseconds.h"
+
+namespace peridotmill {
+namespace {
+
+// Scaled values are brought back to the present after this many half-lives,
+// long before a double loses the small ones beside the large.
+constexpr double kMaxHalfLives = 20;
+// Use below this is not worth an entry.
+constexpr double kNegligibleMs = 0.5;
+// Hysteresis against flapping around an equal division.
+constexpr double kShareTolerance = 1.1;
+
+double ScaleAt(const TeamShares& shares, TimePoint now) {
+  return std::exp2(ToMilliseconds(now - shares.epoch) /
+                   ToMilliseconds(kTeamUseHalfLife));
+}
+
+void Rescale(TeamShares& shares, double factor) {
+  for (auto& [team, entry] : shares.teams) {
+    entry.own_use *= factor;
+    entry.peer_use *= factor;
+  }
+  for (auto& [peer, reports] : shares.peers) {
+    for (auto& [team, use] : reports) {
+      use *= factor;
+    }
+  }
+  shares.total_use *= factor;
+}
+
+// Returns the scale of the present and moves the epoch when it is far back.
+double Advance(TeamShares& shares, TimePoint now) {
+  if (!shares.has_epoch) {
+    shares.epoch = now;
+    shares.has_epoch = true;
+  }
+  const double half_lives =
+      ToMilliseconds(now - shares.epoch) / ToMilliseconds(kTeamUseHalfLife);
+  if (half_lives > kMaxHalfLives) {
+    Rescale(shares, std::exp2(-half_lives));
+    shares.epoch = now;
+    return 1;
+  }
+  return std::exp2(half_lives);
+}
+
+TeamEntry* FindOrAdd(TeamShares& shares, const TeamId& team, TimePoint now) {
+  const auto found = shares.teams.find(team);
+  if (found != shares.teams.end()) {
+    return &found->second;
+  }
+  if (shares.teams.size() >= kMaxTeams) {
+    SweepTeams(shares, now);
+  }
+  if (shares.teams.size() >= kMaxTeams) {
+    ++shares.uncounted;
+    return nullptr;
+  }
+  TeamEntry* entry = &shares.teams[team];
+  shares.total_share += entry->share;
+  return entry;
+}
+
+void SubtractPeerUse(TeamShares& shares, const TeamId& team, double use) {
+  const auto found = shares.teams.find(team);
+  if (found != shares.teams.end()) {
+    found->second.peer_use = std::max(0.0, found->second.peer_use - use);
+    shares.total_use = std::max(0.0, shares.total_use - use);
+  }
+}
+
+}  // namespace
+
+void AddTeamUse(TeamShares& shares,
+                const TeamId& team,
+                double share,
+                Duration service_time,
+                TimePoint now) {
+  const double scale = Advance(shares, now);
+  TeamEntry* entry = FindOrAdd(shares, team, now);
+  if (entry == nullptr) {
+    return;
+  }
+  const double use = ToMilliseconds(service_time) * scale;
+  entry->own_use += use;
+  shares.total_use += use;
+  shares.total_share += share - entry->share;
+  entry->share = share;
+}
+
+void ApplyPeerTeamUse(TeamShares& shares,
+                      const NodeId& peer,
+                      const TeamId& team,
+                      double use,
+                      TimePoint now) {
+  const double scale = Advance(shares, now);
+  if (shares.peers.size() >= kMaxTeamPeers && !shares.peers.contains(peer)) {
+    ++shares.uncounted;
+    return;
+  }
+  auto& reports = shares.peers[peer];
+  if (reports.size() >= kMaxTeamsPerPeer && !reports.contains(team)) {
+    const auto least = std::min_element(
+        reports.begin(), reports.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    SubtractPeerUse(shares, least->first, least->second);
+    reports.erase(least);
+  }
+  TeamEntry* entry = FindOrAdd(shares, team, now);
+  if (entry == nullptr) {
+    return;
+  }
+  double& reported = reports[team];
+  const double change = std::max(0.0, use) * scale - reported;
+  reported += change;
+  entry->peer_use = std::max(0.0, entry->peer_use + change);
+  shares.total_use = std::max(0.0, shares.total_use + change);
+}
+
+void ForgetPeer(TeamShares& shares, const NodeId& peer) {
+  const auto found = shares.peers.find(peer);
+  if (found == shares.peers.end()) {
+    return;
+  }
+  for (const auto& [team, use] : found->second) {
+    SubtractPeerUse(shares, team, use);
+  }
+  shares.peers.erase(found);
+}
+
+bool IsOverShare(const TeamShares& shares, const TeamId& team, double share) {
+  const auto found = shares.teams.find(team);
+  if (found == shares.teams.end() || shares.total_use <= 0) {
+    return false;
+  }
+  const double use = found->second.own_use + found->second.peer_use;
+  const double all_shares = shares.total_share - found->second.share + share;
+  return use * all_shares > kShareTolerance * share * shares.total_use;
+}
+
+std::vector<TeamUse> TopTeamUse(const TeamShares& shares,
+                                size_t count,
+                                TimePoint now) {
+  const double scale = ScaleAt(shares, now);
+  using Entry = std::pair<double, const TeamId*>;
+  // The `count` largest so far, the least of them in front.
+  std::vector<Entry> heap;
+  heap.reserve(count + 1);
+  for (const auto& [team, entry] : shares.teams) {
+    if (count == 0 || entry.own_use < kNegligibleMs * scale ||
+        (heap.size() == count && entry.own_use <= heap.front().first)) {
+      continue;
+    }
+    heap.emplace_back(entry.own_use, &team);
+    std::push_heap(heap.begin(), heap.end(), std::greater<>());
+    if (heap.size() > count) {
+      std::pop_heap(heap.begin(), heap.end(), std::greater<>());
+      heap.pop_back();
+    }
+  }
+  std::sort(heap.begin(), heap.end(), std::greater<>());
+  std::vector<TeamUse> top;
+  for (const auto& [use, team] : heap) {
+    top.push_back({*team, use / scale});
+  }
+  return top;
+}
+
+double TeamUseOf(const TeamShares& shares, const TeamId& team, TimePoint now) {
+  const auto found = shares.teams.find(team);
+  return found == shares.teams.end()
+             ? 0
+             : (found->second.own_use + found->second.peer_use) /
+                   ScaleAt(shares, now);
+}
+
+void SweepTeams(TeamShares& shares, TimePoint now) {
+  const double negligible = kNegligibleMs * Advance(shares, now);
+  for (auto& [peer, reports] : shares.peers) {
+    std::erase_if(reports, [&](const auto& report) {
+      return report.second < negligible;
+    });
+  }
+  std::erase_if(shares.peers,
+                [](const auto& peer) { return peer.second.empty(); });
+  std::erase_if(shares.teams, [&](const auto& team) {
+    return team.second.own_use + team.second.peer_use < negligible;
+  });
+  // Sums are taken anew, so that rounding does not build up.
+  shares.total_use = 0;
+  shares.total_share = 0;
+  for (const auto& [team, entry] : shares.teams) {
+    shares.total_use += entry.own_use + entry.peer_use;
+    shares.total_share += entry.share;
+  }
+}
+
+}  // namespace peridotmill
