--- a/modules/peridotmill_actions/actions_step.h
+++ b/modules/peridotmill_actions/actions_step.h
@@ -1,7 +1,6 @@
 #ifndef PERIDOTMILL_ACTIONS_ACTIONS_STEP_H_
 #define PERIDOTMILL_ACTIONS_ACTIONS_STEP_H_
 
-#include <optional>
 #include <vector>
 
 #include "peridotmill_actions/home/home_state.h"
@@ -15,6 +14,7 @@
 struct ActionsState {
   HomeState home;
   OriginState origin;
+  TimePoint next_tick;
 };
 
 struct ActionsSettings {
@@ -76,7 +76,7 @@
 ActionCommands OnActionTick(ActionsState& state, ActionTime now);
 
 // When the next tick is due.
-std::optional<TimePoint> NextActionWakeup(const ActionsState& state);
+TimePoint NextActionWakeup(const ActionsState& state);
 
 // Whether nothing remains to be written or acknowledged, for shutdown.
 bool IsDrained(const ActionsState& state);
--- a/modules/peridotmill_actions/home/home_state.h
+++ b/modules/peridotmill_actions/home/home_state.h
@@ -44,19 +44,20 @@
   // A former copy may have taken effect or may still do so.
   bool is_in_doubt = false;
   bool is_open = false;
-  TimePoint retry_at;
 };
 
 struct ClaimWaiter {
   ClaimRequest request;
   NodeId origin;
   TimePoint deadline;
+  // Whether its claim is among the pending entries or in the open write.
+  bool is_queued = false;
 };
 
 struct LookupWaiter {
   ActionLookup lookup;
   NodeId origin;
-  // Answered by a read that started after this number of reads.
+  // Answered by the first read that is numbered above this.
   uint64_t after_read = 0;
 };
 
@@ -78,13 +79,16 @@
   bool is_read_needed = false;
   bool is_pruning = false;
   uint64_t reads_started = 0;
+  // Start of the next page; empty for the first one.
+  std::string read_from;
+  // Not before this time, after a failure.
   TimePoint next_read;
+  TimePoint next_poll;
   TimePoint next_write;
   TimePoint next_prune;
   TimePoint last_used;
   // When a bucket that this node became home of is opened.
   std::optional<TimePoint> open_at;
-  std::string read_from;
 };
 
 enum class HomeOperationKind : uint8_t {
@@ -98,7 +102,8 @@
 struct HomeOperation {
   HomeOperationKind kind = HomeOperationKind::kProbe;
   int32_t bucket = 0;
-  int64_t floor = 0;
+  // Sequence of a write or floor of a prune.
+  int64_t sequence = 0;
 };
 
 struct HomeCounters {
--- a/modules/peridotmill_actions/log/bucket_log.h
+++ b/modules/peridotmill_actions/log/bucket_log.h
@@ -50,12 +50,26 @@
 const ActionRecord* FindRecord(const BucketLog& log,
                                const std::string& scoped_key);
 
-// Forgets everything below `floor` and returns tombstones for the keys that do
-// not show their own age: those that `retention_seconds` does not expire yet.
-std::vector<Tombstone> ForgetBelow(BucketLog& log,
-                                   int64_t floor,
-                                   int64_t retention_seconds,
-                                   int64_t now_seconds);
+// Tombstones outlast the log entries by this many retention periods.
+inline constexpr int64_t kTombstoneRetentions = 30;
+
+// First sequence that is younger than the retention period.
+int64_t ExpiredFloor(const BucketLog& log,
+                     int64_t retention_seconds,
+                     int64_t now_seconds);
+
+// Tombstones for the claims below `floor` whose keys do not show their own age.
+std::vector<Tombstone> TombstonesBelow(const BucketLog& log,
+                                       int64_t floor,
+                                       int64_t retention_seconds,
+                                       int64_t now_seconds);
+
+// Replaces everything below `floor` by its tombstones and drops the tombstones
+// that are past their time.
+void ForgetBelow(BucketLog& log,
+                 int64_t floor,
+                 int64_t retention_seconds,
+                 int64_t now_seconds);
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_actions/messages/action_messages.h
+++ b/modules/peridotmill_actions/messages/action_messages.h
@@ -42,6 +42,8 @@
   // Claimant of the action in progress.
   NodeId holder;
   Incarnation holder_incarnation;
+  // With a refusal: the claim is in a write that may still take effect.
+  bool is_in_doubt = false;
 };
 
 // Origin to home: appends the outcome of a claim, or voids it.
--- a/modules/peridotmill_actions/origin/origin_state.h
+++ b/modules/peridotmill_actions/origin/origin_state.h
@@ -26,6 +26,7 @@
 struct HomeExchange {
   NodeId target;
   TimePoint next_send;
+  int32_t sends = 0;
   // Sends since the target's last reply.
   int32_t unanswered = 0;
   // The origin handles the bucket itself because the home did not answer.
