--- a/modules/peridotmill_membership/codec/peer_decoder.cc
+++ b/modules/peridotmill_membership/codec/peer_decoder.cc
@@ -20,10 +20,31 @@
   return std::min(static_cast<MemberState>(state), MemberState::kDead);
 }
 
-PeerClaimStatus FromWire(wire::ClaimStatus status) {
-  const auto value = static_cast<PeerClaimStatus>(status);
-  return value <= PeerClaimStatus::kNotFound ? value
-                                             : PeerClaimStatus::kUnknown;
+// A newer version's status reads as "ask again".
+ClaimStatus FromWire(wire::ClaimStatus status) {
+  const auto value = static_cast<ClaimStatus>(status);
+  return value <= ClaimStatus::kTableFull ? value : ClaimStatus::kPending;
+}
+
+LookupStatus FromWire(wire::LookupStatus status) {
+  const auto value = static_cast<LookupStatus>(status);
+  return value <= LookupStatus::kStoreUnavailable
+             ? value
+             : LookupStatus::kStoreUnavailable;
+}
+
+ActionAnswer FromWire(const wire::ActionAnswer* answer) {
+  ActionAnswer result;
+  result.execution = Execution::kUnknown;
+  if (answer == nullptr) {
+    return result;
+  }
+  result.execution =
+      std::min(static_cast<Execution>(answer->execution()), Execution::kUnknown);
+  result.http_status = answer->http_status();
+  result.body = TextOf(answer->body());
+  result.digest = TextOf(answer->digest());
+  return result;
 }
 
 EndpointValue FromWire(const wire::EndpointValue& value) {
@@ -169,48 +190,45 @@
 }
 
 PeerMessage Read(const wire::ClaimRequest& body) {
-  ClaimRequestMessage message;
-  message.request = body.request();
+  ClaimRequest message;
   message.team = TeamId(TextOf(body.team()));
   message.key = IdempotencyKey(TextOf(body.key()));
-  message.digest = TextOf(body.digest());
+  message.request_digest = TextOf(body.digest());
   message.nonce = Nonce(TextOf(body.nonce()));
-  message.deadline_ms = body.deadline_ms();
+  message.claimant = NodeId(TextOf(body.claimant()));
+  message.claimant_incarnation = Incarnation(body.claimant_incarnation());
+  message.time_left = std::chrono::milliseconds(body.time_left_ms());
   return message;
 }
 
 PeerMessage Read(const wire::ClaimReply& body) {
-  return ClaimReplyMessage{body.request(), FromWire(body.status()),
-                           TextOf(body.answer())};
+  return ClaimReply{Nonce(TextOf(body.nonce())), FromWire(body.status()),
+                    FromWire(body.answer()), NodeId(TextOf(body.holder())),
+                    Incarnation(body.holder_incarnation())};
 }
 
 PeerMessage Read(const wire::OutcomeRecord& body) {
-  return OutcomeRecordMessage{TeamId(TextOf(body.team())),
-                              IdempotencyKey(TextOf(body.key())),
-                              Nonce(TextOf(body.nonce())),
-                              FromWire(body.status()), TextOf(body.answer())};
+  return OutcomeRecord{TeamId(TextOf(body.team())),
+                       IdempotencyKey(TextOf(body.key())),
+                       Nonce(TextOf(body.nonce())), body.is_void(),
+                       FromWire(body.answer())};
 }
 
 PeerMessage Read(const wire::OutcomeAck& body) {
-  return OutcomeAckMessage{TeamId(TextOf(body.team())),
-                           IdempotencyKey(TextOf(body.key())),
-                           Nonce(TextOf(body.nonce()))};
-}
-
-PeerMessage Read(const wire::VoidRecord& body) {
-  return VoidRecordMessage{TeamId(TextOf(body.team())),
-                           IdempotencyKey(TextOf(body.key())),
-                           Nonce(TextOf(body.nonce()))};
+  return OutcomeAck{Nonce(TextOf(body.nonce()))};
 }
 
-PeerMessage Read(const wire::ActionQuery& body) {
-  return ActionQueryMessage{body.request(), TeamId(TextOf(body.team())),
-                            IdempotencyKey(TextOf(body.key()))};
+PeerMessage Read(const wire::ActionLookup& body) {
+  return ActionLookup{RequestId(TextOf(body.request())),
+                      TeamId(TextOf(body.team())),
+                      IdempotencyKey(TextOf(body.key()))};
 }
 
-PeerMessage Read(const wire::ActionReply& body) {
-  return ActionReplyMessage{body.request(), FromWire(body.status()),
-                            TextOf(body.answer())};
+PeerMessage Read(const wire::ActionLookupReply& body) {
+  return ActionLookupReply{RequestId(TextOf(body.request())),
+                           FromWire(body.status()), FromWire(body.answer()),
+                           NodeId(TextOf(body.holder())),
+                           Incarnation(body.holder_incarnation())};
 }
 
 template <typename T>
@@ -252,12 +270,10 @@
       return ReadBody<wire::OutcomeRecord>(frame);
     case wire::Body::OutcomeAck:
       return ReadBody<wire::OutcomeAck>(frame);
-    case wire::Body::VoidRecord:
-      return ReadBody<wire::VoidRecord>(frame);
-    case wire::Body::ActionQuery:
-      return ReadBody<wire::ActionQuery>(frame);
-    case wire::Body::ActionReply:
-      return ReadBody<wire::ActionReply>(frame);
+    case wire::Body::ActionLookup:
+      return ReadBody<wire::ActionLookup>(frame);
+    case wire::Body::ActionLookupReply:
+      return ReadBody<wire::ActionLookupReply>(frame);
     case wire::Body::NONE:
       break;
   }
--- a/modules/peridotmill_membership/codec/peer_encoder.cc
+++ b/modules/peridotmill_membership/codec/peer_encoder.cc
@@ -28,10 +28,14 @@
   return static_cast<wire::State>(state);
 }
 
-wire::ClaimStatus ToWire(PeerClaimStatus status) {
+wire::ClaimStatus ToWire(ClaimStatus status) {
   return static_cast<wire::ClaimStatus>(status);
 }
 
+wire::LookupStatus ToWire(LookupStatus status) {
+  return static_cast<wire::LookupStatus>(status);
+}
+
 wire::EndpointValue ToWire(const EndpointValue& value) {
   const auto flags =
       static_cast<uint8_t>((value.is_leaving ? kLeavingFlag : 0) |
@@ -182,54 +186,60 @@
   return wire::CreateDigestReply(builder, values, models, members);
 }
 
-auto Put(Builder& builder, const ClaimRequestMessage& message) {
-  const Text team = PutText(builder, message.team);
-  const Text key = PutText(builder, message.key);
-  const Text digest = PutText(builder, message.digest);
-  const Text nonce = PutText(builder, message.nonce);
-  return wire::CreateClaimRequest(builder, message.request, team, key, digest,
-                                  nonce, message.deadline_ms);
-}
-
-auto Put(Builder& builder, const ClaimReplyMessage& message) {
-  return wire::CreateClaimReply(builder, message.request,
-                                ToWire(message.status),
-                                PutText(builder, message.answer));
+auto PutAnswer(Builder& builder, const ActionAnswer& answer) {
+  const Text body = PutText(builder, answer.body);
+  const Text digest = PutText(builder, answer.digest);
+  return wire::CreateActionAnswer(
+      builder, static_cast<wire::Execution>(answer.execution),
+      answer.http_status, body, digest);
 }
 
-auto Put(Builder& builder, const OutcomeRecordMessage& message) {
+auto Put(Builder& builder, const ClaimRequest& message) {
   const Text team = PutText(builder, message.team);
   const Text key = PutText(builder, message.key);
+  const Text digest = PutText(builder, message.request_digest);
   const Text nonce = PutText(builder, message.nonce);
-  const Text answer = PutText(builder, message.answer);
-  return wire::CreateOutcomeRecord(builder, team, key, nonce,
-                                   ToWire(message.status), answer);
+  const Text claimant = PutText(builder, message.claimant);
+  return wire::CreateClaimRequest(builder, team, key, digest, nonce, claimant,
+                                  message.claimant_incarnation.value(),
+                                  message.time_left.count());
 }
 
-auto Put(Builder& builder, const OutcomeAckMessage& message) {
-  const Text team = PutText(builder, message.team);
-  const Text key = PutText(builder, message.key);
+auto Put(Builder& builder, const ClaimReply& message) {
   const Text nonce = PutText(builder, message.nonce);
-  return wire::CreateOutcomeAck(builder, team, key, nonce);
+  const auto answer = PutAnswer(builder, message.answer);
+  const Text holder = PutText(builder, message.holder);
+  return wire::CreateClaimReply(builder, nonce, ToWire(message.status), answer,
+                                holder, message.holder_incarnation.value());
 }
 
-auto Put(Builder& builder, const VoidRecordMessage& message) {
+auto Put(Builder& builder, const OutcomeRecord& message) {
   const Text team = PutText(builder, message.team);
   const Text key = PutText(builder, message.key);
   const Text nonce = PutText(builder, message.nonce);
-  return wire::CreateVoidRecord(builder, team, key, nonce);
+  const auto answer = PutAnswer(builder, message.answer);
+  return wire::CreateOutcomeRecord(builder, team, key, nonce, message.is_void,
+                                   answer);
+}
+
+auto Put(Builder& builder, const OutcomeAck& message) {
+  return wire::CreateOutcomeAck(builder, PutText(builder, message.nonce));
 }
 
-auto Put(Builder& builder, const ActionQueryMessage& message) {
+auto Put(Builder& builder, const ActionLookup& message) {
+  const Text request = PutText(builder, message.request);
   const Text team = PutText(builder, message.team);
   const Text key = PutText(builder, message.key);
-  return wire::CreateActionQuery(builder, message.request, team, key);
+  return wire::CreateActionLookup(builder, request, team, key);
 }
 
-auto Put(Builder& builder, const ActionReplyMessage& message) {
-  return wire::CreateActionReply(builder, message.request,
-                                 ToWire(message.status),
-                                 PutText(builder, message.answer));
+auto Put(Builder& builder, const ActionLookupReply& message) {
+  const Text request = PutText(builder, message.request);
+  const auto answer = PutAnswer(builder, message.answer);
+  const Text holder = PutText(builder, message.holder);
+  return wire::CreateActionLookupReply(builder, request,
+                                       ToWire(message.status), answer, holder,
+                                       message.holder_incarnation.value());
 }
 
 template <typename T>
--- a/modules/peridotmill_membership/messages/peer_message.h
+++ b/modules/peridotmill_membership/messages/peer_message.h
@@ -7,6 +7,7 @@
 #include <variant>
 #include <vector>
 
+#include "peridotmill_actions/messages/action_messages.h"
 #include "peridotmill_core/ids/ids.h"
 #include "peridotmill_core/units/units.h"
 #include "peridotmill_membership/members/member.h"
@@ -156,74 +157,6 @@
   std::vector<Member> members;
 };
 
-// What a home node or a record says about an action.
-enum class PeerClaimStatus : uint8_t {
-  kGranted,
-  kCompleted,
-  kFailed,
-  kInProgress,
-  kUnknown,
-  kKeyReused,
-  kKeyExpired,
-  kStoreUnavailable,
-  // The receiver is not the bucket's home node in its own view.
-  kNotHome,
-  kTableFull,
-  kNotFound,
-};
-
-struct ClaimRequestMessage {
-  // Number within the sender; the reply carries it back.
-  uint64_t request = 0;
-  TeamId team;
-  IdempotencyKey key;
-  std::string digest;
-  Nonce nonce;
-  // Time left, counted from the sending.
-  int64_t deadline_ms = 0;
-};
-
-struct ClaimReplyMessage {
-  uint64_t request = 0;
-  PeerClaimStatus status = PeerClaimStatus::kUnknown;
-  // Recorded answer, for kCompleted and kFailed.
-  std::string answer;
-};
-
-struct OutcomeRecordMessage {
-  TeamId team;
-  IdempotencyKey key;
-  Nonce nonce;
-  PeerClaimStatus status = PeerClaimStatus::kUnknown;
-  std::string answer;
-};
-
-// The outcome is in the store.
-struct OutcomeAckMessage {
-  TeamId team;
-  IdempotencyKey key;
-  Nonce nonce;
-};
-
-// The claimant has not sent the call and never will.
-struct VoidRecordMessage {
-  TeamId team;
-  IdempotencyKey key;
-  Nonce nonce;
-};
-
-struct ActionQueryMessage {
-  uint64_t request = 0;
-  TeamId team;
-  IdempotencyKey key;
-};
-
-struct ActionReplyMessage {
-  uint64_t request = 0;
-  PeerClaimStatus status = PeerClaimStatus::kUnknown;
-  std::string answer;
-};
-
 using PeerMessage = std::variant<HeartbeatMessage,
                                  MemberDeltaMessage,
                                  LeavingMessage,
@@ -236,13 +169,12 @@
                                  DomainSummaryMessage,
                                  DigestMessage,
                                  DigestReplyMessage,
-                                 ClaimRequestMessage,
-                                 ClaimReplyMessage,
-                                 OutcomeRecordMessage,
-                                 OutcomeAckMessage,
-                                 VoidRecordMessage,
-                                 ActionQueryMessage,
-                                 ActionReplyMessage>;
+                                 ClaimRequest,
+                                 ClaimReply,
+                                 OutcomeRecord,
+                                 OutcomeAck,
+                                 ActionLookup,
+                                 ActionLookupReply>;
 
 // A message for one connected peer.
 struct SendToPeer {
--- a/modules/peridotmill_membership/peridotmill_membership.h
+++ b/modules/peridotmill_membership/peridotmill_membership.h
@@ -4,7 +4,8 @@
 // domains, the messages between nodes with their codec, and the knowledge that
 // nodes share about endpoints, caches and team use.
 //
-// Dependencies: peridotmill_core, FlatBuffers (headers).
+// Dependencies: peridotmill_core, peridotmill_actions (message structs only),
+// FlatBuffers (headers).
 
 #ifndef PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
 #define PERIDOTMILL_MEMBERSHIP_PERIDOTMILL_MEMBERSHIP_H_
--- a/modules/peridotmill_membership/schema/peer_generated.h
+++ b/modules/peridotmill_membership/schema/peer_generated.h
@@ -68,6 +68,9 @@
 struct DigestReply;
 struct DigestReplyBuilder;
 
+struct ActionAnswer;
+struct ActionAnswerBuilder;
+
 struct ClaimRequest;
 struct ClaimRequestBuilder;
 
@@ -80,14 +83,11 @@
 struct OutcomeAck;
 struct OutcomeAckBuilder;
 
-struct VoidRecord;
-struct VoidRecordBuilder;
-
-struct ActionQuery;
-struct ActionQueryBuilder;
+struct ActionLookup;
+struct ActionLookupBuilder;
 
-struct ActionReply;
-struct ActionReplyBuilder;
+struct ActionLookupReply;
+struct ActionLookupReplyBuilder;
 
 struct Frame;
 struct FrameBuilder;
@@ -130,61 +130,124 @@
 
 enum class ClaimStatus : uint8_t {
   Granted = 0,
-  Completed = 1,
-  Failed = 2,
-  InProgress = 3,
-  Unknown = 4,
-  KeyReused = 5,
-  KeyExpired = 6,
-  StoreUnavailable = 7,
-  NotHome = 8,
-  TableFull = 9,
-  NotFound = 10,
+  Duplicate = 1,
+  InProgress = 2,
+  Pending = 3,
+  KeyReused = 4,
+  KeyExpired = 5,
+  StoreUnavailable = 6,
+  TableFull = 7,
   MIN = Granted,
-  MAX = NotFound
+  MAX = TableFull
 };
 
-inline const ClaimStatus (&EnumValuesClaimStatus())[11] {
+inline const ClaimStatus (&EnumValuesClaimStatus())[8] {
   static const ClaimStatus values[] = {
     ClaimStatus::Granted,
-    ClaimStatus::Completed,
-    ClaimStatus::Failed,
+    ClaimStatus::Duplicate,
     ClaimStatus::InProgress,
-    ClaimStatus::Unknown,
+    ClaimStatus::Pending,
     ClaimStatus::KeyReused,
     ClaimStatus::KeyExpired,
     ClaimStatus::StoreUnavailable,
-    ClaimStatus::NotHome,
-    ClaimStatus::TableFull,
-    ClaimStatus::NotFound
+    ClaimStatus::TableFull
   };
   return values;
 }
 
 inline const char * const *EnumNamesClaimStatus() {
-  static const char * const names[12] = {
+  static const char * const names[9] = {
     "Granted",
-    "Completed",
-    "Failed",
+    "Duplicate",
     "InProgress",
-    "Unknown",
+    "Pending",
     "KeyReused",
     "KeyExpired",
     "StoreUnavailable",
-    "NotHome",
     "TableFull",
-    "NotFound",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameClaimStatus(ClaimStatus e) {
-  if (flatbuffers::IsOutRange(e, ClaimStatus::Granted, ClaimStatus::NotFound)) return "";
+  if (flatbuffers::IsOutRange(e, ClaimStatus::Granted, ClaimStatus::TableFull)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesClaimStatus()[index];
 }
 
+enum class LookupStatus : uint8_t {
+  Completed = 0,
+  InProgress = 1,
+  NotFound = 2,
+  KeyExpired = 3,
+  StoreUnavailable = 4,
+  MIN = Completed,
+  MAX = StoreUnavailable
+};
+
+inline const LookupStatus (&EnumValuesLookupStatus())[5] {
+  static const LookupStatus values[] = {
+    LookupStatus::Completed,
+    LookupStatus::InProgress,
+    LookupStatus::NotFound,
+    LookupStatus::KeyExpired,
+    LookupStatus::StoreUnavailable
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesLookupStatus() {
+  static const char * const names[6] = {
+    "Completed",
+    "InProgress",
+    "NotFound",
+    "KeyExpired",
+    "StoreUnavailable",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameLookupStatus(LookupStatus e) {
+  if (flatbuffers::IsOutRange(e, LookupStatus::Completed, LookupStatus::StoreUnavailable)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesLookupStatus()[index];
+}
+
+enum class Execution : uint8_t {
+  NotRun = 0,
+  Ran = 1,
+  Unknown = 2,
+  MIN = NotRun,
+  MAX = Unknown
+};
+
+inline const Execution (&EnumValuesExecution())[3] {
+  static const Execution values[] = {
+    Execution::NotRun,
+    Execution::Ran,
+    Execution::Unknown
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesExecution() {
+  static const char * const names[4] = {
+    "NotRun",
+    "Ran",
+    "Unknown",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameExecution(Execution e) {
+  if (flatbuffers::IsOutRange(e, Execution::NotRun, Execution::Unknown)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesExecution()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Heartbeat = 1,
@@ -203,14 +266,13 @@
   ClaimReply = 14,
   OutcomeRecord = 15,
   OutcomeAck = 16,
-  VoidRecord = 17,
-  ActionQuery = 18,
-  ActionReply = 19,
+  ActionLookup = 17,
+  ActionLookupReply = 18,
   MIN = NONE,
-  MAX = ActionReply
+  MAX = ActionLookupReply
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[19] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
@@ -229,15 +291,14 @@
     Body::ClaimReply,
     Body::OutcomeRecord,
     Body::OutcomeAck,
-    Body::VoidRecord,
-    Body::ActionQuery,
-    Body::ActionReply
+    Body::ActionLookup,
+    Body::ActionLookupReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[20] = {
     "NONE",
     "Heartbeat",
     "MemberDelta",
@@ -255,16 +316,15 @@
     "ClaimReply",
     "OutcomeRecord",
     "OutcomeAck",
-    "VoidRecord",
-    "ActionQuery",
-    "ActionReply",
+    "ActionLookup",
+    "ActionLookupReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ActionReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ActionLookupReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -337,16 +397,12 @@
   static const Body enum_value = Body::OutcomeAck;
 };
 
-template<> struct BodyTraits<peridotmill::wire::VoidRecord> {
-  static const Body enum_value = Body::VoidRecord;
-};
-
-template<> struct BodyTraits<peridotmill::wire::ActionQuery> {
-  static const Body enum_value = Body::ActionQuery;
+template<> struct BodyTraits<peridotmill::wire::ActionLookup> {
+  static const Body enum_value = Body::ActionLookup;
 };
 
-template<> struct BodyTraits<peridotmill::wire::ActionReply> {
-  static const Body enum_value = Body::ActionReply;
+template<> struct BodyTraits<peridotmill::wire::ActionLookupReply> {
+  static const Body enum_value = Body::ActionLookupReply;
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1529,19 +1585,106 @@
       members__);
 }
 
+struct ActionAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ActionAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EXECUTION = 4,
+    VT_HTTP_STATUS = 6,
+    VT_BODY = 8,
+    VT_DIGEST = 10
+  };
+  peridotmill::wire::Execution execution() const {
+    return static_cast<peridotmill::wire::Execution>(GetField<uint8_t>(VT_EXECUTION, 0));
+  }
+  int32_t http_status() const {
+    return GetField<int32_t>(VT_HTTP_STATUS, 0);
+  }
+  const flatbuffers::String *body() const {
+    return GetPointer<const flatbuffers::String *>(VT_BODY);
+  }
+  const flatbuffers::String *digest() const {
+    return GetPointer<const flatbuffers::String *>(VT_DIGEST);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_EXECUTION, 1) &&
+           VerifyField<int32_t>(verifier, VT_HTTP_STATUS, 4) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyString(body()) &&
+           VerifyOffset(verifier, VT_DIGEST) &&
+           verifier.VerifyString(digest()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ActionAnswerBuilder {
+  typedef ActionAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_execution(peridotmill::wire::Execution execution) {
+    fbb_.AddElement<uint8_t>(ActionAnswer::VT_EXECUTION, static_cast<uint8_t>(execution), 0);
+  }
+  void add_http_status(int32_t http_status) {
+    fbb_.AddElement<int32_t>(ActionAnswer::VT_HTTP_STATUS, http_status, 0);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::String> body) {
+    fbb_.AddOffset(ActionAnswer::VT_BODY, body);
+  }
+  void add_digest(flatbuffers::Offset<flatbuffers::String> digest) {
+    fbb_.AddOffset(ActionAnswer::VT_DIGEST, digest);
+  }
+  explicit ActionAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ActionAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ActionAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ActionAnswer> CreateActionAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    peridotmill::wire::Execution execution = peridotmill::wire::Execution::NotRun,
+    int32_t http_status = 0,
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    flatbuffers::Offset<flatbuffers::String> digest = 0) {
+  ActionAnswerBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  builder_.add_body(body);
+  builder_.add_http_status(http_status);
+  builder_.add_execution(execution);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ActionAnswer> CreateActionAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    peridotmill::wire::Execution execution = peridotmill::wire::Execution::NotRun,
+    int32_t http_status = 0,
+    const char *body = nullptr,
+    const char *digest = nullptr) {
+  auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto digest__ = digest ? _fbb.CreateString(digest) : 0;
+  return peridotmill::wire::CreateActionAnswer(
+      _fbb,
+      execution,
+      http_status,
+      body__,
+      digest__);
+}
+
 struct ClaimRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClaimRequestBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REQUEST = 4,
-    VT_TEAM = 6,
-    VT_KEY = 8,
-    VT_DIGEST = 10,
-    VT_NONCE = 12,
-    VT_DEADLINE_MS = 14
+    VT_TEAM = 4,
+    VT_KEY = 6,
+    VT_DIGEST = 8,
+    VT_NONCE = 10,
+    VT_CLAIMANT = 12,
+    VT_CLAIMANT_INCARNATION = 14,
+    VT_TIME_LEFT_MS = 16
   };
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
-  }
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
   }
@@ -1554,12 +1697,17 @@
   const flatbuffers::String *nonce() const {
     return GetPointer<const flatbuffers::String *>(VT_NONCE);
   }
-  int64_t deadline_ms() const {
-    return GetField<int64_t>(VT_DEADLINE_MS, 0);
+  const flatbuffers::String *claimant() const {
+    return GetPointer<const flatbuffers::String *>(VT_CLAIMANT);
+  }
+  int64_t claimant_incarnation() const {
+    return GetField<int64_t>(VT_CLAIMANT_INCARNATION, 0);
+  }
+  int64_t time_left_ms() const {
+    return GetField<int64_t>(VT_TIME_LEFT_MS, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyOffset(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -1568,7 +1716,10 @@
            verifier.VerifyString(digest()) &&
            VerifyOffset(verifier, VT_NONCE) &&
            verifier.VerifyString(nonce()) &&
-           VerifyField<int64_t>(verifier, VT_DEADLINE_MS, 8) &&
+           VerifyOffset(verifier, VT_CLAIMANT) &&
+           verifier.VerifyString(claimant()) &&
+           VerifyField<int64_t>(verifier, VT_CLAIMANT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LEFT_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1577,9 +1728,6 @@
   typedef ClaimRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(ClaimRequest::VT_REQUEST, request, 0);
-  }
   void add_team(flatbuffers::Offset<flatbuffers::String> team) {
     fbb_.AddOffset(ClaimRequest::VT_TEAM, team);
   }
@@ -1592,8 +1740,14 @@
   void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
     fbb_.AddOffset(ClaimRequest::VT_NONCE, nonce);
   }
-  void add_deadline_ms(int64_t deadline_ms) {
-    fbb_.AddElement<int64_t>(ClaimRequest::VT_DEADLINE_MS, deadline_ms, 0);
+  void add_claimant(flatbuffers::Offset<flatbuffers::String> claimant) {
+    fbb_.AddOffset(ClaimRequest::VT_CLAIMANT, claimant);
+  }
+  void add_claimant_incarnation(int64_t claimant_incarnation) {
+    fbb_.AddElement<int64_t>(ClaimRequest::VT_CLAIMANT_INCARNATION, claimant_incarnation, 0);
+  }
+  void add_time_left_ms(int64_t time_left_ms) {
+    fbb_.AddElement<int64_t>(ClaimRequest::VT_TIME_LEFT_MS, time_left_ms, 0);
   }
   explicit ClaimRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1608,15 +1762,17 @@
 
 inline flatbuffers::Offset<ClaimRequest> CreateClaimRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::String> team = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::String> digest = 0,
     flatbuffers::Offset<flatbuffers::String> nonce = 0,
-    int64_t deadline_ms = 0) {
+    flatbuffers::Offset<flatbuffers::String> claimant = 0,
+    int64_t claimant_incarnation = 0,
+    int64_t time_left_ms = 0) {
   ClaimRequestBuilder builder_(_fbb);
-  builder_.add_deadline_ms(deadline_ms);
-  builder_.add_request(request);
+  builder_.add_time_left_ms(time_left_ms);
+  builder_.add_claimant_incarnation(claimant_incarnation);
+  builder_.add_claimant(claimant);
   builder_.add_nonce(nonce);
   builder_.add_digest(digest);
   builder_.add_key(key);
@@ -1626,48 +1782,63 @@
 
 inline flatbuffers::Offset<ClaimRequest> CreateClaimRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
     const char *team = nullptr,
     const char *key = nullptr,
     const char *digest = nullptr,
     const char *nonce = nullptr,
-    int64_t deadline_ms = 0) {
+    const char *claimant = nullptr,
+    int64_t claimant_incarnation = 0,
+    int64_t time_left_ms = 0) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto digest__ = digest ? _fbb.CreateString(digest) : 0;
   auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
+  auto claimant__ = claimant ? _fbb.CreateString(claimant) : 0;
   return peridotmill::wire::CreateClaimRequest(
       _fbb,
-      request,
       team__,
       key__,
       digest__,
       nonce__,
-      deadline_ms);
+      claimant__,
+      claimant_incarnation,
+      time_left_ms);
 }
 
 struct ClaimReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ClaimReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REQUEST = 4,
+    VT_NONCE = 4,
     VT_STATUS = 6,
-    VT_ANSWER = 8
+    VT_ANSWER = 8,
+    VT_HOLDER = 10,
+    VT_HOLDER_INCARNATION = 12
   };
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
+  const flatbuffers::String *nonce() const {
+    return GetPointer<const flatbuffers::String *>(VT_NONCE);
   }
   peridotmill::wire::ClaimStatus status() const {
     return static_cast<peridotmill::wire::ClaimStatus>(GetField<uint8_t>(VT_STATUS, 0));
   }
-  const flatbuffers::String *answer() const {
-    return GetPointer<const flatbuffers::String *>(VT_ANSWER);
+  const peridotmill::wire::ActionAnswer *answer() const {
+    return GetPointer<const peridotmill::wire::ActionAnswer *>(VT_ANSWER);
+  }
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  int64_t holder_incarnation() const {
+    return GetField<int64_t>(VT_HOLDER_INCARNATION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_NONCE) &&
+           verifier.VerifyString(nonce()) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
-           verifier.VerifyString(answer()) &&
+           verifier.VerifyTable(answer()) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<int64_t>(verifier, VT_HOLDER_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1676,15 +1847,21 @@
   typedef ClaimReply Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(ClaimReply::VT_REQUEST, request, 0);
+  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
+    fbb_.AddOffset(ClaimReply::VT_NONCE, nonce);
   }
   void add_status(peridotmill::wire::ClaimStatus status) {
     fbb_.AddElement<uint8_t>(ClaimReply::VT_STATUS, static_cast<uint8_t>(status), 0);
   }
-  void add_answer(flatbuffers::Offset<flatbuffers::String> answer) {
+  void add_answer(flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer) {
     fbb_.AddOffset(ClaimReply::VT_ANSWER, answer);
   }
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(ClaimReply::VT_HOLDER, holder);
+  }
+  void add_holder_incarnation(int64_t holder_incarnation) {
+    fbb_.AddElement<int64_t>(ClaimReply::VT_HOLDER_INCARNATION, holder_incarnation, 0);
+  }
   explicit ClaimReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1698,27 +1875,36 @@
 
 inline flatbuffers::Offset<ClaimReply> CreateClaimReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> nonce = 0,
     peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    flatbuffers::Offset<flatbuffers::String> answer = 0) {
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    int64_t holder_incarnation = 0) {
   ClaimReplyBuilder builder_(_fbb);
-  builder_.add_request(request);
+  builder_.add_holder_incarnation(holder_incarnation);
+  builder_.add_holder(holder);
   builder_.add_answer(answer);
+  builder_.add_nonce(nonce);
   builder_.add_status(status);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<ClaimReply> CreateClaimReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
+    const char *nonce = nullptr,
     peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    const char *answer = nullptr) {
-  auto answer__ = answer ? _fbb.CreateString(answer) : 0;
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0,
+    const char *holder = nullptr,
+    int64_t holder_incarnation = 0) {
+  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   return peridotmill::wire::CreateClaimReply(
       _fbb,
-      request,
+      nonce__,
       status,
-      answer__);
+      answer,
+      holder__,
+      holder_incarnation);
 }
 
 struct OutcomeRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1727,7 +1913,7 @@
     VT_TEAM = 4,
     VT_KEY = 6,
     VT_NONCE = 8,
-    VT_STATUS = 10,
+    VT_IS_VOID = 10,
     VT_ANSWER = 12
   };
   const flatbuffers::String *team() const {
@@ -1739,11 +1925,11 @@
   const flatbuffers::String *nonce() const {
     return GetPointer<const flatbuffers::String *>(VT_NONCE);
   }
-  peridotmill::wire::ClaimStatus status() const {
-    return static_cast<peridotmill::wire::ClaimStatus>(GetField<uint8_t>(VT_STATUS, 0));
+  bool is_void() const {
+    return GetField<uint8_t>(VT_IS_VOID, 0) != 0;
   }
-  const flatbuffers::String *answer() const {
-    return GetPointer<const flatbuffers::String *>(VT_ANSWER);
+  const peridotmill::wire::ActionAnswer *answer() const {
+    return GetPointer<const peridotmill::wire::ActionAnswer *>(VT_ANSWER);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -1753,9 +1939,9 @@
            verifier.VerifyString(key()) &&
            VerifyOffset(verifier, VT_NONCE) &&
            verifier.VerifyString(nonce()) &&
-           VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_VOID, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
-           verifier.VerifyString(answer()) &&
+           verifier.VerifyTable(answer()) &&
            verifier.EndTable();
   }
 };
@@ -1773,10 +1959,10 @@
   void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
     fbb_.AddOffset(OutcomeRecord::VT_NONCE, nonce);
   }
-  void add_status(peridotmill::wire::ClaimStatus status) {
-    fbb_.AddElement<uint8_t>(OutcomeRecord::VT_STATUS, static_cast<uint8_t>(status), 0);
+  void add_is_void(bool is_void) {
+    fbb_.AddElement<uint8_t>(OutcomeRecord::VT_IS_VOID, static_cast<uint8_t>(is_void), 0);
   }
-  void add_answer(flatbuffers::Offset<flatbuffers::String> answer) {
+  void add_answer(flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer) {
     fbb_.AddOffset(OutcomeRecord::VT_ANSWER, answer);
   }
   explicit OutcomeRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -1795,14 +1981,14 @@
     flatbuffers::Offset<flatbuffers::String> team = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::String> nonce = 0,
-    peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    flatbuffers::Offset<flatbuffers::String> answer = 0) {
+    bool is_void = false,
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0) {
   OutcomeRecordBuilder builder_(_fbb);
   builder_.add_answer(answer);
   builder_.add_nonce(nonce);
   builder_.add_key(key);
   builder_.add_team(team);
-  builder_.add_status(status);
+  builder_.add_is_void(is_void);
   return builder_.Finish();
 }
 
@@ -1811,43 +1997,30 @@
     const char *team = nullptr,
     const char *key = nullptr,
     const char *nonce = nullptr,
-    peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    const char *answer = nullptr) {
+    bool is_void = false,
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
-  auto answer__ = answer ? _fbb.CreateString(answer) : 0;
   return peridotmill::wire::CreateOutcomeRecord(
       _fbb,
       team__,
       key__,
       nonce__,
-      status,
-      answer__);
+      is_void,
+      answer);
 }
 
 struct OutcomeAck FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef OutcomeAckBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TEAM = 4,
-    VT_KEY = 6,
-    VT_NONCE = 8
+    VT_NONCE = 4
   };
-  const flatbuffers::String *team() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEAM);
-  }
-  const flatbuffers::String *key() const {
-    return GetPointer<const flatbuffers::String *>(VT_KEY);
-  }
   const flatbuffers::String *nonce() const {
     return GetPointer<const flatbuffers::String *>(VT_NONCE);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TEAM) &&
-           verifier.VerifyString(team()) &&
-           VerifyOffset(verifier, VT_KEY) &&
-           verifier.VerifyString(key()) &&
            VerifyOffset(verifier, VT_NONCE) &&
            verifier.VerifyString(nonce()) &&
            verifier.EndTable();
@@ -1858,12 +2031,6 @@
   typedef OutcomeAck Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
-    fbb_.AddOffset(OutcomeAck::VT_TEAM, team);
-  }
-  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(OutcomeAck::VT_KEY, key);
-  }
   void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
     fbb_.AddOffset(OutcomeAck::VT_NONCE, nonce);
   }
@@ -1880,119 +2047,30 @@
 
 inline flatbuffers::Offset<OutcomeAck> CreateOutcomeAck(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> team = 0,
-    flatbuffers::Offset<flatbuffers::String> key = 0,
     flatbuffers::Offset<flatbuffers::String> nonce = 0) {
   OutcomeAckBuilder builder_(_fbb);
   builder_.add_nonce(nonce);
-  builder_.add_key(key);
-  builder_.add_team(team);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<OutcomeAck> CreateOutcomeAckDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *team = nullptr,
-    const char *key = nullptr,
     const char *nonce = nullptr) {
-  auto team__ = team ? _fbb.CreateString(team) : 0;
-  auto key__ = key ? _fbb.CreateString(key) : 0;
   auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
   return peridotmill::wire::CreateOutcomeAck(
       _fbb,
-      team__,
-      key__,
       nonce__);
 }
 
-struct VoidRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef VoidRecordBuilder Builder;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TEAM = 4,
-    VT_KEY = 6,
-    VT_NONCE = 8
-  };
-  const flatbuffers::String *team() const {
-    return GetPointer<const flatbuffers::String *>(VT_TEAM);
-  }
-  const flatbuffers::String *key() const {
-    return GetPointer<const flatbuffers::String *>(VT_KEY);
-  }
-  const flatbuffers::String *nonce() const {
-    return GetPointer<const flatbuffers::String *>(VT_NONCE);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TEAM) &&
-           verifier.VerifyString(team()) &&
-           VerifyOffset(verifier, VT_KEY) &&
-           verifier.VerifyString(key()) &&
-           VerifyOffset(verifier, VT_NONCE) &&
-           verifier.VerifyString(nonce()) &&
-           verifier.EndTable();
-  }
-};
-
-struct VoidRecordBuilder {
-  typedef VoidRecord Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
-    fbb_.AddOffset(VoidRecord::VT_TEAM, team);
-  }
-  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(VoidRecord::VT_KEY, key);
-  }
-  void add_nonce(flatbuffers::Offset<flatbuffers::String> nonce) {
-    fbb_.AddOffset(VoidRecord::VT_NONCE, nonce);
-  }
-  explicit VoidRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<VoidRecord> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<VoidRecord>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<VoidRecord> CreateVoidRecord(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> team = 0,
-    flatbuffers::Offset<flatbuffers::String> key = 0,
-    flatbuffers::Offset<flatbuffers::String> nonce = 0) {
-  VoidRecordBuilder builder_(_fbb);
-  builder_.add_nonce(nonce);
-  builder_.add_key(key);
-  builder_.add_team(team);
-  return builder_.Finish();
-}
-
-inline flatbuffers::Offset<VoidRecord> CreateVoidRecordDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *team = nullptr,
-    const char *key = nullptr,
-    const char *nonce = nullptr) {
-  auto team__ = team ? _fbb.CreateString(team) : 0;
-  auto key__ = key ? _fbb.CreateString(key) : 0;
-  auto nonce__ = nonce ? _fbb.CreateString(nonce) : 0;
-  return peridotmill::wire::CreateVoidRecord(
-      _fbb,
-      team__,
-      key__,
-      nonce__);
-}
-
-struct ActionQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ActionQueryBuilder Builder;
+struct ActionLookup FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ActionLookupBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_TEAM = 6,
     VT_KEY = 8
   };
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
   }
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
@@ -2002,7 +2080,8 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_TEAM) &&
            verifier.VerifyString(team()) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -2011,129 +2090,157 @@
   }
 };
 
-struct ActionQueryBuilder {
-  typedef ActionQuery Table;
+struct ActionLookupBuilder {
+  typedef ActionLookup Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(ActionQuery::VT_REQUEST, request, 0);
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(ActionLookup::VT_REQUEST, request);
   }
   void add_team(flatbuffers::Offset<flatbuffers::String> team) {
-    fbb_.AddOffset(ActionQuery::VT_TEAM, team);
+    fbb_.AddOffset(ActionLookup::VT_TEAM, team);
   }
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
-    fbb_.AddOffset(ActionQuery::VT_KEY, key);
+    fbb_.AddOffset(ActionLookup::VT_KEY, key);
   }
-  explicit ActionQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit ActionLookupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ActionQuery> Finish() {
+  flatbuffers::Offset<ActionLookup> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ActionQuery>(end);
+    auto o = flatbuffers::Offset<ActionLookup>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ActionQuery> CreateActionQuery(
+inline flatbuffers::Offset<ActionLookup> CreateActionLookup(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> request = 0,
     flatbuffers::Offset<flatbuffers::String> team = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0) {
-  ActionQueryBuilder builder_(_fbb);
-  builder_.add_request(request);
+  ActionLookupBuilder builder_(_fbb);
   builder_.add_key(key);
   builder_.add_team(team);
+  builder_.add_request(request);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ActionQuery> CreateActionQueryDirect(
+inline flatbuffers::Offset<ActionLookup> CreateActionLookupDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
+    const char *request = nullptr,
     const char *team = nullptr,
     const char *key = nullptr) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
-  return peridotmill::wire::CreateActionQuery(
+  return peridotmill::wire::CreateActionLookup(
       _fbb,
-      request,
+      request__,
       team__,
       key__);
 }
 
-struct ActionReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ActionReplyBuilder Builder;
+struct ActionLookupReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ActionLookupReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REQUEST = 4,
     VT_STATUS = 6,
-    VT_ANSWER = 8
+    VT_ANSWER = 8,
+    VT_HOLDER = 10,
+    VT_HOLDER_INCARNATION = 12
   };
-  uint64_t request() const {
-    return GetField<uint64_t>(VT_REQUEST, 0);
+  const flatbuffers::String *request() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST);
   }
-  peridotmill::wire::ClaimStatus status() const {
-    return static_cast<peridotmill::wire::ClaimStatus>(GetField<uint8_t>(VT_STATUS, 0));
+  peridotmill::wire::LookupStatus status() const {
+    return static_cast<peridotmill::wire::LookupStatus>(GetField<uint8_t>(VT_STATUS, 0));
   }
-  const flatbuffers::String *answer() const {
-    return GetPointer<const flatbuffers::String *>(VT_ANSWER);
+  const peridotmill::wire::ActionAnswer *answer() const {
+    return GetPointer<const peridotmill::wire::ActionAnswer *>(VT_ANSWER);
+  }
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  int64_t holder_incarnation() const {
+    return GetField<int64_t>(VT_HOLDER_INCARNATION, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_REQUEST) &&
+           verifier.VerifyString(request()) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
            VerifyOffset(verifier, VT_ANSWER) &&
-           verifier.VerifyString(answer()) &&
+           verifier.VerifyTable(answer()) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<int64_t>(verifier, VT_HOLDER_INCARNATION, 8) &&
            verifier.EndTable();
   }
 };
 
-struct ActionReplyBuilder {
-  typedef ActionReply Table;
+struct ActionLookupReplyBuilder {
+  typedef ActionLookupReply Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_request(uint64_t request) {
-    fbb_.AddElement<uint64_t>(ActionReply::VT_REQUEST, request, 0);
+  void add_request(flatbuffers::Offset<flatbuffers::String> request) {
+    fbb_.AddOffset(ActionLookupReply::VT_REQUEST, request);
   }
-  void add_status(peridotmill::wire::ClaimStatus status) {
-    fbb_.AddElement<uint8_t>(ActionReply::VT_STATUS, static_cast<uint8_t>(status), 0);
+  void add_status(peridotmill::wire::LookupStatus status) {
+    fbb_.AddElement<uint8_t>(ActionLookupReply::VT_STATUS, static_cast<uint8_t>(status), 0);
+  }
+  void add_answer(flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer) {
+    fbb_.AddOffset(ActionLookupReply::VT_ANSWER, answer);
   }
-  void add_answer(flatbuffers::Offset<flatbuffers::String> answer) {
-    fbb_.AddOffset(ActionReply::VT_ANSWER, answer);
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(ActionLookupReply::VT_HOLDER, holder);
   }
-  explicit ActionReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_holder_incarnation(int64_t holder_incarnation) {
+    fbb_.AddElement<int64_t>(ActionLookupReply::VT_HOLDER_INCARNATION, holder_incarnation, 0);
+  }
+  explicit ActionLookupReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ActionReply> Finish() {
+  flatbuffers::Offset<ActionLookupReply> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ActionReply>(end);
+    auto o = flatbuffers::Offset<ActionLookupReply>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ActionReply> CreateActionReply(
+inline flatbuffers::Offset<ActionLookupReply> CreateActionLookupReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
-    peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    flatbuffers::Offset<flatbuffers::String> answer = 0) {
-  ActionReplyBuilder builder_(_fbb);
-  builder_.add_request(request);
+    flatbuffers::Offset<flatbuffers::String> request = 0,
+    peridotmill::wire::LookupStatus status = peridotmill::wire::LookupStatus::Completed,
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    int64_t holder_incarnation = 0) {
+  ActionLookupReplyBuilder builder_(_fbb);
+  builder_.add_holder_incarnation(holder_incarnation);
+  builder_.add_holder(holder);
   builder_.add_answer(answer);
+  builder_.add_request(request);
   builder_.add_status(status);
   return builder_.Finish();
 }
 
-inline flatbuffers::Offset<ActionReply> CreateActionReplyDirect(
+inline flatbuffers::Offset<ActionLookupReply> CreateActionLookupReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t request = 0,
-    peridotmill::wire::ClaimStatus status = peridotmill::wire::ClaimStatus::Granted,
-    const char *answer = nullptr) {
-  auto answer__ = answer ? _fbb.CreateString(answer) : 0;
-  return peridotmill::wire::CreateActionReply(
+    const char *request = nullptr,
+    peridotmill::wire::LookupStatus status = peridotmill::wire::LookupStatus::Completed,
+    flatbuffers::Offset<peridotmill::wire::ActionAnswer> answer = 0,
+    const char *holder = nullptr,
+    int64_t holder_incarnation = 0) {
+  auto request__ = request ? _fbb.CreateString(request) : 0;
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  return peridotmill::wire::CreateActionLookupReply(
       _fbb,
-      request,
+      request__,
       status,
-      answer__);
+      answer,
+      holder__,
+      holder_incarnation);
 }
 
 struct Frame FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2197,14 +2304,11 @@
   const peridotmill::wire::OutcomeAck *body_as_OutcomeAck() const {
     return body_type() == peridotmill::wire::Body::OutcomeAck ? static_cast<const peridotmill::wire::OutcomeAck *>(body()) : nullptr;
   }
-  const peridotmill::wire::VoidRecord *body_as_VoidRecord() const {
-    return body_type() == peridotmill::wire::Body::VoidRecord ? static_cast<const peridotmill::wire::VoidRecord *>(body()) : nullptr;
+  const peridotmill::wire::ActionLookup *body_as_ActionLookup() const {
+    return body_type() == peridotmill::wire::Body::ActionLookup ? static_cast<const peridotmill::wire::ActionLookup *>(body()) : nullptr;
   }
-  const peridotmill::wire::ActionQuery *body_as_ActionQuery() const {
-    return body_type() == peridotmill::wire::Body::ActionQuery ? static_cast<const peridotmill::wire::ActionQuery *>(body()) : nullptr;
-  }
-  const peridotmill::wire::ActionReply *body_as_ActionReply() const {
-    return body_type() == peridotmill::wire::Body::ActionReply ? static_cast<const peridotmill::wire::ActionReply *>(body()) : nullptr;
+  const peridotmill::wire::ActionLookupReply *body_as_ActionLookupReply() const {
+    return body_type() == peridotmill::wire::Body::ActionLookupReply ? static_cast<const peridotmill::wire::ActionLookupReply *>(body()) : nullptr;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -2279,16 +2383,12 @@
   return body_as_OutcomeAck();
 }
 
-template<> inline const peridotmill::wire::VoidRecord *Frame::body_as<peridotmill::wire::VoidRecord>() const {
-  return body_as_VoidRecord();
+template<> inline const peridotmill::wire::ActionLookup *Frame::body_as<peridotmill::wire::ActionLookup>() const {
+  return body_as_ActionLookup();
 }
 
-template<> inline const peridotmill::wire::ActionQuery *Frame::body_as<peridotmill::wire::ActionQuery>() const {
-  return body_as_ActionQuery();
-}
-
-template<> inline const peridotmill::wire::ActionReply *Frame::body_as<peridotmill::wire::ActionReply>() const {
-  return body_as_ActionReply();
+template<> inline const peridotmill::wire::ActionLookupReply *Frame::body_as<peridotmill::wire::ActionLookupReply>() const {
+  return body_as_ActionLookupReply();
 }
 
 struct FrameBuilder {
@@ -2391,16 +2491,12 @@
       auto ptr = reinterpret_cast<const peridotmill::wire::OutcomeAck *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::VoidRecord: {
-      auto ptr = reinterpret_cast<const peridotmill::wire::VoidRecord *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
-    case Body::ActionQuery: {
-      auto ptr = reinterpret_cast<const peridotmill::wire::ActionQuery *>(obj);
+    case Body::ActionLookup: {
+      auto ptr = reinterpret_cast<const peridotmill::wire::ActionLookup *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::ActionReply: {
-      auto ptr = reinterpret_cast<const peridotmill::wire::ActionReply *>(obj);
+    case Body::ActionLookupReply: {
+      auto ptr = reinterpret_cast<const peridotmill::wire::ActionLookupReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -51,6 +51,9 @@
     return tl::unexpected(store.error());
   }
   store_ = *std::move(store);
+  if (auto opened = OpenPeers(settings); !opened) {
+    return tl::unexpected(opened.error());
+  }
   CallerServerHandlers handlers;
   handlers.on_event = [this](NodeEvent event) { Post(std::move(event)); };
   handlers.next_request_id = [this] { return NextRequestId(state_); };
@@ -72,6 +75,32 @@
   return {};
 }
 
+Result<void> NodeRunner::OpenPeers(const RunnerSettings& settings) {
+  PeerTransportSettings transport;
+  transport.identity.node = state_.settings.id;
+  transport.identity.incarnation = state_.settings.incarnation;
+  transport.identity.shared_key = settings.peer_key;
+  transport.listen_address = settings.peer_address;
+  transport.seed = state_.settings.seed;
+  PeerTransportEvents events;
+  events.on_connected = [this](const NodeId& peer) {
+    Post(PeerConnected{peer});
+  };
+  events.on_disconnected = [this](const NodeId& peer) {
+    Post(PeerDisconnected{peer});
+  };
+  events.on_frame = [this](const NodeId& peer, std::string payload) {
+    Post(PeerFrame{peer, std::move(payload)});
+  };
+  events.on_fault = [this](Reason reason) { state_.reasons.Add(reason); };
+  auto peers = PeerTransport::Create(std::move(transport), std::move(events));
+  if (!peers) {
+    return tl::unexpected(peers.error());
+  }
+  peers_ = *std::move(peers);
+  return {};
+}
+
 int NodeRunner::Run() {
   Post(Tick{});
   g_main_loop_run(loop_);
@@ -154,13 +183,10 @@
 }
 
 void NodeRunner::ArmTimer() {
-  const std::optional<TimePoint> wakeup = NextWakeup(state_);
-  if (!wakeup) {
-    timer_.Stop();
-    return;
-  }
+  const TimePoint now = clock_.Now();
   const auto delay = std::max<int64_t>(
-      0, std::chrono::ceil<std::chrono::milliseconds>(*wakeup - clock_.Now())
+      0, std::chrono::ceil<std::chrono::milliseconds>(
+             NextWakeup(state_, now) - now)
              .count());
   timer_.Start(
       static_cast<guint>(delay),
@@ -195,9 +221,21 @@
                });
 }
 
-void NodeRunner::Execute(const SendPeerFrame&) {}
-void NodeRunner::Execute(const ConnectPeer&) {}
-void NodeRunner::Execute(const ClosePeer&) {}
+void NodeRunner::Execute(const SendPeerFrame& command) {
+  peers_->Send(command);
+}
+
+void NodeRunner::Execute(const ConnectPeer& command) {
+  peers_->Connect(command);
+}
+
+void NodeRunner::Execute(const ClosePeer& command) {
+  peers_->Disconnect(command);
+}
+
+void NodeRunner::Execute(const RejectPeerFrame& command) {
+  peers_->RejectFrame(command.peer);
+}
 
 void NodeRunner::Execute(const ReadLoad& command) {
   endpoints_->Read(command);
--- a/modules/peridotmill_net/running/node_runner.h
+++ b/modules/peridotmill_net/running/node_runner.h
@@ -11,6 +11,7 @@
 #include "peridotmill_net/callers/caller_server.h"
 #include "peridotmill_net/endpoints/endpoint_client.h"
 #include "peridotmill_net/hosts/host_list_client.h"
+#include "peridotmill_net/peers/peer_transport.h"
 #include "peridotmill_net/store/store_client.h"
 #include "peridotmill_node/node.h"
 
@@ -19,6 +20,9 @@
 // Where a node listens and whom it asks.
 struct RunnerSettings {
   std::string caller_address;
+  std::string peer_address;
+  // Shared by all nodes of the fleet.
+  std::string peer_key;
   // Base URL of the host list, such as "http://127.0.0.1:7002".
   std::string hosts_url;
   std::vector<std::string> store_addresses;
@@ -47,6 +51,7 @@
  private:
   NodeRunner(NodeState state, const Clock& clock);
   Result<void> Open(const RunnerSettings& settings);
+  Result<void> OpenPeers(const RunnerSettings& settings);
   PageAnswer Page(const std::string& path, const std::string& token);
   PageAnswer AdminPage(const std::string& path, const std::string& token);
 
@@ -64,6 +69,7 @@
   void Execute(const SendPeerFrame& command);
   void Execute(const ConnectPeer& command);
   void Execute(const ClosePeer& command);
+  void Execute(const RejectPeerFrame& command);
   void Execute(const ReadLoad& command);
   void Execute(const SendOrder& command);
   void Execute(const LogEvent& command);
@@ -82,6 +88,7 @@
   std::unique_ptr<EndpointClient> endpoints_;
   std::unique_ptr<HostListClient> hosts_;
   std::unique_ptr<StoreClient> store_;
+  std::unique_ptr<PeerTransport> peers_;
 };
 
 }  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -0,0 +1,46 @@
+#ifndef PERIDOTMILL_NODE_FLEET_FLEET_STATE_H_
+#define PERIDOTMILL_NODE_FLEET_FLEET_STATE_H_
+
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "peridotmill_actions/peridotmill_actions.h"
+#include "peridotmill_config/distribution/config_distribution.h"
+#include "peridotmill_membership/peridotmill_membership.h"
+#include "peridotmill_node/interface/node_event.h"
+
+namespace peridotmill {
+
+// Whom the answer of a store call belongs to.
+using StorePurpose = std::variant<ConfigCall, ActionOperation>;
+
+// What a node knows of the fleet and does together with its peers.
+struct FleetState {
+  MembershipState members;
+  ConfigDistribution distribution;
+  EndpointKnowledge knowledge;
+  DomainSummaries summaries;
+  TeamUseState team_use;
+  CacheHintOutbox cache_hints;
+  ActionsState actions;
+
+  // Endpoints that this node reads once a second.
+  std::vector<AssignedEndpoint> assigned;
+  TimePoint next_load_read;
+  // Names behind the fingerprints that peers send.
+  std::unordered_map<Fingerprint, EndpointRecord> endpoints_by_fingerprint;
+  std::unordered_map<Fingerprint, std::string> models_by_fingerprint;
+  // Last cache event read from each engine.
+  std::unordered_map<EndpointId, uint64_t> cache_sequences;
+
+  std::unordered_map<int64_t, StorePurpose> store_calls;
+  int64_t store_call_count = 0;
+  uint64_t peer_frames_sent = 0;
+  uint64_t peer_frames_received = 0;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_NODE_FLEET_FLEET_STATE_H_
--- a/modules/peridotmill_node/interface/node_command.h
+++ b/modules/peridotmill_node/interface/node_command.h
@@ -84,6 +84,11 @@
   NodeId peer;
 };
 
+// Closes the connection of a peer whose frame could not be read.
+struct RejectPeerFrame {
+  NodeId peer;
+};
+
 struct ReadLoad {
   EndpointId endpoint;
   std::string address;
@@ -117,6 +122,7 @@
                                  SendPeerFrame,
                                  ConnectPeer,
                                  ClosePeer,
+                                 RejectPeerFrame,
                                  ReadLoad,
                                  SendOrder,
                                  LogEvent,
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_node/fleet/fleet.h"
+#include "peridotmill_node/requests/action_requests.h"
 #include "peridotmill_node/requests/attempt_runner.h"
 #include "peridotmill_node/requests/request_ending.h"
 #include "peridotmill_node/requests/request_intake.h"
@@ -17,11 +19,7 @@
   explicit EventHandler(StepContext& context) : context_(context) {}
 
   void operator()(const CallerRequest& event) { TakeRequest(context_, event); }
-  void operator()(const ActionQuery& event) {
-    context_.state.reasons.Add(Reason::kActionNotFound);
-    context_.Emit(CallerRefusal{event.id, Reason::kActionNotFound,
-                                Execution::kUnknown, "", "", false});
-  }
+  void operator()(const ActionQuery& event) { QueryAction(context_, event); }
   void operator()(const CallerGone& event) { DropRequest(context_, event.id); }
   void operator()(const AttemptFragment& event) {
     TakeFragment(context_, event);
@@ -30,35 +28,30 @@
     TakeFinished(context_, event);
   }
   void operator()(const HostListRead& event) {
-    NodeState& state = context_.state;
-    state.host_list = event.list;
-    if (state.config.objects) {
-      ApplyHostList(state.endpoints, state.host_list,
-                    state.config.objects->pools, context_.now);
-      WakeAllPools(context_);
-    }
-  }
-  void operator()(const LoadRead& event) {
-    if (event.load) {
-      ApplyLoadReport(
-          context_.state.endpoints,
-          {event.endpoint, Incarnation(), *event.load, context_.now},
-          context_.now);
-    }
+    TakeHostList(context_, event.list);
   }
+  void operator()(const LoadRead& event) { TakeLoad(context_, event); }
   void operator()(const CacheEventsRead& event) {
-    ApplyCacheEvents(context_.state.prefixes, event.endpoint, event.events,
-                     context_.now);
+    TakeCacheEvents(context_, event);
+  }
+  void operator()(const StoreAnswered& event) {
+    TakeStoreAnswer(context_, event);
   }
+  void operator()(const PeerFrame& event) { TakePeerFrame(context_, event); }
+  void operator()(const PeerConnected& event) {
+    TakePeerConnected(context_, event.peer);
+  }
+  void operator()(const PeerDisconnected& event) {
+    TakePeerDisconnected(context_, event.peer);
+  }
+  void operator()(const OrderFinished&) {}
   void operator()(const Tick&) { WakeAllPools(context_); }
   void operator()(const ShutdownRequested&) {
-    context_.state.is_shutting_down = true;
+    if (!context_.state.is_shutting_down) {
+      context_.state.is_shutting_down = true;
+      AnnounceLeaving(context_);
+    }
   }
-  void operator()(const StoreAnswered&) {}
-  void operator()(const PeerFrame&) {}
-  void operator()(const PeerConnected&) {}
-  void operator()(const PeerDisconnected&) {}
-  void operator()(const OrderFinished&) {}
 
  private:
   StepContext& context_;
@@ -81,6 +74,7 @@
   state.random = Random(settings.seed);
   state.endpoints = MakeEndpointTable(settings.id, settings.failure_domain);
   state.settings = std::move(settings);
+  StartFleet(state);
   return state;
 }
 
@@ -99,19 +93,17 @@
   return commands;
 }
 
-std::optional<TimePoint> NextWakeup(const NodeState& state) {
-  std::optional<TimePoint> next;
-  const auto consider = [&next](TimePoint time) {
-    next = next ? std::min(*next, time) : time;
-  };
+TimePoint NextWakeup(const NodeState& state, TimePoint now) {
+  TimePoint next = NextFleetWakeup(state, now);
   if (!state.deadlines.empty()) {
-    consider(state.deadlines.begin()->first);
+    next = std::min(next, state.deadlines.begin()->first);
   }
   return next;
 }
 
 bool IsReady(const NodeState& state) {
-  return state.config.objects != nullptr && !state.is_shutting_down;
+  return state.config.objects != nullptr && !state.is_shutting_down &&
+         StatusOf(state.fleet.distribution).is_serving;
 }
 
 RequestId NextRequestId(NodeState& state) {
--- a/modules/peridotmill_node/node.h
+++ b/modules/peridotmill_node/node.h
@@ -1,7 +1,6 @@
 #ifndef PERIDOTMILL_NODE_NODE_H_
 #define PERIDOTMILL_NODE_NODE_H_
 
-#include <optional>
 #include <vector>
 
 #include "peridotmill_node/interface/node_command.h"
@@ -20,7 +19,7 @@
                               TimePoint now);
 
 // When the next Tick is due, if nothing happens before.
-std::optional<TimePoint> NextWakeup(const NodeState& state);
+TimePoint NextWakeup(const NodeState& state, TimePoint now);
 
 // Whether the node may be sent new requests.
 bool IsReady(const NodeState& state);
--- a/modules/peridotmill_node/requests/request_ending.cc
+++ b/modules/peridotmill_node/requests/request_ending.cc
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "peridotmill_node/requests/action_requests.h"
 #include "peridotmill_node/requests/attempt_runner.h"
 #include "peridotmill_node/requests/bodies.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
@@ -52,13 +53,20 @@
                    RequestState& request,
                    Reason reason,
                    const std::string& message) {
+  RefuseRequestAs(context, request, reason, ExecutionOf(request), message);
+}
+
+void RefuseRequestAs(StepContext& context,
+                     RequestState& request,
+                     Reason reason,
+                     Execution execution,
+                     const std::string& message) {
   NodeState& state = context.state;
-  // Before the attempts are cancelled: an open one makes the outcome unknown.
-  const Execution execution = ExecutionOf(request);
   for (auto& [name, progress] : request.stages) {
     CancelAttempts(context, request, name);
   }
   MarkSpendWasted(context, request);
+  EndClaim(context, request, reason, execution);
   state.reasons.Add(reason);
   RecordDecision(state.decisions, request.id, context.now,
                  "refused: " + std::string(ToString(reason)) + ", " +
--- a/modules/peridotmill_node/requests/request_ending.h
+++ b/modules/peridotmill_node/requests/request_ending.h
@@ -18,6 +18,14 @@
                    Reason reason,
                    const std::string& message = "");
 
+// As above, for a request whose execution is known from elsewhere: the record
+// of another request under the same key.
+void RefuseRequestAs(StepContext& context,
+                     RequestState& request,
+                     Reason reason,
+                     Execution execution,
+                     const std::string& message = "");
+
 // Refuses all requests whose deadline has passed.
 void ExpireRequests(StepContext& context);
 
--- a/modules/peridotmill_node/requests/request_intake.cc
+++ b/modules/peridotmill_node/requests/request_intake.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_node/requests/action_requests.h"
 #include "peridotmill_node/requests/request_ending.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
@@ -127,7 +128,13 @@
   RecordDecision(state.decisions, id, context.now,
                  "accepted: pipeline " + open.pipeline.value() + ", team " +
                      open.team.value());
-  AdmitRequest(context, open);
+  const bool is_action =
+      !open.key.empty() && HasAction(PipelineOf(open), *open.objects);
+  if (is_action) {
+    ClaimAction(context, open);
+  } else {
+    StartReadyStages(context, open);
+  }
 }
 
 void DropRequest(StepContext& context, const RequestId& request) {
@@ -136,6 +143,11 @@
     return;
   }
   open->second.is_caller_gone = true;
+  if (open->second.has_claim) {
+    // The action goes on, so that its outcome is known when the caller asks
+    // again under its key.
+    return;
+  }
   RefuseRequest(context, open->second, Reason::kCallerGone);
 }
 
--- a/modules/peridotmill_node/requests/request_state.h
+++ b/modules/peridotmill_node/requests/request_state.h
@@ -51,8 +51,10 @@
   ParsedRequest parsed;
   TeamId team;
   IdempotencyKey key;
-  // Nonce of the claim that this request holds, if any.
+  // Nonce of the claim that this request asked for, if any.
   Nonce claim;
+  // Whether the claim was granted, so that its end must be recorded.
+  bool has_claim = false;
   // The configuration that the request began with and keeps to its end.
   std::shared_ptr<const ObjectSet> objects;
   PipelineId pipeline;
--- a/modules/peridotmill_node/requests/stage_scheduler.cc
+++ b/modules/peridotmill_node/requests/stage_scheduler.cc
@@ -128,10 +128,6 @@
                     request.deadline, context.now);
 }
 
-void AdmitRequest(StepContext& context, RequestState& request) {
-  StartReadyStages(context, request);
-}
-
 void StartReadyStages(StepContext& context, RequestState& request) {
   if (IsAdmissionOn(context.state) && !PlanOf(context, request).is_feasible) {
     RefuseRequest(context, request, Reason::kDeadlineUnreachable);
--- a/modules/peridotmill_node/requests/stage_scheduler.h
+++ b/modules/peridotmill_node/requests/stage_scheduler.h
@@ -5,10 +5,6 @@
 
 namespace peridotmill {
 
-// Starts a new request, or refuses it when it cannot finish in time. May end
-// and destroy `request`.
-void AdmitRequest(StepContext& context, RequestState& request);
-
 // Queues the stages whose predecessors are complete, after checking that the
 // request can still finish. May end and destroy `request`.
 void StartReadyStages(StepContext& context, RequestState& request);
--- a/modules/peridotmill_node/state/node_state.h
+++ b/modules/peridotmill_node/state/node_state.h
@@ -12,6 +12,7 @@
 
 #include "peridotmill_core/peridotmill_core.h"
 #include "peridotmill_node/cost/cost_ledger.h"
+#include "peridotmill_node/fleet/fleet_state.h"
 #include "peridotmill_node/interface/node_command.h"
 #include "peridotmill_node/metrics/node_statistics.h"
 #include "peridotmill_node/requests/request_state.h"
@@ -66,6 +67,8 @@
   uint64_t attempt_count = 0;
   uint64_t request_count = 0;
 
+  FleetState fleet;
+
   ReasonCounters reasons;
   CostLedger ledger;
   NodeStatistics statistics;
