--- a/modules/peridotmill_config/peridotmill_config.h
+++ b/modules/peridotmill_config/peridotmill_config.h
@@ -14,6 +14,7 @@
 #include "peridotmill_config/parts/head.h"
 #include "peridotmill_config/parts/part.h"
 #include "peridotmill_config/reading/object_reader.h"
+#include "peridotmill_config/reading/object_writer.h"
 #include "peridotmill_config/validation/object_validator.h"
 
 #endif  // PERIDOTMILL_CONFIG_PERIDOTMILL_CONFIG_H_
--- a/modules/peridotmill_net/peers/frame_buffer.cc
+++ b/modules/peridotmill_net/peers/frame_buffer.cc
@@ -33,7 +33,8 @@
 }
 
 Result<std::optional<std::string>> FrameBuffer::Next() {
-  const std::string_view rest = std::string_view(bytes_).substr(start_);
+  std::string_view rest = bytes_;
+  rest.remove_prefix(start_);
   if (rest.size() < kFrameHeaderSize) {
     return std::nullopt;
   }
--- a/modules/peridotmill_net/peers/handshake_codec.cc
+++ b/modules/peridotmill_net/peers/handshake_codec.cc
@@ -1,6 +1,6 @@
 #include "peridotmill_net/peers/handshake_codec.h"
 
-#include "peridotmill_net/peers/schema/handshake_generated.h"
+#include "peridotmill_net/peers/schema/handshake_wire.h"
 
 namespace peridotmill {
 namespace {
--- a/modules/peridotmill_net/store/store_client.cc
+++ b/modules/peridotmill_net/store/store_client.cc
@@ -29,7 +29,7 @@
     return false;
   }
   const bool ok = g_uri_get_port(parsed) > 0 &&
-                  std::string_view(g_uri_get_host(parsed)).size() > 0 &&
+                  !std::string_view(g_uri_get_host(parsed)).empty() &&
                   std::string_view(g_uri_get_path(parsed)).empty();
   g_uri_unref(parsed);
   return ok;
@@ -202,11 +202,17 @@
   void OnBody(bool complete) {
     if (body_.size() > kMaxStoreAnswer) {
       FailWithoutAnswer();
-    } else if (std::holds_alternative<StoreWatch>(request_)) {
+      return;
+    }
+    if (std::holds_alternative<StoreWatch>(request_)) {
       ReadWatchLines(complete);
-    } else if (!complete) {
+      return;
+    }
+    if (!complete) {
       Read();
-    } else if (auto answer = DecodeStoreAnswer(request_, body_)) {
+      return;
+    }
+    if (auto answer = DecodeStoreAnswer(request_, body_)) {
       Finish(std::move(*answer));
     } else {
       FailWithoutAnswer();
@@ -214,11 +220,11 @@
   }
 
   void ReadWatchLines(bool complete) {
+    const std::string_view lines = body_;
     size_t start = 0;
     for (size_t end = body_.find('\n'); end != std::string::npos;
          end = body_.find('\n', start)) {
-      auto answer =
-          DecodeWatchLine(std::string_view(body_).substr(start, end - start));
+      auto answer = DecodeWatchLine(lines.substr(start, end - start));
       if (!answer || answer->has_value()) {
         Finish(answer ? std::move(**answer) : StoreAnswer());
         return;
