--- a/modules/peridotmill_config/peridotmill_config.h
+++ b/modules/peridotmill_config/peridotmill_config.h
@@ -19,6 +19,7 @@
 #include "peridotmill_config/publishing/object_difference.h"
 #include "peridotmill_config/publishing/publication.h"
 #include "peridotmill_config/reading/object_reader.h"
+#include "peridotmill_config/reading/object_writer.h"
 #include "peridotmill_config/validation/object_validator.h"
 
 #endif  // PERIDOTMILL_CONFIG_PERIDOTMILL_CONFIG_H_
