--- a/modules/peridotmill_actions/home/bucket_reader.cc
+++ b/modules/peridotmill_actions/home/bucket_reader.cc
@@ -120,10 +120,16 @@
 }
 
 void ContinueReading(HomeContext& context, int32_t index) {
+  const bool is_down = IsKnownDown(context.state.health, context.now.steady);
+  if (context.bucket(index).is_read_needed && !is_down) {
+    ReadBack(context, index);
+  }
+}
+
+void ReadBack(HomeContext& context, int32_t index) {
   Bucket& bucket = context.bucket(index);
-  if (bucket.is_reading || !bucket.is_read_needed ||
-      context.now.steady < bucket.next_read ||
-      IsKnownDown(context.state.health, context.now.steady)) {
+  bucket.is_read_needed = true;
+  if (bucket.is_reading || context.now.steady < bucket.next_read) {
     return;
   }
   if (bucket.phase == BucketPhase::kTombstones) {
--- a/modules/peridotmill_actions/home/bucket_reader.h
+++ b/modules/peridotmill_actions/home/bucket_reader.h
@@ -14,6 +14,9 @@
 // Starts the read that the bucket needs next, if any is due.
 void ContinueReading(HomeContext& context, int32_t index);
 
+// Reads at once, whatever is known of the store: to settle a write in doubt.
+void ReadBack(HomeContext& context, int32_t index);
+
 void OnTombstonesRead(HomeContext& context,
                       int32_t index,
                       const StoreAnswer& answer);
--- a/modules/peridotmill_actions/home/bucket_writer.cc
+++ b/modules/peridotmill_actions/home/bucket_writer.cc
@@ -218,8 +218,7 @@
       break;
   }
   // The segment at this sequence number decides; a read finds it.
-  bucket.is_read_needed = true;
-  ContinueReading(context, index);
+  ReadBack(context, index);
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_actions/home/home_step.cc
+++ b/modules/peridotmill_actions/home/home_step.cc
@@ -88,7 +88,8 @@
   if (bucket.phase == BucketPhase::kMalformed && bucket.next_read <= now) {
     ReloadBucket(context, index);
   }
-  if (IsDown(context) || bucket.phase == BucketPhase::kMalformed) {
+  if (IsConfirmedDown(context.state.health, now) ||
+      bucket.phase == BucketPhase::kMalformed) {
     RefuseUndecided(context, index);
   }
   if (!bucket.waiters.empty() && bucket.next_poll <= now) {
@@ -123,8 +124,7 @@
 void NoteHealth(HomeContext& context, const StoreAnswer& answer) {
   const bool is_success = answer.status == StoreStatus::kOk ||
                           answer.status == StoreStatus::kConflict;
-  StoreHealth& health = context.state.health;
-  (is_success ? health.last_success : health.last_failure) = context.now.steady;
+  NoteStoreAnswer(context.state.health, is_success, context.now.steady);
 }
 
 }  // namespace
--- a/modules/peridotmill_actions/home/store_health.h
+++ b/modules/peridotmill_actions/home/store_health.h
@@ -9,6 +9,8 @@
 struct StoreHealth {
   TimePoint last_success;
   TimePoint last_failure;
+  // First failure since the last success.
+  TimePoint first_failure;
 };
 
 // Without a success for this long, a failure means that the store is down.
@@ -22,6 +24,28 @@
   return HasFailed(health) && now - health.last_success >= kStoreDownAfter;
 }
 
+// Calls in progress are refused only after this time, so that one lost answer
+// can be settled by a read first. The target for a refusal is 50 ms.
+inline constexpr Duration kDownConfirmation = std::chrono::milliseconds(20);
+
+inline bool IsConfirmedDown(const StoreHealth& health, TimePoint now) {
+  return IsKnownDown(health, now) &&
+         now - health.first_failure >= kDownConfirmation;
+}
+
+inline void NoteStoreAnswer(StoreHealth& health,
+                            bool is_success,
+                            TimePoint now) {
+  if (is_success) {
+    health.last_success = now;
+    return;
+  }
+  if (!HasFailed(health)) {
+    health.first_failure = now;
+  }
+  health.last_failure = now;
+}
+
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_ACTIONS_HOME_STORE_HEALTH_H_
