--- a/standins/peridotmill-standin/logic/engine_scheduler.cc
+++ b/standins/peridotmill-standin/logic/engine_scheduler.cc
@@ -85,11 +85,9 @@
 }
 
 bool Submit(EngineScheduler& engine, EngineRequest request) {
-  const bool has_slot =
-      static_cast<int32_t>(engine.running.size() + engine.waiting.size()) <
-      engine.settings.max_running;
-  if (!has_slot && static_cast<int32_t>(engine.waiting.size()) >=
-                       engine.settings.max_waiting) {
+  const size_t open = engine.running.size() + engine.waiting.size();
+  if (static_cast<int32_t>(open) >=
+      engine.settings.max_running + engine.settings.max_waiting) {
     return false;
   }
   const auto place =
--- a/standins/peridotmill-standin/logic/engine_scheduler.h
+++ b/standins/peridotmill-standin/logic/engine_scheduler.h
@@ -55,7 +55,8 @@
   EngineSettings settings;
   PrefixCache cache;
   std::vector<Sequence> running;
-  // By priority, then by arrival; at most max_waiting.
+  // By priority, then by arrival. Together with the running sequences at most
+  // max_running + max_waiting.
   std::deque<EngineRequest> waiting;
   std::optional<TimePoint> step_end;
   // Multiplies the duration of the steps that begin from now on.
@@ -64,7 +65,7 @@
 
 EngineScheduler MakeScheduler(const EngineSettings& settings);
 
-// False when the waiting queue is full; the request was then not run.
+// False when the engine is full; the request was then not run.
 bool Submit(EngineScheduler& engine, EngineRequest request);
 
 // Removes the request. Returns true if it was waiting or running.
--- a/standins/peridotmill-standin/logic/service_queue.cc
+++ b/standins/peridotmill-standin/logic/service_queue.cc
@@ -22,11 +22,9 @@
 }  // namespace
 
 bool Submit(ServiceQueue& queue, uint64_t number, double slow_factor) {
-  const bool has_slot =
-      static_cast<int32_t>(queue.running.size() + queue.waiting.size()) <
-      queue.settings.concurrency;
-  if (!has_slot && static_cast<int32_t>(queue.waiting.size()) >=
-                       queue.settings.max_waiting) {
+  const size_t open = queue.running.size() + queue.waiting.size();
+  if (static_cast<int32_t>(open) >=
+      queue.settings.concurrency + queue.settings.max_waiting) {
     return false;
   }
   queue.waiting.push_back({number, slow_factor});
--- a/tools/peridotmill-load/report/report.cc
+++ b/tools/peridotmill-load/report/report.cc
@@ -118,12 +118,12 @@
                  const std::string& markers_json,
                  StandInRuns& runs) {
   try {
-    for (const auto& [name, count] :
-         json::parse(runs_json).at("runs").items()) {
+    const json by_key = json::parse(runs_json).at("runs");
+    const json by_marker = json::parse(markers_json).at("markers");
+    for (const auto& [name, count] : by_key.items()) {
       runs.by_key[name] += count.get<int64_t>();
     }
-    for (const auto& [name, count] :
-         json::parse(markers_json).at("markers").items()) {
+    for (const auto& [name, count] : by_marker.items()) {
       runs.by_marker[name] += count.get<int64_t>();
     }
   } catch (const json::exception&) {
