--- a/modules/peridotmill_limits/teams/team_shares.cc
+++ b/modules/peridotmill_limits/teams/team_shares.cc
@@ -104,6 +104,11 @@
     ++shares.uncounted;
     return;
   }
+  // Before the peer's reports are looked up: making room may remove peers.
+  TeamEntry* entry = FindOrAdd(shares, team, now);
+  if (entry == nullptr) {
+    return;
+  }
   auto& reports = shares.peers[peer];
   if (reports.size() >= kMaxTeamsPerPeer && !reports.contains(team)) {
     const auto least = std::min_element(
@@ -112,10 +117,6 @@
     SubtractPeerUse(shares, least->first, least->second);
     reports.erase(least);
   }
-  TeamEntry* entry = FindOrAdd(shares, team, now);
-  if (entry == nullptr) {
-    return;
-  }
   double& reported = reports[team];
   const double change = std::max(0.0, use) * scale - reported;
   reported += change;
--- a/modules/peridotmill_routing/selection/choice.h
+++ b/modules/peridotmill_routing/selection/choice.h
@@ -34,6 +34,8 @@
 struct CandidateScore {
   EndpointId endpoint;
   double wait = 0;
+  // Drawn for the load that others have added since the last report.
+  double unreported_wait = 0;
   // How much slower than expected the endpoint answers.
   double slowness = 0;
   double failures = 0;
@@ -42,7 +44,8 @@
   double prefix_benefit = 0;
 
   double total() const {
-    return wait + slowness + failures + distance + cold_model - prefix_benefit;
+    return wait + unreported_wait + slowness + failures + distance +
+           cold_model - prefix_benefit;
   }
 };
 
--- a/modules/peridotmill_routing/selection/endpoint_choice.cc
+++ b/modules/peridotmill_routing/selection/endpoint_choice.cc
@@ -221,12 +221,21 @@
   SetChosen(choice, view, true);
 }
 
-void ChooseBest(Choice& choice, const ChoiceContext& context) {
-  const auto best =
-      std::min_element(choice.candidates.begin(), choice.candidates.end(),
-                       [](const CandidateScore& a, const CandidateScore& b) {
-                         return a.total() < b.total();
-                       });
+// Equal scores are drawn at random: idle endpoints all score 0, and a fixed
+// order would send the work of all nodes to the first.
+void ChooseBest(Choice& choice, const ChoiceContext& context, Random& random) {
+  AddUnreportedWait(context.table, context.request, choice.candidates,
+                    context.now, random);
+  const CandidateScore* best = nullptr;
+  uint64_t equal = 0;
+  for (const CandidateScore& score : choice.candidates) {
+    if (best == nullptr || score.total() < best->total()) {
+      best = &score;
+      equal = 1;
+    } else if (score.total() == best->total() && random.Below(++equal) == 0) {
+      best = &score;
+    }
+  }
   SetChosen(choice, *FindEndpoint(context.table, best->endpoint), false);
 }
 
@@ -272,7 +281,7 @@
   if (choice.candidates.empty()) {
     ChooseLastResort(choice, context, own, foreign);
   } else {
-    ChooseBest(choice, context);
+    ChooseBest(choice, context, random);
   }
 }
 
@@ -290,7 +299,7 @@
   if (choice.candidates.empty()) {
     SpillOver(choice, context, index, own, random);
   } else {
-    ChooseBest(choice, context);
+    ChooseBest(choice, context, random);
   }
 }
 
--- a/modules/peridotmill_routing/selection/endpoint_score.cc
+++ b/modules/peridotmill_routing/selection/endpoint_score.cc
@@ -11,9 +11,21 @@
 // Share of the expected time that a warm prefix is credited with. At weight 0
 // it is doubled, since reuse saves cost as well as time.
 constexpr double kPrefixShare = 0.3;
+// Failures in a row count for this long; otherwise an endpoint that failed once
+// would get nothing until the others are busy.
+constexpr Duration kFailureMemory = std::chrono::seconds(2);
 // Service time assumed when the caller expects none.
 constexpr double kFallbackExpectedMs = 1.0;
 
+double ExpectedMs(const ChoiceRequest& request) {
+  return std::max(kFallbackExpectedMs, ToMilliseconds(request.expected));
+}
+
+// Wait behind `load` calls.
+double WaitBehind(double load, const EndpointView& view, double service_ms) {
+  return load / std::max(1, view.limit) * service_ms;
+}
+
 double DistanceOf(const EndpointTable& table, const EndpointView& view) {
   if (view.is_own_domain) {
     return 0;
@@ -46,14 +58,15 @@
                              const ChoiceRequest& request,
                              bool has_prefix,
                              TimePoint now) {
-  const double expected =
-      std::max(kFallbackExpectedMs, ToMilliseconds(request.expected));
+  const double expected = ExpectedMs(request);
   const double ratio = AgedLatencyRatio(view, now);
   CandidateScore score;
   score.endpoint = view.id;
-  score.wait = AgedLoad(view, now) / std::max(1, view.limit) * expected * ratio;
+  score.wait = WaitBehind(AgedLoad(view, now), view, expected * ratio);
   score.slowness = expected * std::max(0.0, ratio - 1.0);
-  score.failures = expected * std::min(view.consecutive_failures, 10);
+  if (now - view.failed_at < kFailureMemory) {
+    score.failures = expected * std::min(view.consecutive_failures, 10);
+  }
   score.distance = DistanceOf(table, view);
   score.cold_model =
       IsCold(view, request.model) ? ToMilliseconds(kColdModelPenalty) : 0;
@@ -63,4 +76,27 @@
   return score;
 }
 
+void AddUnreportedWait(const EndpointTable& table,
+                       const ChoiceRequest& request,
+                       std::vector<CandidateScore>& candidates,
+                       TimePoint now,
+                       Random& random) {
+  double mean = 0;
+  for (const CandidateScore& score : candidates) {
+    mean += FindEndpoint(table, score.endpoint)->foreign_load /
+            static_cast<double>(candidates.size());
+  }
+  if (mean <= 0) {
+    return;
+  }
+  for (CandidateScore& score : candidates) {
+    const EndpointView& view = *FindEndpoint(table, score.endpoint);
+    const double unknown =
+        1 - DecayOver(now - view.reported_at, kReportHalfLife);
+    const double service = ExpectedMs(request) * AgedLatencyRatio(view, now);
+    score.unreported_wait =
+        WaitBehind(2 * mean * random.Unit() * unknown, view, service);
+  }
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_routing/selection/endpoint_score.h
+++ b/modules/peridotmill_routing/selection/endpoint_score.h
@@ -1,6 +1,9 @@
 #ifndef PERIDOTMILL_ROUTING_SELECTION_ENDPOINT_SCORE_H_
 #define PERIDOTMILL_ROUTING_SELECTION_ENDPOINT_SCORE_H_
 
+#include <vector>
+
+#include "peridotmill_core/maths/random.h"
 #include "peridotmill_routing/endpoints/endpoint_table.h"
 #include "peridotmill_routing/selection/choice.h"
 
@@ -20,6 +23,17 @@
                              bool has_prefix,
                              TimePoint now);
 
+// Adds a random draw for the load that others may have put on each candidate
+// since its report, up to twice the candidates' mean. As reports age, the
+// choice between candidates turns from the reports to chance: without this,
+// the order of the stale reports still decides, however far they are decayed,
+// and all nodes choose alike.
+void AddUnreportedWait(const EndpointTable& table,
+                       const ChoiceRequest& request,
+                       std::vector<CandidateScore>& candidates,
+                       TimePoint now,
+                       Random& random);
+
 // Own in-flight attempts plus the aged load that others cause.
 double AgedLoad(const EndpointView& view, TimePoint now);
 
