Age load reports by the length of the calls they count

Change: the half-life is half the expected service time, 500 ms at most; a random draw stands for load that no report shows yet.

--- a/modules/peridotmill_routing/selection/endpoint_score.cc
+++ b/modules/peridotmill_routing/selection/endpoint_score.cc
@@ -14,6 +14,8 @@
 // Failures in a row count for this long; otherwise an endpoint that failed once
 // would get nothing until the others are busy.
 constexpr Duration kFailureMemory = std::chrono::seconds(2);
+// Reports are read once a second; faster decay would ignore them.
+constexpr Duration kMinReportHalfLife = std::chrono::milliseconds(100);
 // Service time assumed when the caller expects none.
 constexpr double kFallbackExpectedMs = 1.0;
 
@@ -21,6 +23,15 @@
   return std::max(kFallbackExpectedMs, ToMilliseconds(request.expected));
 }
 
+// Share of the reported calls that are still there.
+double ReportWeight(const EndpointView& view,
+                    Duration expected,
+                    TimePoint now) {
+  const Duration half_life =
+      std::clamp<Duration>(expected / 2, kMinReportHalfLife, kReportHalfLife);
+  return DecayOver(now - view.reported_at, half_life);
+}
+
 // Wait behind `load` calls.
 double WaitBehind(double load, const EndpointView& view, double service_ms) {
   return load / std::max(1, view.limit) * service_ms;
@@ -44,11 +55,10 @@
 
 }  // namespace
 
-double AgedLoad(const EndpointView& view, TimePoint now) {
+double AgedLoad(const EndpointView& view, Duration expected, TimePoint now) {
   double load = view.in_flight;
   if (view.foreign_load > 0) {
-    load +=
-        view.foreign_load * DecayOver(now - view.reported_at, kReportHalfLife);
+    load += view.foreign_load * ReportWeight(view, expected, now);
   }
   return load;
 }
@@ -62,7 +72,8 @@
   const double ratio = AgedLatencyRatio(view, now);
   CandidateScore score;
   score.endpoint = view.id;
-  score.wait = WaitBehind(AgedLoad(view, now), view, expected * ratio);
+  score.wait =
+      WaitBehind(AgedLoad(view, request.expected, now), view, expected * ratio);
   score.slowness = expected * std::max(0.0, ratio - 1.0);
   if (now - view.failed_at < kFailureMemory) {
     score.failures = expected * std::min(view.consecutive_failures, 10);
@@ -91,8 +102,7 @@
   }
   for (CandidateScore& score : candidates) {
     const EndpointView& view = *FindEndpoint(table, score.endpoint);
-    const double unknown =
-        1 - DecayOver(now - view.reported_at, kReportHalfLife);
+    const double unknown = 1 - ReportWeight(view, request.expected, now);
     const double service = ExpectedMs(request) * AgedLatencyRatio(view, now);
     score.unreported_wait =
         WaitBehind(2 * mean * random.Unit() * unknown, view, service);
--- a/modules/peridotmill_routing/selection/endpoint_score.h
+++ b/modules/peridotmill_routing/selection/endpoint_score.h
@@ -9,7 +9,10 @@
 
 namespace peridotmill {
 
-// Half-life of a load report: reports lag, and all nodes see the same ones.
+// Half-life of a load report at most: reports lag, and all nodes see the same
+// ones. For shorter calls it is half the expected service time, when half of
+// the reported calls have ended; with 500 ms for calls of 500 ms, reports
+// spread the work worse than no reports.
 inline constexpr Duration kReportHalfLife = std::chrono::milliseconds(500);
 inline constexpr Duration kDefaultDistance = std::chrono::milliseconds(2);
 // Loading a model takes seconds.
@@ -35,7 +38,7 @@
                        Random& random);
 
 // Own in-flight attempts plus the aged load that others cause.
-double AgedLoad(const EndpointView& view, TimePoint now);
+double AgedLoad(const EndpointView& view, Duration expected, TimePoint now);
 
 }  // namespace peridotmill
 
