--- a/modules/peridotmill_membership/codec/peer_decoder.cc
+++ b/modules/peridotmill_membership/codec/peer_decoder.cc
@@ -39,8 +39,8 @@
   if (answer == nullptr) {
     return result;
   }
-  result.execution =
-      std::min(static_cast<Execution>(answer->execution()), Execution::kUnknown);
+  result.execution = std::min(static_cast<Execution>(answer->execution()),
+                              Execution::kUnknown);
   result.http_status = answer->http_status();
   result.body = TextOf(answer->body());
   result.digest = TextOf(answer->digest());
@@ -208,10 +208,9 @@
 }
 
 PeerMessage Read(const wire::OutcomeRecord& body) {
-  return OutcomeRecord{TeamId(TextOf(body.team())),
-                       IdempotencyKey(TextOf(body.key())),
-                       Nonce(TextOf(body.nonce())), body.is_void(),
-                       FromWire(body.answer())};
+  return OutcomeRecord{
+      TeamId(TextOf(body.team())), IdempotencyKey(TextOf(body.key())),
+      Nonce(TextOf(body.nonce())), body.is_void(), FromWire(body.answer())};
 }
 
 PeerMessage Read(const wire::OutcomeAck& body) {
--- a/modules/peridotmill_membership/codec/peer_encoder.cc
+++ b/modules/peridotmill_membership/codec/peer_encoder.cc
@@ -237,8 +237,8 @@
   const Text request = PutText(builder, message.request);
   const auto answer = PutAnswer(builder, message.answer);
   const Text holder = PutText(builder, message.holder);
-  return wire::CreateActionLookupReply(builder, request,
-                                       ToWire(message.status), answer, holder,
+  return wire::CreateActionLookupReply(builder, request, ToWire(message.status),
+                                       answer, holder,
                                        message.holder_incarnation.value());
 }
 
--- a/modules/peridotmill_membership/tests/peer_codec_test.cc
+++ b/modules/peridotmill_membership/tests/peer_codec_test.cc
@@ -21,7 +21,8 @@
   const TeamId team("team");
   const IdempotencyKey key("key");
   const Nonce nonce("nonce");
-  const std::string answer("{\"a\":\0}", 7);
+  const std::string body("{\"a\":\0}", 7);
+  const ActionAnswer answer{Execution::kUnknown, 502, body, "d"};
   return {
       HeartbeatMessage{NodeId("n1"), Incarnation(5), MemberState::kSuspect,
                        Revision(6), 7, 8},
@@ -29,20 +30,22 @@
       LeavingMessage{NodeId("n1"), Incarnation(5), 6},
       ConfigHeadMessage{"{\"revision\":1}"},
       ConfigPartRequestMessage{"digest"},
-      ConfigPartMessage{"digest", answer, true},
+      ConfigPartMessage{"digest", body, true},
       EndpointReportsMessage{Incarnation(1), 2, {value}, {{42, {1, 2}}}},
       CacheHintsMessage{{{1, 2}}, {{3, 4}}},
       TeamUseMessage{{{1, 2}, {3, 4}}},
       DomainSummaryMessage{{{1, 2, 3, 4}}},
       DigestMessage{1, {{2, 3, 4}}},
       DigestReplyMessage{{{value, 9}}, {{42, {1}}}, {member}},
-      ClaimRequestMessage{1, team, key, "digest", nonce, 250},
-      ClaimReplyMessage{1, PeerClaimStatus::kKeyReused, answer},
-      OutcomeRecordMessage{team, key, nonce, PeerClaimStatus::kFailed, answer},
-      OutcomeAckMessage{team, key, nonce},
-      VoidRecordMessage{team, key, nonce},
-      ActionQueryMessage{1, team, key},
-      ActionReplyMessage{1, PeerClaimStatus::kNotFound, answer},
+      ClaimRequest{team, key, "digest", nonce, NodeId("n1"), Incarnation(5),
+                   std::chrono::milliseconds(250)},
+      ClaimReply{nonce, ClaimStatus::kKeyReused, answer, NodeId("n2"),
+                 Incarnation(6)},
+      OutcomeRecord{team, key, nonce, true, answer},
+      OutcomeAck{nonce},
+      ActionLookup{RequestId("r1"), team, key},
+      ActionLookupReply{RequestId("r1"), LookupStatus::kNotFound, answer,
+                        NodeId("n2"), Incarnation(6)},
   };
 }
 
@@ -84,15 +87,21 @@
             std::get<TeamUseMessage>(messages[8]).entries);
   EXPECT_EQ(std::get<DomainSummaryMessage>(restored(9)).pools,
             std::get<DomainSummaryMessage>(messages[9]).pools);
-  const auto claim = std::get<ClaimRequestMessage>(restored(12));
-  EXPECT_EQ(claim.request, 1U);
+  const auto claim = std::get<ClaimRequest>(restored(12));
   EXPECT_EQ(claim.team, TeamId("team"));
   EXPECT_EQ(claim.key, IdempotencyKey("key"));
-  EXPECT_EQ(claim.digest, "digest");
+  EXPECT_EQ(claim.request_digest, "digest");
   EXPECT_EQ(claim.nonce, Nonce("nonce"));
-  EXPECT_EQ(claim.deadline_ms, 250);
-  EXPECT_EQ(std::get<OutcomeRecordMessage>(restored(14)).answer,
-            std::string("{\"a\":\0}", 7));
+  EXPECT_EQ(claim.claimant, NodeId("n1"));
+  EXPECT_EQ(claim.claimant_incarnation, Incarnation(5));
+  EXPECT_EQ(claim.time_left, std::chrono::milliseconds(250));
+  const auto reply = std::get<ClaimReply>(restored(13));
+  EXPECT_EQ(reply.status, ClaimStatus::kKeyReused);
+  EXPECT_EQ(reply.holder, NodeId("n2"));
+  EXPECT_EQ(reply.holder_incarnation, Incarnation(6));
+  const auto outcome = std::get<OutcomeRecord>(restored(14));
+  EXPECT_TRUE(outcome.is_void);
+  EXPECT_EQ(outcome.answer, std::get<OutcomeRecord>(messages[14]).answer);
 }
 
 // Guards against reads outside a malformed frame and unknown contents taken as
--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -184,10 +184,10 @@
 
 void NodeRunner::ArmTimer() {
   const TimePoint now = clock_.Now();
-  const auto delay = std::max<int64_t>(
-      0, std::chrono::ceil<std::chrono::milliseconds>(
-             NextWakeup(state_, now) - now)
-             .count());
+  const auto delay =
+      std::max<int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(
+                               NextWakeup(state_, now) - now)
+                               .count());
   timer_.Start(
       static_cast<guint>(delay),
       [](gpointer data) { static_cast<NodeRunner*>(data)->Post(Tick{}); },
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -43,9 +43,8 @@
             ApplyPartRequest(fleet_.distribution, from_, message.digest));
   }
   void operator()(const ConfigPartMessage& message) {
-    Execute(context_,
-            ApplyPart(fleet_.distribution, from_, message.digest,
-                      message.content, message.found, context_.now));
+    Execute(context_, ApplyPart(fleet_.distribution, from_, message.digest,
+                                message.content, message.found, context_.now));
   }
   void operator()(const EndpointReportsMessage& message) {
     TakeReports(context_, from_, message);
@@ -146,9 +145,9 @@
                                        answered.answer, context.now));
   } else if (const auto* action =
                  std::get_if<ActionOperation>(&call.mapped())) {
-    Execute(context, OnActionStoreAnswer(fleet.actions, *action,
-                                         answered.answer,
-                                         ActionTimeOf(context)));
+    Execute(context,
+            OnActionStoreAnswer(fleet.actions, *action, answered.answer,
+                                ActionTimeOf(context)));
   }
 }
 
@@ -160,9 +159,9 @@
     Execute(context, TickMembership(fleet.members, fields, context.now));
   }
   if (NextDistributionWakeup(fleet.distribution, context.now) <= context.now) {
-    Execute(context, TickDistribution(fleet.distribution,
-                                      DistributionView(fleet.members),
-                                      context.now));
+    Execute(context,
+            TickDistribution(fleet.distribution,
+                             DistributionView(fleet.members), context.now));
   }
   if (NextActionWakeup(fleet.actions) <= context.now) {
     Execute(context, OnActionTick(fleet.actions, ActionTimeOf(context)));
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -63,16 +63,15 @@
     SendMessage(context_, command.peer, command.message);
   }
   void operator()(MemberChanged& command) {
-    context_.Emit(
-        LogEvent{"member_changed",
-                 {{"node", command.member.node.value()},
-                  {"state", std::string(ToString(command.member.state))},
-                  {"incarnation",
-                   std::to_string(command.member.incarnation.value())}}});
+    context_.Emit(LogEvent{
+        "member_changed",
+        {{"node", command.member.node.value()},
+         {"state", std::string(ToString(command.member.state))},
+         {"incarnation", std::to_string(command.member.incarnation.value())}}});
     FleetState& fleet = context_.state.fleet;
-    Execute(context_, SetActionNodes(fleet.actions,
-                                     ActionNodesOf(fleet.members),
-                                     ActionTimeOf(context_)));
+    Execute(context_,
+            SetActionNodes(fleet.actions, ActionNodesOf(fleet.members),
+                           ActionTimeOf(context_)));
   }
 
   void operator()(CallConfigStore& command) {
@@ -103,15 +102,14 @@
     context_.Emit(LogEvent{
         "config_applied",
         {{"revision", std::to_string(command.revision.value())},
-         {"from",
-          command.from.empty() ? "store" : command.from.value()}}});
+         {"from", command.from.empty() ? "store" : command.from.value()}}});
     NoteConfigChange(context_);
   }
   void operator()(ConfigRejected& command) {
-    context_.Emit(LogEvent{
-        "config_rejected",
-        {{"revision", std::to_string(command.revision.value())},
-         {"findings", ToString(command.findings)}}});
+    context_.Emit(
+        LogEvent{"config_rejected",
+                 {{"revision", std::to_string(command.revision.value())},
+                  {"findings", ToString(command.findings)}}});
   }
 
   void operator()(ActionStoreCall& command) {
--- a/modules/peridotmill_node/fleet/shared_knowledge.cc
+++ b/modules/peridotmill_node/fleet/shared_knowledge.cc
@@ -87,8 +87,8 @@
   if (!news || sender == fleet.members.entries.end()) {
     return;
   }
-  const bool is_from_own_domain = sender->second.member.failure_domain ==
-                                  fleet.members.self.failure_domain;
+  const bool is_from_own_domain =
+      sender->second.member.failure_domain == fleet.members.self.failure_domain;
   SendMessage(context,
               is_from_own_domain ? ConnectedRemoteRelays(fleet.members)
                                  : ConnectedDomainPeers(fleet.members),
@@ -141,8 +141,8 @@
   if (!messages->to_remote_relays.pools.empty()) {
     std::vector<NodeId> served;
     for (const NodeId& relay : ConnectedRemoteRelays(fleet.members)) {
-      if (ServesDomain(fleet.members, fleet.members.entries.at(relay)
-                                          .member.failure_domain)) {
+      if (ServesDomain(fleet.members,
+                       fleet.members.entries.at(relay).member.failure_domain)) {
         served.push_back(relay);
       }
     }
@@ -180,8 +180,8 @@
       SendUrgent(context, RecordLeaving(fleet.knowledge, record, context.now));
     }
   }
-  const std::vector<NodeId> members = UsableMembers(
-      fleet.members, context.state.settings.failure_domain);
+  const std::vector<NodeId> members =
+      UsableMembers(fleet.members, context.state.settings.failure_domain);
   RetainKnown(fleet.knowledge, listed, {members.begin(), members.end()});
   std::erase_if(fleet.cache_sequences, [&](const auto& entry) {
     return !listed.contains(FingerprintOf(entry.first.value()));
@@ -191,21 +191,21 @@
 void TakeLoad(StepContext& context, const LoadRead& read) {
   NodeState& state = context.state;
   FleetState& fleet = state.fleet;
-  const auto assigned = std::find_if(
-      fleet.assigned.begin(), fleet.assigned.end(),
-      [&](const AssignedEndpoint& endpoint) {
-        return endpoint.record.id == read.endpoint;
-      });
+  const auto assigned =
+      std::find_if(fleet.assigned.begin(), fleet.assigned.end(),
+                   [&](const AssignedEndpoint& endpoint) {
+                     return endpoint.record.id == read.endpoint;
+                   });
   if (assigned == fleet.assigned.end()) {
     return;
   }
   SendUrgent(context,
              RecordReading(fleet.knowledge, *assigned, read.load, context.now));
   if (read.load) {
-    ApplyLoadReport(state.endpoints,
-                    {read.endpoint, assigned->record.incarnation, *read.load,
-                     context.now},
-                    context.now);
+    ApplyLoadReport(
+        state.endpoints,
+        {read.endpoint, assigned->record.incarnation, *read.load, context.now},
+        context.now);
     WakePool(context, assigned->record.pool);
   }
 }
@@ -226,8 +226,8 @@
 void TakeReports(StepContext& context,
                  const NodeId& from,
                  const EndpointReportsMessage& message) {
-  const std::vector<Fingerprint> changed = ApplyReports(
-      context.state.fleet.knowledge, from, message, context.now);
+  const std::vector<Fingerprint> changed =
+      ApplyReports(context.state.fleet.knowledge, from, message, context.now);
   UpdateEndpointTable(context, changed);
   ForwardLeaving(context, from, changed);
 }
@@ -278,12 +278,12 @@
                      const NodeId& from,
                      const DigestReplyMessage& message) {
   FleetState& fleet = context.state.fleet;
-  UpdateEndpointTable(context, ApplyDigestReply(fleet.knowledge, from, message,
-                                                context.now));
+  UpdateEndpointTable(
+      context, ApplyDigestReply(fleet.knowledge, from, message, context.now));
   if (!message.members.empty()) {
-    Execute(context, ApplyMemberDelta(fleet.members, from,
-                                      MemberDeltaMessage{message.members},
-                                      context.now));
+    Execute(context,
+            ApplyMemberDelta(fleet.members, from,
+                             MemberDeltaMessage{message.members}, context.now));
   }
 }
 
--- a/modules/peridotmill_node/requests/action_requests.cc
+++ b/modules/peridotmill_node/requests/action_requests.cc
@@ -92,8 +92,7 @@
   switch (result.kind) {
     case ActionResultKind::kGranted:
       request.has_claim = true;
-      RecordDecision(state.decisions, request.id, context.now,
-                     "claim granted");
+      RecordDecision(state.decisions, request.id, context.now, "claim granted");
       StartReadyStages(context, request);
       break;
     case ActionResultKind::kDuplicate:
@@ -138,16 +137,15 @@
 void QueryAction(StepContext& context, const ActionQuery& query) {
   NodeState& state = context.state;
   if (!state.config.objects) {
-    RefuseQuery(context, query.id, Reason::kNotConfigured,
-                Execution::kUnknown);
+    RefuseQuery(context, query.id, Reason::kNotConfigured, Execution::kUnknown);
     return;
   }
   const Team* team = FindTeam(state.config, query.token);
   if (team == nullptr) {
-    RefuseQuery(context, query.id,
-                query.token.empty() ? Reason::kMissingToken
-                                    : Reason::kUnknownTeam,
-                Execution::kUnknown);
+    RefuseQuery(
+        context, query.id,
+        query.token.empty() ? Reason::kMissingToken : Reason::kUnknownTeam,
+        Execution::kUnknown);
     return;
   }
   Execute(context,
