--- a/modules/peridotmill_config/distribution/config_distribution.cc
+++ b/modules/peridotmill_config/distribution/config_distribution.cc
@@ -29,7 +29,8 @@
   state.is_serving =
       state.is_serving ||
       (state.head && state.has_answer && now - state.started >= kStartWindow &&
-       RevisionOf(state) >= state.start_revision);
+       (RevisionOf(state) >= state.start_revision ||
+        now - state.started >= kStartGiveUp));
 }
 
 void NotePeer(ConfigDistribution& state,
@@ -101,7 +102,9 @@
     NoteAnswer(state, Revision(0), now);
     return;
   }
-  if (entry->value == state.store_text) {
+  // While something else is pending, the store's head may be due again.
+  if (entry->value == state.store_text &&
+      (!state.pending || state.pending->text == entry->value)) {
     return;
   }
   Result<ConfigHead> head = DecodeHead(entry->value);
--- a/modules/peridotmill_config/distribution/config_distribution.h
+++ b/modules/peridotmill_config/distribution/config_distribution.h
@@ -26,6 +26,12 @@
 inline constexpr Duration kReadInterval = std::chrono::seconds(30);
 // A node that starts serves the highest revision of those that answered by now.
 inline constexpr Duration kStartWindow = std::chrono::milliseconds(500);
+// A node that cannot fetch that revision serves an older one after this: peers
+// may have named a revision and then become unreachable.
+inline constexpr Duration kStartGiveUp = std::chrono::seconds(5);
+// A pending head whose parts cannot be fetched gives way to any newer than the
+// applied one after this, so that a false head does not block the true one.
+inline constexpr Duration kPendingGiveUp = std::chrono::seconds(10);
 inline constexpr Duration kStoreCallTimeout = std::chrono::seconds(2);
 inline constexpr Duration kPartFetchTimeout = std::chrono::milliseconds(500);
 inline constexpr Duration kHeadRepeatInterval = std::chrono::seconds(2);
@@ -57,6 +63,7 @@
   std::string text;
   // Peer that announced it; empty for the store.
   NodeId from;
+  TimePoint since;
   struct Fetch {
     // When the last request is given up.
     std::optional<TimePoint> timeout;
--- a/modules/peridotmill_config/distribution/part_fetching.cc
+++ b/modules/peridotmill_config/distribution/part_fetching.cc
@@ -83,6 +83,14 @@
   state.pending.reset();
 }
 
+bool IsBlockedByPending(const ConfigDistribution& state,
+                        const ConfigHead& head,
+                        TimePoint now) {
+  return state.pending && head.revision <= state.pending->head.revision &&
+         (head.nonce == state.pending->head.nonce ||
+          now - state.pending->since < kPendingGiveUp);
+}
+
 // Keeps only the parts of the applied head.
 void RetainParts(ConfigDistribution& state, PartContents contents) {
   state.parts.clear();
@@ -118,7 +126,7 @@
       std::find(state.rejected.begin(), state.rejected.end(), head.nonce) !=
       state.rejected.end();
   if (head.revision <= RevisionOf(state) || is_rejected ||
-      (state.pending && head.revision <= state.pending->head.revision)) {
+      IsBlockedByPending(state, head, now)) {
     ++state.counters.old_heads;
     return;
   }
@@ -129,6 +137,7 @@
   PendingConfig pending;
   pending.text = text;
   pending.from = from;
+  pending.since = now;
   for (const PartReference& part : head.parts) {
     if (state.parts.contains(part.digest)) {
       continue;
--- a/modules/peridotmill_membership/members/entry_update.cc
+++ b/modules/peridotmill_membership/members/entry_update.cc
@@ -1,14 +1,17 @@
 #include "peridotmill_membership/members/entry_update.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "peridotmill_membership/members/topology.h"
 
 namespace peridotmill {
 namespace {
 
-bool IsHeardDirectly(const MemberEntry& entry, TimePoint now) {
-  return entry.last_direct && now - *entry.last_direct < kSuspectAfter;
+// A lost connection is enough evidence once another member has the address.
+bool IsStillHeard(const MemberEntry& entry, TimePoint now) {
+  return entry.is_connected && entry.last_direct &&
+         now - *entry.last_direct < kSuspectAfter;
 }
 
 // Frees one place, preferring the member that has been dead longest.
@@ -42,7 +45,7 @@
     if (node == member.node || other.member.address != member.address ||
         other.member.state == MemberState::kDead ||
         other.member.incarnation >= member.incarnation ||
-        IsHeardDirectly(other, now)) {
+        IsStillHeard(other, now)) {
       continue;
     }
     Member dead = other.member;
@@ -85,7 +88,7 @@
   return &entry;
 }
 
-void ReplaceMember(MembershipState& state,
+bool ReplaceMember(MembershipState& state,
                    MemberEntry& entry,
                    const Member& member,
                    TimePoint now,
@@ -95,7 +98,7 @@
   if (previous.state == member.state &&
       previous.incarnation == member.incarnation &&
       previous.address == member.address) {
-    return;
+    return false;
   }
   if (previous.state != member.state) {
     entry.state_since = now;
@@ -109,6 +112,19 @@
   if (!is_suspicion || member.state > MemberState::kSuspect) {
     AnnounceAsRelay(state, member, commands);
   }
+  return true;
+}
+
+void ForwardIntoDomain(const MembershipState& state,
+                       std::vector<Member> changed,
+                       MembershipCommands& commands) {
+  if (changed.empty()) {
+    return;
+  }
+  const MemberDeltaMessage message{std::move(changed)};
+  for (const NodeId& peer : ConnectedDomainPeers(state)) {
+    commands.push_back(SendToPeer{peer, message});
+  }
 }
 
 void AnnounceAsRelay(const MembershipState& state,
--- a/modules/peridotmill_membership/members/entry_update.h
+++ b/modules/peridotmill_membership/members/entry_update.h
@@ -1,6 +1,8 @@
 #ifndef PERIDOTMILL_MEMBERSHIP_MEMBERS_ENTRY_UPDATE_H_
 #define PERIDOTMILL_MEMBERSHIP_MEMBERS_ENTRY_UPDATE_H_
 
+#include <vector>
+
 #include "peridotmill_membership/members/membership.h"
 
 namespace peridotmill {
@@ -13,13 +15,19 @@
                       TimePoint now,
                       MembershipCommands& commands);
 
-// Puts `member` in force and reports the change of state or incarnation.
-void ReplaceMember(MembershipState& state,
+// Puts `member` in force and reports a change of state, incarnation or address.
+// Returns whether there was one.
+bool ReplaceMember(MembershipState& state,
                    MemberEntry& entry,
                    const Member& member,
                    TimePoint now,
                    MembershipCommands& commands);
 
+// Tells all connected peers of this domain.
+void ForwardIntoDomain(const MembershipState& state,
+                       std::vector<Member> changed,
+                       MembershipCommands& commands);
+
 // A changed member of this node's domain is told to the other domains' relays
 // and to the domain's other relay, if this node is a relay.
 void AnnounceAsRelay(const MembershipState& state,
--- a/modules/peridotmill_membership/members/membership.cc
+++ b/modules/peridotmill_membership/members/membership.cc
@@ -93,7 +93,32 @@
          now - entry.last_heard >= kSuspectAfter;
 }
 
-// Returns whether the news was put in force.
+// What a relay tells a peer that connects: its own domain's members to another
+// domain's relay, and the members of the domains that it serves to a peer of
+// its own domain, so that a node that starts needs no repair.
+void AppendOtherSide(const MembershipState& state,
+                     const Member& peer,
+                     std::vector<Member>& members) {
+  if (!IsRelay(state)) {
+    return;
+  }
+  const FailureDomainId& own = state.self.failure_domain;
+  const bool is_remote = peer.failure_domain != own;
+  std::map<FailureDomainId, bool> is_told;
+  for (const FailureDomainId& domain : KnownDomains(state)) {
+    is_told[domain] = is_remote ? domain == own
+                                : domain != own && ServesDomain(state, domain);
+  }
+  for (const auto& [node, entry] : state.entries) {
+    if (is_told[entry.member.failure_domain] &&
+        entry.member.incarnation.value() != 0 &&
+        entry.member.state != MemberState::kSuspect) {
+      members.push_back(entry.member);
+    }
+  }
+}
+
+// Returns whether the member's state, incarnation or address changed.
 bool ApplyNews(MembershipState& state,
                const NodeId& from,
                const Member& news,
@@ -110,6 +135,11 @@
     if (entry != nullptr && is_own_word) {
       entry->last_direct = now;
       entry->is_connected = true;
+      MemberDeltaMessage others;
+      AppendOtherSide(state, news, others.members);
+      if (!others.members.empty()) {
+        commands.push_back(SendToPeer{from, std::move(others)});
+      }
     }
     return entry != nullptr;
   }
@@ -132,24 +162,19 @@
   if (!is_bad_news) {
     entry.last_heard = now;
   }
-  ReplaceMember(state, entry, news, now, commands);
-  return true;
+  return ReplaceMember(state, entry, news, now, commands);
 }
 
-// News about another domain, brought by one of its members, goes to all peers
-// of this domain; it is never sent on between domains, so it cannot circle.
-void ForwardIntoDomain(const MembershipState& state,
-                       const NodeId& from,
-                       std::vector<Member> changed,
-                       MembershipCommands& commands) {
+// News brought by a member of another domain goes to all peers of this domain;
+// it is never sent on between domains, so it cannot circle.
+void ForwardIfRemote(const MembershipState& state,
+                     const NodeId& from,
+                     std::vector<Member> changed,
+                     MembershipCommands& commands) {
   const auto sender = state.entries.find(from);
-  if (changed.empty() || sender == state.entries.end() ||
-      sender->second.member.failure_domain == state.self.failure_domain) {
-    return;
-  }
-  const MemberDeltaMessage message{std::move(changed)};
-  for (const NodeId& peer : ConnectedDomainPeers(state)) {
-    commands.push_back(SendToPeer{peer, message});
+  if (sender != state.entries.end() &&
+      sender->second.member.failure_domain != state.self.failure_domain) {
+    ForwardIntoDomain(state, std::move(changed), commands);
   }
 }
 
@@ -196,17 +221,8 @@
   }
   // Introduces this node: the peer's host list may not show it yet.
   MemberDeltaMessage introduction{{state.self}};
-  const bool is_remote =
-      found != state.entries.end() &&
-      found->second.member.failure_domain != state.self.failure_domain;
-  if (is_remote && IsRelay(state)) {
-    for (const auto& [node, entry] : state.entries) {
-      if (entry.member.failure_domain == state.self.failure_domain &&
-          entry.member.incarnation.value() != 0 &&
-          entry.member.state != MemberState::kSuspect) {
-        introduction.members.push_back(entry.member);
-      }
-    }
+  if (found != state.entries.end()) {
+    AppendOtherSide(state, found->second.member, introduction.members);
   }
   commands.push_back(SendToPeer{peer, std::move(introduction)});
   return commands;
@@ -237,7 +253,9 @@
   news.incarnation = message.incarnation;
   news.state = message.state;
   news.heartbeat = message.counter;
-  ApplyNews(state, from, news, now, commands);
+  if (ApplyNews(state, from, news, now, commands)) {
+    ForwardIfRemote(state, from, {news}, commands);
+  }
   return commands;
 }
 
@@ -257,7 +275,7 @@
       changed.push_back(news);
     }
   }
-  ForwardIntoDomain(state, from, std::move(changed), commands);
+  ForwardIfRemote(state, from, std::move(changed), commands);
   return commands;
 }
 
@@ -276,7 +294,7 @@
   news.heartbeat = std::max(message.heartbeat, news.heartbeat);
   news.state = MemberState::kLeaving;
   if (ApplyNews(state, from, news, now, commands)) {
-    ForwardIntoDomain(state, from, {news}, commands);
+    ForwardIfRemote(state, from, {news}, commands);
   }
   return commands;
 }
--- a/modules/peridotmill_membership/members/membership.h
+++ b/modules/peridotmill_membership/members/membership.h
@@ -84,6 +84,7 @@
   NodeId peer;
   std::string address;
 };
+// Closes a connection; answered by PeerDown.
 struct DropPeer {
   NodeId peer;
 };
--- a/modules/peridotmill_membership/members/membership_tick.cc
+++ b/modules/peridotmill_membership/members/membership_tick.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "peridotmill_membership/members/entry_update.h"
 #include "peridotmill_membership/members/membership.h"
@@ -26,6 +27,7 @@
                     const std::set<NodeId>& wanted,
                     TimePoint now,
                     MembershipCommands& commands) {
+  std::vector<Member> dead_remote;
   for (auto& [node, entry] : state.entries) {
     // A member without a direct connection is judged by its domain's relays.
     if (!wanted.contains(node) && !entry.is_connected) {
@@ -35,12 +37,23 @@
     Member member = entry.member;
     if (silence >= kDeadAfter) {
       member.state = MemberState::kDead;
+      // A host without power never closes its side. A new connection also
+      // introduces both sides again.
+      if (entry.is_connected) {
+        commands.push_back(DropPeer{node});
+      }
     } else if (silence >= kSuspectAfter &&
                member.state == MemberState::kAlive) {
       member.state = MemberState::kSuspect;
     }
-    ReplaceMember(state, entry, member, now, commands);
+    const bool is_changed = ReplaceMember(state, entry, member, now, commands);
+    if (is_changed && member.state == MemberState::kDead &&
+        member.failure_domain != state.self.failure_domain) {
+      dead_remote.push_back(member);
+    }
   }
+  // When both relays of a domain die, nobody there tells this domain.
+  ForwardIntoDomain(state, std::move(dead_remote), commands);
 }
 
 void SendHeartbeats(MembershipState& state,
