--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -115,13 +115,16 @@
 
 void TakePeerFrame(StepContext& context, const PeerFrame& frame) {
   ++context.state.fleet.peer_frames_received;
-  const auto message = DecodePeerMessage(frame.payload);
-  if (!message) {
+  const auto messages = DecodePeerFrame(frame.payload);
+  if (!messages) {
     context.state.reasons.Add(Reason::kPeerFrameMalformed);
     context.Emit(RejectPeerFrame{frame.peer});
     return;
   }
-  std::visit(MessageHandler(context, frame.peer), *message);
+  MessageHandler handler(context, frame.peer);
+  for (const PeerMessage& message : *messages) {
+    std::visit(handler, message);
+  }
 }
 
 void TakePeerConnected(StepContext& context, const NodeId& peer) {
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -156,20 +156,23 @@
 void SendMessage(StepContext& context,
                  const NodeId& peer,
                  const PeerMessage& message) {
-  SendMessage(context, std::vector<NodeId>{peer}, message);
+  context.outbox[peer].push_back(message);
 }
 
 void SendMessage(StepContext& context,
                  const std::vector<NodeId>& peers,
                  const PeerMessage& message) {
-  if (peers.empty()) {
-    return;
-  }
-  const std::string payload = EncodePeerMessage(message);
   for (const NodeId& peer : peers) {
+    SendMessage(context, peer, message);
+  }
+}
+
+void FlushMessages(StepContext& context) {
+  for (auto& [peer, messages] : context.outbox) {
     ++context.state.fleet.peer_frames_sent;
-    context.Emit(SendPeerFrame{peer, payload});
+    context.Emit(SendPeerFrame{peer, EncodePeerFrame(messages)});
   }
+  context.outbox.clear();
 }
 
 DistributionPeers DistributionView(const MembershipState& members) {
--- a/modules/peridotmill_node/fleet/fleet_commands.h
+++ b/modules/peridotmill_node/fleet/fleet_commands.h
@@ -12,14 +12,17 @@
 void Execute(StepContext& context, DistributionCommands commands);
 void Execute(StepContext& context, ActionCommands commands);
 
+// Queue a message for the end of the step.
 void SendMessage(StepContext& context,
                  const NodeId& peer,
                  const PeerMessage& message);
-// Encodes the message once for all.
 void SendMessage(StepContext& context,
                  const std::vector<NodeId>& peers,
                  const PeerMessage& message);
 
+// Emits one frame for each peer that has messages queued.
+void FlushMessages(StepContext& context);
+
 // Members as the distribution needs them.
 DistributionPeers DistributionView(const MembershipState& members);
 
--- a/modules/peridotmill_node/fleet/fleet_state.h
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -31,6 +31,7 @@
   TimePoint next_load_read;
   // Names behind the fingerprints that peers send.
   std::unordered_map<Fingerprint, EndpointRecord> endpoints_by_fingerprint;
+  std::unordered_map<uint32_t, EndpointId> endpoints_by_hint;
   std::unordered_map<Fingerprint, std::string> models_by_fingerprint;
   // Last cache event read from each engine.
   std::unordered_map<EndpointId, uint64_t> cache_sequences;
--- a/modules/peridotmill_node/fleet/shared_knowledge.cc
+++ b/modules/peridotmill_node/fleet/shared_knowledge.cc
@@ -7,6 +7,7 @@
 
 #include "peridotmill_node/fleet/fleet.h"
 #include "peridotmill_node/fleet/fleet_commands.h"
+#include "peridotmill_node/requests/prompt_prefix.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
 namespace peridotmill {
@@ -171,10 +172,12 @@
 void TakeListedEndpoints(StepContext& context, const HostList& list) {
   FleetState& fleet = context.state.fleet;
   fleet.endpoints_by_fingerprint.clear();
+  fleet.endpoints_by_hint.clear();
   std::set<Fingerprint> listed;
   for (const EndpointRecord& record : list.endpoints) {
     const Fingerprint fingerprint = FingerprintOf(record.id.value());
     fleet.endpoints_by_fingerprint[fingerprint] = record;
+    fleet.endpoints_by_hint[static_cast<uint32_t>(fingerprint)] = record.id;
     listed.insert(fingerprint);
     if (record.is_leaving) {
       SendUrgent(context, RecordLeaving(fleet.knowledge, record, context.now));
@@ -212,13 +215,18 @@
 
 void TakeCacheEvents(StepContext& context, const CacheEventsRead& read) {
   FleetState& fleet = context.state.fleet;
-  ApplyCacheEvents(context.state.prefixes, read.endpoint, read.events,
-                   context.now);
-  const Fingerprint endpoint = FingerprintOf(read.endpoint.value());
+  std::vector<CacheEvent> events = read.events;
+  for (CacheEvent& event : events) {
+    event.prefix_hash = PrefixKey(event.prefix_hash);
+  }
+  ApplyCacheEvents(context.state.prefixes, read.endpoint, events, context.now);
+  const auto endpoint =
+      static_cast<uint32_t>(FingerprintOf(read.endpoint.value()));
   uint64_t& sequence = fleet.cache_sequences[read.endpoint];
-  for (const CacheEvent& event : read.events) {
+  for (const CacheEvent& event : events) {
     sequence = std::max(sequence, event.sequence);
-    QueueHint(fleet.cache_hints, {endpoint, event.prefix_hash},
+    QueueHint(fleet.cache_hints,
+              {endpoint, static_cast<uint32_t>(event.prefix_hash)},
               event.is_evicted);
   }
 }
@@ -236,9 +244,9 @@
   BoundHints(message);
   const FleetState& fleet = context.state.fleet;
   for (const CacheHint& hint : message.held) {
-    const auto record = fleet.endpoints_by_fingerprint.find(hint.endpoint);
-    if (record != fleet.endpoints_by_fingerprint.end()) {
-      RecordPrefix(context.state.prefixes, record->second.id, hint.prefix_hash,
+    const auto endpoint = fleet.endpoints_by_hint.find(hint.endpoint);
+    if (endpoint != fleet.endpoints_by_hint.end()) {
+      RecordPrefix(context.state.prefixes, endpoint->second, hint.prefix,
                    context.now);
     }
   }
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "peridotmill_node/fleet/fleet.h"
+#include "peridotmill_node/fleet/fleet_commands.h"
 #include "peridotmill_node/requests/action_requests.h"
 #include "peridotmill_node/requests/attempt_runner.h"
 #include "peridotmill_node/requests/request_ending.h"
@@ -86,6 +87,7 @@
   std::visit(EventHandler(context), event);
   ExpireRequests(context);
   ServeWokenPools(context);
+  FlushMessages(context);
   if (state.is_shutting_down && state.requests.empty() && !state.is_exit_sent) {
     state.is_exit_sent = true;
     context.Emit(ExitNode{0});
--- a/modules/peridotmill_node/requests/attempt_runner.cc
+++ b/modules/peridotmill_node/requests/attempt_runner.cc
@@ -257,6 +257,10 @@
     command.action_key = request.key.value();
   }
 
+  if (attempt.is_stream && request.parsed.prefix_hash != 0) {
+    RecordPrefix(state.prefixes, endpoint, request.parsed.prefix_hash,
+                 context.now);
+  }
   progress.status = StageStatus::kRunning;
   progress.open_attempts.push_back(id);
   if (++progress.attempts == 1) {
--- a/modules/peridotmill_node/requests/parsed_request.cc
+++ b/modules/peridotmill_node/requests/parsed_request.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "peridotmill_node/requests/prompt_prefix.h"
+
 namespace peridotmill {
 namespace {
 
@@ -34,6 +36,19 @@
   return is_too_deep ? json(json::value_t::discarded) : parsed;
 }
 
+// The text on which engines hash prefixes: "role: content" lines.
+std::string PromptOf(const json& messages) {
+  std::string prompt;
+  for (const json& message : messages) {
+    const json& content = message["content"];
+    prompt +=
+        message["role"].get<std::string>() + ": " +
+        (content.is_string() ? content.get<std::string>() : content.dump()) +
+        "\n";
+  }
+  return prompt;
+}
+
 std::optional<RequestFault> CheckMessages(const json& messages) {
   const auto fault = [](const char* message) {
     return RequestFault{Reason::kBadRequest, message, "messages"};
@@ -90,7 +105,7 @@
   parsed.pipeline = PipelineId(model->get<std::string>());
   parsed.messages = messages->dump();
   parsed.input = json{{"messages", *messages}}.dump();
-  parsed.prefix_hash = Hash64(messages->front().dump());
+  parsed.prefix_hash = PromptPrefixKey(PromptOf(*messages));
   return std::nullopt;
 }
 
--- a/modules/peridotmill_node/state/node_state.h
+++ b/modules/peridotmill_node/state/node_state.h
@@ -83,6 +83,8 @@
   NodeState& state;
   TimePoint now;
   std::vector<NodeCommand>& commands;
+  // Messages of this step; each peer gets its own in one frame.
+  std::map<NodeId, std::vector<PeerMessage>> outbox = {};
 
   template <typename Command>
   void Emit(Command command) {
