--- a/modules/peridotmill_limits/concurrency/adaptive_limit.cc
+++ b/modules/peridotmill_limits/concurrency/adaptive_limit.cc
@@ -15,8 +15,9 @@
 // One decrease per interval: calls that were open together tell one story.
 constexpr Duration kDecreaseInterval = std::chrono::milliseconds(200);
 constexpr Duration kMinimumWindow = std::chrono::seconds(30);
-// n nodes that share an endpoint settle when this is below 2/n.
-constexpr double kForeignSmoothing = 0.1;
+// Bounds of the weight of a new report of foreign load.
+constexpr double kMinForeignWeight = 0.01;
+constexpr double kMaxForeignWeight = 0.5;
 constexpr double kGrowthOverGuess = 4;
 
 void RollWindow(LatencyBaseline& baseline, TimePoint now) {
@@ -103,8 +104,13 @@
 }
 
 void RecordForeignLoad(AdaptiveLimit& limit, double foreign_load) {
-  limit.foreign_load +=
-      kForeignSmoothing * (std::max(0.0, foreign_load) - limit.foreign_load);
+  const double foreign = std::max(0.0, foreign_load);
+  // n nodes that all follow the same reports swing between all and nothing
+  // unless each corrects by less than 2/n; the load tells how many there are.
+  const double nodes = 1 + foreign / EffectiveLimit(limit);
+  const double weight =
+      std::clamp(1 / nodes, kMinForeignWeight, kMaxForeignWeight);
+  limit.foreign_load += weight * (foreign - limit.foreign_load);
 }
 
 int32_t EffectiveLimit(const AdaptiveLimit& limit) {
--- a/modules/peridotmill_limits/teams/team_shares.cc
+++ b/modules/peridotmill_limits/teams/team_shares.cc
@@ -13,6 +13,9 @@
 constexpr double kMaxHalfLives = 20;
 // Use below this is not worth an entry.
 constexpr double kNegligibleMs = 0.5;
+// A full table is swept at most this often: sweeping for each new team would
+// take a millisecond per request.
+constexpr Duration kMinSweepInterval = std::chrono::seconds(1);
 // Hysteresis against flapping around an equal division.
 constexpr double kShareTolerance = 1.1;
 
@@ -55,7 +58,8 @@
   if (found != shares.teams.end()) {
     return &found->second;
   }
-  if (shares.teams.size() >= kMaxTeams) {
+  if (shares.teams.size() >= kMaxTeams &&
+      now - shares.swept_at >= kMinSweepInterval) {
     SweepTeams(shares, now);
   }
   if (shares.teams.size() >= kMaxTeams) {
@@ -182,6 +186,7 @@
 }
 
 void SweepTeams(TeamShares& shares, TimePoint now) {
+  shares.swept_at = now;
   const double negligible = kNegligibleMs * Advance(shares, now);
   for (auto& [peer, reports] : shares.peers) {
     std::erase_if(reports, [&](const auto& report) {
--- a/modules/peridotmill_limits/teams/team_shares.h
+++ b/modules/peridotmill_limits/teams/team_shares.h
@@ -33,6 +33,7 @@
 struct TeamShares {
   TimePoint epoch{};
   bool has_epoch = false;
+  TimePoint swept_at{};
   std::unordered_map<TeamId, TeamEntry> teams;
   std::unordered_map<NodeId, std::unordered_map<TeamId, double>> peers;
   // Sums over `teams`.
--- /dev/null
+++ b/modules/peridotmill_limits/tests/limits_test.cc
@@ -0,0 +1,164 @@
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <string>
+
+#include "peridotmill_core/maths/random.h"
+#include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_limits/peridotmill_limits.h"
+
+namespace peridotmill {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(std::chrono::hours(1));
+
+Pool MakePool(int32_t concurrency) {
+  Pool pool;
+  pool.concurrency = concurrency;
+  return pool;
+}
+
+TeamId TeamAt(int number) {
+  return TeamId("team" + std::to_string(number));
+}
+
+class AdaptiveLimitTest : public ::testing::TestWithParam<int> {
+ protected:
+  // Calls every 20 ms whose latency varies three times around `median`.
+  void Run(double median, int calls) {
+    for (int i = 0; i < calls; ++i) {
+      now_ += milliseconds(20);
+      const double factor = std::exp2(1.6 * (random_.Unit() - 0.5));
+      RecordLatency(limit_, 0, FromMilliseconds(median * factor),
+                    EffectiveLimit(limit_), now_);
+    }
+  }
+  Random random_{static_cast<uint64_t>(GetParam())};
+  AdaptiveLimit limit_ = MakeAdaptiveLimit(MakePool(8));
+  TimePoint now_ = kStart;
+};
+INSTANTIATE_TEST_SUITE_P(Seeds, AdaptiveLimitTest, ::testing::Range(1, 11));
+
+// Guards against noise that drives the limit of a healthy endpoint down, and
+// against an overloaded endpoint that keeps its limit.
+TEST_P(AdaptiveLimitTest, FollowsLatencyAndNotNoise) {
+  Run(100, 2000);
+  EXPECT_GE(EffectiveLimit(limit_), 8);
+  Run(500, 500);
+  EXPECT_LE(EffectiveLimit(limit_), 2);
+  EXPECT_GE(EffectiveLimit(limit_), 1);
+  // The higher latency becomes the new minimum after two windows.
+  Run(500, 6000);
+  EXPECT_GE(EffectiveLimit(limit_), 4);
+}
+
+// Guards against nodes that share an endpoint and together overload it, swing
+// between all and nothing, or leave it idle.
+TEST(SharedLimitTest, NodesDivideAnEndpointByReportedLoad) {
+  for (const int nodes : {2, 3, 9, 20}) {
+    std::vector<AdaptiveLimit> limits(static_cast<size_t>(nodes),
+                                      MakeAdaptiveLimit(MakePool(64)));
+    int total = 0;
+    // All nodes have more work than they may start; one report a second.
+    for (int report = 0; report < 120; ++report) {
+      total = 0;
+      for (const AdaptiveLimit& limit : limits) {
+        total += EffectiveLimit(limit);
+      }
+      std::vector<int> own;
+      for (const AdaptiveLimit& limit : limits) {
+        own.push_back(EffectiveLimit(limit));
+      }
+      for (size_t i = 0; i < limits.size(); ++i) {
+        RecordForeignLoad(limits[i], total - own[i]);
+      }
+      if (report >= 60) {
+        EXPECT_GE(total, 32) << nodes << " nodes, report " << report;
+        EXPECT_LE(total, 96) << nodes << " nodes, report " << report;
+      }
+    }
+  }
+}
+
+// Guards against a limit of 0, which would never learn again.
+TEST(SharedLimitTest, NeverBelowOne) {
+  AdaptiveLimit limit = MakeAdaptiveLimit(MakePool(2));
+  for (int i = 0; i < 50; ++i) {
+    RecordOverload(limit, kStart + seconds(i));
+    RecordForeignLoad(limit, 1000);
+  }
+  EXPECT_EQ(EffectiveLimit(limit), 1);
+}
+
+// Guards against a team that escapes its share by spreading over nodes, and
+// against use that is held against a team for ever or after its node is gone.
+TEST(TeamSharesTest, CountsAgedUseOfPeers) {
+  TeamShares shares;
+  for (int i = 0; i < 10; ++i) {
+    AddTeamUse(shares, TeamAt(i), 1.0, milliseconds(1000), kStart);
+  }
+  EXPECT_FALSE(IsOverShare(shares, TeamAt(0), 1.0));
+  ApplyPeerTeamUse(shares, NodeId("peer"), TeamAt(0), 5000, kStart);
+  ApplyPeerTeamUse(shares, NodeId("peer"), TeamAt(0), 5000, kStart);
+  EXPECT_NEAR(TeamUseOf(shares, TeamAt(0), kStart), 6000, 1);
+  EXPECT_TRUE(IsOverShare(shares, TeamAt(0), 1.0));
+  EXPECT_FALSE(IsOverShare(shares, TeamAt(0), 8.0));
+  EXPECT_FALSE(IsOverShare(shares, TeamAt(1), 1.0));
+  EXPECT_NEAR(TeamUseOf(shares, TeamAt(0), kStart + seconds(10)), 3000, 1);
+  ForgetPeer(shares, NodeId("peer"));
+  EXPECT_FALSE(IsOverShare(shares, TeamAt(0), 1.0));
+}
+
+// Guards against a lone team that is refused although nobody else wants the
+// pool.
+TEST(TeamSharesTest, ALoneTeamIsNeverOverItsShare) {
+  TeamShares shares;
+  AddTeamUse(shares, TeamAt(0), 0.1, seconds(100), kStart);
+  EXPECT_FALSE(IsOverShare(shares, TeamAt(0), 0.1));
+}
+
+// Guards against peers that are told of light users in place of heavy ones.
+TEST(TeamSharesTest, ExportsTheHeaviestUsers) {
+  TeamShares shares;
+  for (int i = 0; i < 1000; ++i) {
+    AddTeamUse(shares, TeamAt(i), 1.0, milliseconds(1 + (i * 7919) % 1000),
+               kStart);
+  }
+  const std::vector<TeamUse> top = TopTeamUse(shares, 3, kStart);
+  ASSERT_EQ(top.size(), 3U);
+  EXPECT_NEAR(top[0].use, 1000, 0.1);
+  EXPECT_NEAR(top[2].use, 998, 0.1);
+}
+
+// Guards against tables that grow with teams or peers, and against scaled
+// values that overflow or keep idle teams after a long time.
+TEST(TeamSharesTest, TablesAreBoundedAndFade) {
+  TeamShares shares;
+  TimePoint now = kStart;
+  for (int i = 0; i < 100'000; ++i) {
+    now += milliseconds(1);
+    AddTeamUse(shares, TeamAt(i), 1.0, milliseconds(10), now);
+    ApplyPeerTeamUse(shares, NodeId("p" + std::to_string(i % 600)),
+                     TeamAt(i % 5000), 10, now);
+  }
+  EXPECT_LE(shares.teams.size(), kMaxTeams);
+  EXPECT_LE(shares.peers.size(), kMaxTeamPeers);
+  for (const auto& [peer, reports] : shares.peers) {
+    EXPECT_LE(reports.size(), kMaxTeamsPerPeer);
+  }
+  for (int i = 0; i < 100; ++i) {
+    now += std::chrono::hours(1);
+    AddTeamUse(shares, TeamAt(1), 1.0, milliseconds(10), now);
+  }
+  SweepTeams(shares, now);
+  EXPECT_EQ(shares.teams.size(), 1U);
+  EXPECT_TRUE(shares.peers.empty());
+  EXPECT_NEAR(TeamUseOf(shares, TeamAt(1), now), 10, 0.1);
+  EXPECT_TRUE(std::isfinite(shares.total_use));
+}
+
+}  // namespace
+}  // namespace peridotmill
--- a/modules/peridotmill_routing/endpoints/outlier_ejection.cc
+++ b/modules/peridotmill_routing/endpoints/outlier_ejection.cc
@@ -84,10 +84,6 @@
                    DecayOver(now - view.latency_at, kLatencyHalfLife);
 }
 
-bool IsUsable(const EndpointView& view, TimePoint now) {
-  return view.is_listed && !view.is_leaving && view.ejected_until <= now;
-}
-
 void RecordHealth(EndpointTable& table,
                   EndpointView& view,
                   AttemptOutcome outcome,
--- a/modules/peridotmill_routing/endpoints/outlier_ejection.h
+++ b/modules/peridotmill_routing/endpoints/outlier_ejection.h
@@ -28,7 +28,9 @@
 double AgedLatencyRatio(const EndpointView& view, TimePoint now);
 
 // Listed, not leaving and not ejected at `now`.
-bool IsUsable(const EndpointView& view, TimePoint now);
+inline bool IsUsable(const EndpointView& view, TimePoint now) {
+  return view.is_listed && !view.is_leaving && view.ejected_until <= now;
+}
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_routing/selection/endpoint_choice.cc
+++ b/modules/peridotmill_routing/selection/endpoint_choice.cc
@@ -88,10 +88,10 @@
 }
 
 void AddToSample(Sample& sample,
-                 const ChoiceContext& context,
                  const EndpointView& view,
+                 Fitness fitness,
                  Random& random) {
-  switch (FitnessOf(context, view)) {
+  switch (fitness) {
     case Fitness::kReady:
       AddReady(sample, view);
       break;
@@ -120,8 +120,9 @@
   uint64_t seen = 0;
   for (const uint32_t position : positions) {
     const EndpointView& view = context.table.endpoints[position];
-    if (FitnessOf(context, view) != Fitness::kReady) {
-      AddToSample(sample, context, view, random);
+    const Fitness fitness = FitnessOf(context, view);
+    if (fitness != Fitness::kReady) {
+      AddToSample(sample, view, fitness, random);
       continue;
     }
     ++seen;
@@ -144,8 +145,9 @@
   Sample sample;
   for (size_t i = 0; i < kDraws && sample.ready_count < kRandomCandidates;
        ++i) {
-    const uint32_t position = positions[random.Below(positions.size())];
-    AddToSample(sample, context, context.table.endpoints[position], random);
+    const EndpointView& view =
+        context.table.endpoints[positions[random.Below(positions.size())]];
+    AddToSample(sample, view, FitnessOf(context, view), random);
   }
   return sample.ready_count == kRandomCandidates
              ? sample
