Leave a failure domain whose endpoints are slow, failing or cold

Cause: other domains were considered only when the own one had no free slot, so a single cold or slow endpoint kept all work of its domain. Change: their endpoints are compared when all own candidates are poor by more than the attainment weight allows. Lint findings are fixed. Conclusion: spill-over covers load, loss, slowness and cold models.

--- a/modules/peridotmill_limits/teams/team_shares.cc
+++ b/modules/peridotmill_limits/teams/team_shares.cc
@@ -171,6 +171,7 @@
   }
   std::sort(heap.begin(), heap.end(), std::greater<>());
   std::vector<TeamUse> top;
+  top.reserve(heap.size());
   for (const auto& [use, team] : heap) {
     top.push_back({*team, use / scale});
   }
--- a/modules/peridotmill_limits/tests/limits_test.cc
+++ b/modules/peridotmill_limits/tests/limits_test.cc
@@ -69,6 +69,7 @@
         total += EffectiveLimit(limit);
       }
       std::vector<int> own;
+      own.reserve(limits.size());
       for (const AdaptiveLimit& limit : limits) {
         own.push_back(EffectiveLimit(limit));
       }
--- a/modules/peridotmill_routing/estimates/service_time_estimator.cc
+++ b/modules/peridotmill_routing/estimates/service_time_estimator.cc
@@ -55,7 +55,7 @@
 
 SizeClass SizeClassOf(size_t input_bytes) {
   // 8 bits are 256 bytes; each class covers two bits.
-  const int bits = std::bit_width(input_bytes);
+  const auto bits = static_cast<int>(std::bit_width(input_bytes));
   return static_cast<SizeClass>(
       std::clamp((bits - 7) / 2, 0, static_cast<int>(kSizeClasses) - 1));
 }
--- a/modules/peridotmill_routing/selection/endpoint_choice.cc
+++ b/modules/peridotmill_routing/selection/endpoint_choice.cc
@@ -14,6 +14,10 @@
 // Draws before all endpoints are looked at; enough when a third is unfit.
 constexpr size_t kDraws = 12;
 
+// Slowness, in expected service times, that the own domain is allowed at
+// attainment weight 1, so that noise does not send work to other domains.
+constexpr double kPoorShare = 0.25;
+
 enum class Fitness : uint8_t {
   // Cannot take the request at all.
   kUnusable,
@@ -287,6 +291,20 @@
   }
 }
 
+// Whether the own domain's candidates are all so slow, failing or cold that
+// the other domains' endpoints should be compared too. Their waits do not
+// count: the queue and SpillOver() deal with load.
+bool IsOwnDomainPoor(const Choice& choice, const ChoiceRequest& request) {
+  const double threshold =
+      std::max(ToMilliseconds(SpillOverDelay(request)),
+               kPoorShare * ToMilliseconds(request.expected));
+  return std::all_of(
+      choice.candidates.begin(), choice.candidates.end(),
+      [&](const CandidateScore& score) {
+        return score.slowness + score.failures + score.cold_model > threshold;
+      });
+}
+
 void ChooseFromSubset(Choice& choice,
                       const ChoiceContext& context,
                       const PoolIndex& index,
@@ -300,9 +318,12 @@
   AddPrefixCandidate(choice, context);
   if (choice.candidates.empty()) {
     SpillOver(choice, context, index, own, random);
-  } else {
-    ChooseBest(choice, context, random);
+    return;
+  }
+  if (IsOwnDomainPoor(choice, context.request)) {
+    AddSample(choice, context, Draw(context, index.foreign, random));
   }
+  ChooseBest(choice, context, random);
 }
 
 }  // namespace
--- a/modules/peridotmill_routing/selection/endpoint_choice.h
+++ b/modules/peridotmill_routing/selection/endpoint_choice.h
@@ -15,7 +15,8 @@
 // prefers the own failure domain; the other domains' part of the subset is
 // used when no healthy endpoint is left in the own domain, or when the own
 // domain is saturated and the request has waited for
-// (1 - attainment weight) * expected service time.
+// (1 - attainment weight) * expected service time, or when all candidates of
+// the own domain are slower than expected by more than that, failing or cold.
 // The table changes only in its round-robin positions.
 Choice ChooseEndpoint(EndpointTable& table,
                       const PrefixIndex& prefixes,
--- a/modules/peridotmill_routing/tests/endpoint_choice_test.cc
+++ b/modules/peridotmill_routing/tests/endpoint_choice_test.cc
@@ -22,6 +22,7 @@
 double PeakLoad(RoutingPolicy policy, bool has_reports, int seed) {
   const HostList list = MakeHostList(1, 20);
   std::vector<EndpointTable> nodes;
+  nodes.reserve(20);
   for (int i = 0; i < 20; ++i) {
     nodes.push_back(MakeTable("n" + std::to_string(i), list, 100));
   }
@@ -166,6 +167,24 @@
   EXPECT_EQ(choice.outcome, ChoiceOutcome::kNoUsableEndpoint);
 }
 
+// Guards against a domain that waits for its own endpoint to load a model
+// while another domain has it loaded.
+TEST(EndpointChoiceTest, LeavesAColdDomain) {
+  EndpointTable table = MakeTable("n", MakeHostList(2, 1));
+  Random random(1);
+  ChoiceRequest request = MakeRequest();
+  request.model = "m@2";
+  ApplyLoadReport(table, {EndpointAt(0, 0), {}, {}, kStart}, kStart);
+  ApplyLoadReport(table,
+                  {EndpointAt(1, 0), {}, {.loaded_models = {"m@2"}}, kStart},
+                  kStart);
+  EXPECT_EQ(ChooseEndpoint(table, {}, request, kStart, random).endpoint,
+            EndpointAt(1, 0));
+  request.model = "";
+  EXPECT_EQ(ChooseEndpoint(table, {}, request, kStart, random).endpoint,
+            EndpointAt(0, 0));
+}
+
 // Guards against warm prefixes and loaded models that play no part, and
 // against a hint that draws work to an overloaded endpoint.
 TEST(EndpointChoiceTest, WeighsPrefixAndModel) {
