Load models through the weight store and end cleanly with open watches

Stopping with an open watch crashed after the exit line (exit code 139), since exchanges called into destroyed servers; all are now ended first, and a run with an open watch exits with 0. A broken connection now frees its place in an engine and its watch. Load orders read the weight store and wait out its rate limit.

--- a/standins/peridotmill-standin/http/http_server.cc
+++ b/standins/peridotmill-standin/http/http_server.cc
@@ -117,6 +117,7 @@
     return;
   }
   is_complete_ = true;
+  is_cut_ = true;
   if (GSocket* socket = soup_server_message_get_socket(message_)) {
     g_socket_shutdown(socket, TRUE, TRUE, nullptr);
   }
@@ -131,10 +132,12 @@
   if (message_ == nullptr) {
     return;
   }
+  // Signals of this message that come later are ignored.
+  g_object_set_data(G_OBJECT(message_), kExchangeKey, nullptr);
   g_object_unref(std::exchange(message_, nullptr));
   // The callback may own this exchange.
   const std::function<void()> on_gone = std::exchange(on_gone_, nullptr);
-  if (on_gone && !is_complete_) {
+  if (on_gone && (!is_complete_ || is_cut_)) {
     on_gone();
   }
 }
@@ -188,6 +191,8 @@
   const std::vector<std::shared_ptr<Exchange>> open(open_.begin(), open_.end());
   for (const auto& exchange : open) {
     exchange->Cut();
+    open_.erase(exchange);
+    exchange->Detach();
   }
   soup_server_disconnect(server_);
 }
@@ -218,7 +223,6 @@
   if (ended == nullptr) {
     return;
   }
-  g_object_set_data(G_OBJECT(message), kExchangeKey, nullptr);
   const std::shared_ptr<Exchange> exchange = ended->shared_from_this();
   self->open_.erase(exchange);
   exchange->Detach();
--- a/standins/peridotmill-standin/http/http_server.h
+++ b/standins/peridotmill-standin/http/http_server.h
@@ -36,7 +36,8 @@
   // Breaks the connection.
   void Cut();
 
-  // Called when the caller closes the connection before the answer is complete.
+  // Called when the connection ends before the answer is complete, by the
+  // caller or by Cut().
   void set_on_gone(std::function<void()> on_gone);
 
   // Used by HttpServer only.
@@ -45,6 +46,7 @@
  private:
   SoupServerMessage* message_;
   bool is_complete_ = false;
+  bool is_cut_ = false;
   std::function<void()> on_gone_;
 };
 
--- a/standins/peridotmill-standin/main.cc
+++ b/standins/peridotmill-standin/main.cc
@@ -76,6 +76,9 @@
   g_unix_signal_add(SIGINT, OnSignal, loop);
   LogInfo("serving", {{"stand_ins", std::to_string(servers.size())}});
   g_main_loop_run(loop);
+  for (const auto& server : servers) {
+    server->Stop();
+  }
   LogInfo("exit", {{"code", "0"}});
   g_main_loop_unref(loop);
   return 0;
--- a/standins/peridotmill-standin/scenario/scenario.cc
+++ b/standins/peridotmill-standin/scenario/scenario.cc
@@ -59,6 +59,7 @@
   reader.Read("checks_fencing", stand_in.checks_fencing);
   reader.Read("checks_model", stand_in.checks_model);
   reader.ReadDuration("model_load_ms", stand_in.model_load, 0);
+  reader.Read("weights", stand_in.weights);
   reader.ReadSequence("loaded_models",
                       [&](const YAML::Node& node, const Place&) {
                         stand_in.loaded_models.push_back(node.Scalar());
--- a/standins/peridotmill-standin/scenario/scenario.h
+++ b/standins/peridotmill-standin/scenario/scenario.h
@@ -41,6 +41,8 @@
   // Whether requests for a model that is not loaded are refused.
   bool checks_model = false;
   std::chrono::milliseconds model_load{2000};
+  // Address of the weight store that a load order reads; may be empty.
+  std::string weights;
   // Answers per second, weight stores only.
   double rate_per_second = 2;
 };
--- a/standins/peridotmill-standin/servers/engine_server.cc
+++ b/standins/peridotmill-standin/servers/engine_server.cc
@@ -47,6 +47,12 @@
                      settings.loaded_models.end()),
       seed_(seed),
       report_(settings.lag, [this] { return LoadJson(); }),
+      loader_(settings.weights,
+              settings.model_load,
+              [this](const std::string& model) {
+                loaded_models_.insert(model);
+                report_.Record(LoopNow());
+              }),
       timer_([this] { Run(); }) {}
 
 void EngineServer::Serve(const ExchangePtr& exchange) {
@@ -121,7 +127,7 @@
   by_attempt_[chat.attempt] = number;
   chats_.emplace(number, std::move(chat));
   exchange->set_on_gone([this, number] {
-    Count("caller_gone");
+    Count("connection_lost");
     End(number);
   });
   Run();
@@ -275,9 +281,9 @@
   const auto kind = order.at("order").get<std::string>();
   const std::string model = order.value("model", "");
   if (kind == "load") {
-    CallLater(settings().model_load,
-              [this, model] { loaded_models_.insert(model); });
+    loader_.Load(model);
   } else if (kind == "unload") {
+    loader_.Cancel(model);
     loaded_models_.erase(model);
   } else if (kind == "role") {
     role_ = order.at("role").get<std::string>();
@@ -285,6 +291,7 @@
     exchange->Answer(400, ErrorBody("unknown_order", "not_run"));
     return;
   }
+  report_.Record(LoopNow());
   LogInfo("order", {{"stand_in", settings().id},
                     {"order", kind},
                     {"model", model},
--- a/standins/peridotmill-standin/servers/engine_server.h
+++ b/standins/peridotmill-standin/servers/engine_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "standins/peridotmill-standin/servers/load_report.h"
+#include "standins/peridotmill-standin/servers/model_loader.h"
 #include "standins/peridotmill-standin/servers/stand_in_server.h"
 
 namespace peridotmill::standin {
@@ -60,6 +61,7 @@
   int64_t fence_ = 0;
   uint64_t seed_;
   LoadReport report_;
+  ModelLoader loader_;
   WakeTimer timer_;
 };
 
--- a/standins/peridotmill-standin/servers/service_server.cc
+++ b/standins/peridotmill-standin/servers/service_server.cc
@@ -46,7 +46,7 @@
   }
   calls_.emplace(number, std::move(call));
   exchange->set_on_gone([this, number] {
-    Count("caller_gone");
+    Count("connection_lost");
     if (Withdraw(queue_, number)) {
       calls_.erase(number);
     }
--- a/standins/peridotmill-standin/servers/stand_in_server.cc
+++ b/standins/peridotmill-standin/servers/stand_in_server.cc
@@ -27,6 +27,11 @@
   return http_.Listen();
 }
 
+void StandInServer::Stop() {
+  fault_timer_.Set(std::nullopt);
+  http_.Close();
+}
+
 void StandInServer::SetFaults(FaultTable faults) {
   faults_ = std::move(faults);
   ApplyFaults();
@@ -164,8 +169,10 @@
   }
   if (IsFaulty(FaultKind::kOversized, *exchange)) {
     nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
-    answer["padding"] = std::string(kOversizedBytes, 'x');
-    body = answer.dump();
+    if (answer.is_object()) {
+      answer["padding"] = std::string(kOversizedBytes, 'x');
+      body = answer.dump();
+    }
   }
   previous_answer_ = std::move(current);
   exchange->Answer(200, body);
--- a/standins/peridotmill-standin/servers/stand_in_server.h
+++ b/standins/peridotmill-standin/servers/stand_in_server.h
@@ -30,6 +30,9 @@
   // Returns an error text, empty on success.
   std::string Start();
   void SetFaults(FaultTable faults);
+  // Ends all exchanges. Call before the destructor, since exchanges call back
+  // into the derived class when they end.
+  void Stop();
 
   const StandIn& settings() const { return settings_; }
   const RunRecord& runs() const { return runs_; }
--- a/standins/peridotmill-standin/servers/store_server.cc
+++ b/standins/peridotmill-standin/servers/store_server.cc
@@ -44,6 +44,14 @@
   }
 }
 
+void StoreServer::OnFaultsChanged() {
+  for (const Watch& watch : watches_) {
+    if (IsFaulty(FaultKind::kDown, *watch.exchange)) {
+      watch.exchange->Cut();
+    }
+  }
+}
+
 void StoreServer::ServeCall(const ExchangePtr& exchange) {
   const std::string path = exchange->path();
   const std::string body = exchange->body();
@@ -204,7 +212,8 @@
   const std::vector<StoreEvent> events =
       EventsFrom(state_, watch.key, watch.range_end, watch.next_revision);
   watch.next_revision = state_.revision + 1;
-  if (events.empty() || IsFaulty(FaultKind::kLostWatchEvent, *watch.exchange)) {
+  if (events.empty() || IsFaulty(FaultKind::kHang, *watch.exchange) ||
+      IsFaulty(FaultKind::kLostWatchEvent, *watch.exchange)) {
     return;
   }
   json list = json::array();
--- a/standins/peridotmill-standin/servers/store_server.h
+++ b/standins/peridotmill-standin/servers/store_server.h
@@ -17,6 +17,8 @@
 
  protected:
   void Serve(const ExchangePtr& exchange) override;
+  // Breaks the watches of callers that can no longer reach the store.
+  void OnFaultsChanged() override;
 
  private:
   struct Watch {
