Draw the oversized fault once a stream

It was drawn for each token, so that its probability did not mean a share of the answers: 43 draws hit within 90 streams at probability 0.02.

--- a/standins/peridotmill-standin/servers/engine_server.cc
+++ b/standins/peridotmill-standin/servers/engine_server.cc
@@ -145,6 +145,7 @@
   chat.repeats = IsFaulty(FaultKind::kRepeatAnswer, *chat.exchange);
   chat.has_wrong_identity = IsFaulty(FaultKind::kWrongIdentity, *chat.exchange);
   chat.is_malformed = IsFaulty(FaultKind::kMalformed, *chat.exchange);
+  chat.is_oversized = IsFaulty(FaultKind::kOversized, *chat.exchange);
 }
 
 void EngineServer::Run() {
@@ -208,7 +209,7 @@
   }
   const std::string event = "data: " + data + "\n\n";
   chat.exchange->Write(chat.repeats ? event + event : event);
-  if (IsFaulty(FaultKind::kOversized, *chat.exchange)) {
+  if (std::exchange(chat.is_oversized, false)) {
     constexpr size_t kBytes = 4 << 20;
     chat.exchange->Write("data: {\"padding\":\"" + std::string(kBytes, 'x') +
                          "\"}\n\n");
--- a/standins/peridotmill-standin/servers/engine_server.h
+++ b/standins/peridotmill-standin/servers/engine_server.h
@@ -37,6 +37,8 @@
     bool repeats = false;
     bool has_wrong_identity = false;
     bool is_malformed = false;
+    // Whether one event of the stream is far too large.
+    bool is_oversized = false;
   };
 
   void AcceptChat(const ExchangePtr& exchange);
