--- a/standins/peridotmill-standin/servers/engine_server.cc
+++ b/standins/peridotmill-standin/servers/engine_server.cc
@@ -47,6 +47,12 @@
                      settings.loaded_models.end()),
       seed_(seed),
       report_(settings.lag, [this] { return LoadJson(); }),
+      loader_(settings.weights,
+              settings.model_load,
+              [this](const std::string& model) {
+                loaded_models_.insert(model);
+                report_.Record(LoopNow());
+              }),
       timer_([this] { Run(); }) {}
 
 void EngineServer::Serve(const ExchangePtr& exchange) {
@@ -121,7 +127,7 @@
   by_attempt_[chat.attempt] = number;
   chats_.emplace(number, std::move(chat));
   exchange->set_on_gone([this, number] {
-    Count("caller_gone");
+    Count("connection_lost");
     End(number);
   });
   Run();
@@ -139,6 +145,7 @@
   chat.repeats = IsFaulty(FaultKind::kRepeatAnswer, *chat.exchange);
   chat.has_wrong_identity = IsFaulty(FaultKind::kWrongIdentity, *chat.exchange);
   chat.is_malformed = IsFaulty(FaultKind::kMalformed, *chat.exchange);
+  chat.is_oversized = IsFaulty(FaultKind::kOversized, *chat.exchange);
 }
 
 void EngineServer::Run() {
@@ -202,7 +209,7 @@
   }
   const std::string event = "data: " + data + "\n\n";
   chat.exchange->Write(chat.repeats ? event + event : event);
-  if (IsFaulty(FaultKind::kOversized, *chat.exchange)) {
+  if (std::exchange(chat.is_oversized, false)) {
     constexpr size_t kBytes = 4 << 20;
     chat.exchange->Write("data: {\"padding\":\"" + std::string(kBytes, 'x') +
                          "\"}\n\n");
@@ -275,9 +282,9 @@
   const auto kind = order.at("order").get<std::string>();
   const std::string model = order.value("model", "");
   if (kind == "load") {
-    CallLater(settings().model_load,
-              [this, model] { loaded_models_.insert(model); });
+    loader_.Load(model);
   } else if (kind == "unload") {
+    loader_.Cancel(model);
     loaded_models_.erase(model);
   } else if (kind == "role") {
     role_ = order.at("role").get<std::string>();
@@ -285,6 +292,7 @@
     exchange->Answer(400, ErrorBody("unknown_order", "not_run"));
     return;
   }
+  report_.Record(LoopNow());
   LogInfo("order", {{"stand_in", settings().id},
                     {"order", kind},
                     {"model", model},
--- a/standins/peridotmill-standin/servers/engine_server.h
+++ b/standins/peridotmill-standin/servers/engine_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "standins/peridotmill-standin/servers/load_report.h"
+#include "standins/peridotmill-standin/servers/model_loader.h"
 #include "standins/peridotmill-standin/servers/stand_in_server.h"
 
 namespace peridotmill::standin {
@@ -36,6 +37,8 @@
     bool repeats = false;
     bool has_wrong_identity = false;
     bool is_malformed = false;
+    // Whether one event of the stream is far too large.
+    bool is_oversized = false;
   };
 
   void AcceptChat(const ExchangePtr& exchange);
@@ -60,6 +63,7 @@
   int64_t fence_ = 0;
   uint64_t seed_;
   LoadReport report_;
+  ModelLoader loader_;
   WakeTimer timer_;
 };
 
