--- a/modules/peridotmill_net/endpoints/endpoint_client.cc
+++ b/modules/peridotmill_net/endpoints/endpoint_client.cc
@@ -25,8 +25,9 @@
 
 }  // namespace
 
-EndpointClient::EndpointClient(EventSink sink)
-    : sink_(std::move(sink)),
+EndpointClient::EndpointClient(FailureDomainId failure_domain, EventSink sink)
+    : failure_domain_(std::move(failure_domain)),
+      sink_(std::move(sink)),
       session_(SOUP_SESSION(g_object_new(SOUP_TYPE_SESSION,
                                          "max-conns",
                                          kMaxConnections,
@@ -43,8 +44,17 @@
                                                nullptr))),
       cancellable_(g_cancellable_new()) {}
 
-std::unique_ptr<EndpointClient> EndpointClient::Create(EventSink sink) {
-  return std::unique_ptr<EndpointClient>(new EndpointClient(std::move(sink)));
+std::unique_ptr<EndpointClient> EndpointClient::Create(
+    FailureDomainId failure_domain,
+    EventSink sink) {
+  return std::unique_ptr<EndpointClient>(
+      new EndpointClient(std::move(failure_domain), std::move(sink)));
+}
+
+void EndpointClient::AddHeaders(SoupMessage* message) const {
+  soup_message_headers_replace(soup_message_get_request_headers(message),
+                               "X-Failure-Domain",
+                               failure_domain_.value().c_str());
 }
 
 EndpointClient::~EndpointClient() {
@@ -127,6 +137,7 @@
   if (!call->message) {
     return;
   }
+  AddHeaders(call->message.get());
   if (!body.empty()) {
     const BytesPointer bytes(g_bytes_new(body.data(), body.size()));
     soup_message_set_request_body_from_bytes(call->message.get(),
--- a/modules/peridotmill_net/endpoints/endpoint_client.h
+++ b/modules/peridotmill_net/endpoints/endpoint_client.h
@@ -19,7 +19,9 @@
   using EventSink = std::function<void(NodeEvent)>;
 
   // Events arrive at `sink` from the main loop, never from within a call.
-  static std::unique_ptr<EndpointClient> Create(EventSink sink);
+  // Endpoints are told the failure domain that calls come from.
+  static std::unique_ptr<EndpointClient> Create(FailureDomainId failure_domain,
+                                                EventSink sink);
   ~EndpointClient();
   EndpointClient(const EndpointClient&) = delete;
   EndpointClient& operator=(const EndpointClient&) = delete;
@@ -32,7 +34,7 @@
 
  private:
   friend class OpenAttempt;
-  explicit EndpointClient(EventSink sink);
+  EndpointClient(FailureDomainId failure_domain, EventSink sink);
 
   // Sends a small POST or GET and hands the whole answer to `done`; status 0
   // means that no answer came.
@@ -42,7 +44,9 @@
                  const std::string& body,
                  SmallAnswer done);
   void Finish(const AttemptId& attempt, AttemptFinished event);
+  void AddHeaders(SoupMessage* message) const;
 
+  FailureDomainId failure_domain_;
   EventSink sink_;
   // Attempts have their own timeouts; small calls share one of the session.
   ObjectPtr<SoupSession> session_;
--- a/modules/peridotmill_net/endpoints/load_codec.cc
+++ b/modules/peridotmill_net/endpoints/load_codec.cc
@@ -22,7 +22,7 @@
     load.running = parsed.at("running").get<int32_t>();
     load.waiting = parsed.at("waiting").get<int32_t>();
     load.memory_use = parsed.value("memory_use", 0.0);
-    load.is_leaving = parsed.value("leaving", false);
+    load.is_leaving = parsed.value("is_leaving", false);
     load.fence = parsed.value("fence", int64_t{0});
     for (const json& model :
          parsed.value("loaded_models", json(json::array()))) {
@@ -52,9 +52,9 @@
     std::vector<CacheEvent> events;
     for (const json& element : parsed["events"]) {
       CacheEvent event;
-      event.sequence = element.at("seq").get<uint64_t>();
+      event.sequence = element.at("sequence").get<uint64_t>();
       event.prefix_hash = element.at("prefix_hash").get<uint64_t>();
-      event.is_evicted = element.at("event").get<std::string>() == "evicted";
+      event.is_evicted = element.at("is_evicted").get<bool>();
       events.push_back(event);
     }
     return events;
--- a/modules/peridotmill_net/endpoints/open_attempt.cc
+++ b/modules/peridotmill_net/endpoints/open_attempt.cc
@@ -59,6 +59,7 @@
     // connection was closed, which only idempotent calls allow.
     soup_message_add_flags(message_.get(), SOUP_MESSAGE_IDEMPOTENT);
   }
+  client_.AddHeaders(message_.get());
   SoupMessageHeaders* headers =
       soup_message_get_request_headers(message_.get());
   soup_message_headers_replace(headers, "X-Attempt-Id",
--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -68,6 +68,7 @@
   }
   callers_ = *std::move(callers);
   endpoints_ = EndpointClient::Create(
+      state_.settings.failure_domain,
       [this](NodeEvent event) { Post(std::move(event)); });
   hosts_ = HostListClient::Create(
       settings.hosts_url, settings.hosts_interval_ms,
