--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -102,6 +102,7 @@
 }
 
 void TakeHostList(StepContext& context, const HostList& list) {
+  context.is_fleet_touched = true;
   NodeState& state = context.state;
   state.host_list = list;
   Execute(context, ApplyHostList(state.fleet.members, list, context.now));
@@ -114,6 +115,7 @@
 }
 
 void TakePeerFrame(StepContext& context, const PeerFrame& frame) {
+  context.is_fleet_touched = true;
   ++context.state.fleet.peer_frames_received;
   const auto messages = DecodePeerFrame(frame.payload);
   if (!messages) {
@@ -128,16 +130,19 @@
 }
 
 void TakePeerConnected(StepContext& context, const NodeId& peer) {
+  context.is_fleet_touched = true;
   FleetState& fleet = context.state.fleet;
   Execute(context, PeerUp(fleet.members, peer, context.now));
   Execute(context, ConfigPeerUp(fleet.distribution, peer, context.now));
 }
 
 void TakePeerDisconnected(StepContext& context, const NodeId& peer) {
+  context.is_fleet_touched = true;
   Execute(context, PeerDown(context.state.fleet.members, peer, context.now));
 }
 
 void TakeStoreAnswer(StepContext& context, const StoreAnswered& answered) {
+  context.is_fleet_touched = true;
   FleetState& fleet = context.state.fleet;
   auto call = fleet.store_calls.extract(answered.call.value());
   if (call.empty()) {
@@ -155,6 +160,7 @@
 }
 
 void TickFleet(StepContext& context) {
+  context.is_fleet_touched = true;
   FleetState& fleet = context.state.fleet;
   const HeartbeatFields fields{context.state.config.revision,
                                fleet.knowledge.sequence};
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -133,6 +133,7 @@
 
 template <typename Commands>
 void ExecuteAll(StepContext& context, Commands& commands) {
+  context.is_fleet_touched = true;
   CommandExecutor executor(context);
   for (auto& command : commands) {
     std::visit(executor, command);
--- a/modules/peridotmill_node/fleet/fleet_state.h
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -26,6 +26,9 @@
   CacheHintOutbox cache_hints;
   ActionsState actions;
 
+  // When TickFleet() is due.
+  TimePoint next_wakeup;
+
   // Endpoints that this node reads once a second.
   std::vector<AssignedEndpoint> assigned;
   TimePoint next_load_read;
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -86,17 +86,24 @@
   StepContext context{state, now, commands};
   std::visit(EventHandler(context), event);
   ExpireRequests(context);
+  if (state.fleet.next_wakeup <= now) {
+    TickFleet(context);
+  }
   ServeWokenPools(context);
   FlushMessages(context);
-  if (state.is_shutting_down && state.requests.empty() && !state.is_exit_sent) {
+  if (context.is_fleet_touched) {
+    state.fleet.next_wakeup = NextFleetWakeup(state, now);
+  }
+  if (state.is_shutting_down && state.requests.empty() &&
+      IsDrained(state.fleet.actions) && !state.is_exit_sent) {
     state.is_exit_sent = true;
     context.Emit(ExitNode{0});
   }
   return commands;
 }
 
-TimePoint NextWakeup(const NodeState& state, TimePoint now) {
-  TimePoint next = NextFleetWakeup(state, now);
+TimePoint NextWakeup(const NodeState& state) {
+  TimePoint next = state.fleet.next_wakeup;
   if (!state.deadlines.empty()) {
     next = std::min(next, state.deadlines.begin()->first);
   }
--- a/modules/peridotmill_node/node.h
+++ b/modules/peridotmill_node/node.h
@@ -19,7 +19,7 @@
                               TimePoint now);
 
 // When the next Tick is due, if nothing happens before.
-TimePoint NextWakeup(const NodeState& state, TimePoint now);
+TimePoint NextWakeup(const NodeState& state);
 
 // Whether the node may be sent new requests.
 bool IsReady(const NodeState& state);
--- a/modules/peridotmill_node/state/node_state.h
+++ b/modules/peridotmill_node/state/node_state.h
@@ -86,6 +86,10 @@
   // Messages of this step; each peer gets its own in one frame.
   std::map<NodeId, std::vector<PeerMessage>> outbox = {};
 
+  // Whether the parts that act with peers and the store changed, so that their
+  // next wakeup has to be found again; too costly to do for each token.
+  bool is_fleet_touched = false;
+
   template <typename Command>
   void Emit(Command command) {
     commands.push_back(std::move(command));
