--- a/modules/peridotmill_config/tests/distribution_test.cc
+++ b/modules/peridotmill_config/tests/distribution_test.cc
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <chrono>
-#include <deque>
 #include <iostream>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 
@@ -24,8 +22,7 @@
  public:
   static constexpr Duration kStep = milliseconds(20);
 
-  DistributionLoop(int domains, int per_domain, uint64_t seed)
-      : random_(seed), domains_(domains) {
+  DistributionLoop(int domains, int per_domain, uint64_t seed) : random_(seed) {
     for (int domain = 0; domain < domains; ++domain) {
       for (int i = 0; i < per_domain; ++i) {
         Start(Name(domain, i));
@@ -250,7 +247,6 @@
   }
 
   Random random_;
-  int domains_;
   std::vector<Letter> letters_;
   std::vector<Answer> answers_;
   std::map<NodeId, ConfigCall> watches_;
--- a/modules/peridotmill_config/tests/publication_test.cc
+++ b/modules/peridotmill_config/tests/publication_test.cc
@@ -99,6 +99,7 @@
             StartPublication(Request(0, "base"), SampleObjects(3, 1), seed));
     Random random(seed);
     std::vector<Publication> publishers;
+    publishers.reserve(4);
     for (int i = 0; i < 4; ++i) {
       publishers.push_back(StartPublication(Request(1, "p" + std::to_string(i)),
                                             SampleObjects(3, 10 + i),
--- a/modules/peridotmill_membership/knowledge/domain_summaries.cc
+++ b/modules/peridotmill_membership/knowledge/domain_summaries.cc
@@ -101,6 +101,7 @@
     ++total.live_endpoints;
   }
   std::vector<PoolSummary> pools;
+  pools.reserve(totals.size());
   for (const auto& [pool, total] : totals) {
     pools.push_back(
         {DomainPoolFingerprint(domain, pool), Saturate(total.capacity),
--- a/modules/peridotmill_membership/knowledge/endpoint_value.cc
+++ b/modules/peridotmill_membership/knowledge/endpoint_value.cc
@@ -29,7 +29,7 @@
 uint16_t QuantiseCount(int64_t count) {
   const auto value = static_cast<uint64_t>(
       std::clamp<int64_t>(count, 0, std::numeric_limits<uint16_t>::max()));
-  const int bits = std::bit_width(value);
+  const auto bits = static_cast<int>(std::bit_width(value));
   // Four significant bits remain.
   const int dropped = std::max(0, bits - 4);
   return static_cast<uint16_t>(value <= 16 ? value
--- a/modules/peridotmill_membership/tests/knowledge_test.cc
+++ b/modules/peridotmill_membership/tests/knowledge_test.cc
@@ -37,6 +37,7 @@
 // Guards against endpoints that no node or only one node reads.
 TEST(EndpointReadersTest, EveryEndpointHasTwoReaders) {
   std::vector<NodeId> nodes;
+  nodes.reserve(9);
   for (int i = 0; i < 9; ++i) {
     nodes.emplace_back("n" + std::to_string(i));
   }
--- a/modules/peridotmill_membership/tests/membership_test.cc
+++ b/modules/peridotmill_membership/tests/membership_test.cc
@@ -224,7 +224,7 @@
       }
     }
     // 2 relays in each domain, each with up to 4 peers that do not answer.
-    EXPECT_LE(loop.dials - dials, uint64_t{6 * 4 * 60}) << "seed " << seed;
+    EXPECT_LE(loop.dials - dials, uint64_t{6} * 4 * 60) << "seed " << seed;
     loop.cut = FailureDomainId();
     loop.RunFor(seconds(15));
     const std::string where = "seed " + std::to_string(seed);
--- a/modules/peridotmill_membership/tests/peer_codec_test.cc
+++ b/modules/peridotmill_membership/tests/peer_codec_test.cc
@@ -110,8 +110,8 @@
       EXPECT_FALSE(DecodePeerMessage(payload.substr(0, payload.size() / 2)));
       for (int i = 0; i < 200; ++i) {
         std::string damaged = payload;
-        damaged[random.Below(damaged.size())] ^=
-            static_cast<char>(1U << random.Below(8));
+        char& byte = damaged[random.Below(damaged.size())];
+        byte = static_cast<char>(byte ^ (1 << random.Below(8)));
         const Result<PeerMessage> decoded = DecodePeerMessage(damaged);
         if (decoded) {
           EXPECT_FALSE(EncodePeerMessage(*decoded).empty());
