--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -184,11 +184,9 @@
 }
 
 void NodeRunner::ArmTimer() {
-  const TimePoint now = clock_.Now();
-  const auto delay =
-      std::max<int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(
-                               NextWakeup(state_, now) - now)
-                               .count());
+  const Duration wait = NextWakeup(state_) - clock_.Now();
+  const auto delay = std::max<int64_t>(
+      0, std::chrono::ceil<std::chrono::milliseconds>(wait).count());
   timer_.Start(
       static_cast<guint>(delay),
       [](gpointer data) { static_cast<NodeRunner*>(data)->Post(Tick{}); },
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -58,7 +58,12 @@
   void operator()(DialPeer& command) {
     context_.Emit(ConnectPeer{command.peer, std::move(command.address)});
   }
-  void operator()(DropPeer& command) { context_.Emit(ClosePeer{command.peer}); }
+  void operator()(DropPeer& command) {
+    context_.Emit(ClosePeer{command.peer});
+    // Closing on purpose is not reported as a lost connection.
+    Execute(context_,
+            PeerDown(context_.state.fleet.members, command.peer, context_.now));
+  }
   void operator()(SendToPeer& command) {
     SendMessage(context_, command.peer, command.message);
   }
