--- a/modules/peridotmill_actions/home/bucket_pruner.cc
+++ b/modules/peridotmill_actions/home/bucket_pruner.cc
@@ -12,7 +12,7 @@
 // One prune a minute and bucket adds about one write a second to the fleet.
 constexpr Duration kPruneInterval = std::chrono::seconds(60);
 // 512 KB in one store value.
-constexpr size_t kMaxTombstonesPerPrune = 32 * 1024;
+constexpr size_t kMaxTombstonesPerPrune = size_t{32} * 1024;
 
 StoreTxn PruneTxn(HomeContext& context,
                   int32_t index,
--- a/modules/peridotmill_actions/home/home_state.h
+++ b/modules/peridotmill_actions/home/home_state.h
@@ -19,12 +19,13 @@
 namespace peridotmill {
 
 // Bounds of the home side's tables.
-inline constexpr size_t kMaxPendingEntries = 4096;      // per bucket
-inline constexpr size_t kMaxClaimWaiters = 4096;        // per bucket
-inline constexpr size_t kMaxLookupWaiters = 1024;       // per bucket
-inline constexpr size_t kMaxRecords = 100'000;          // per bucket
-inline constexpr size_t kMaxTombstones = 500'000;       // per bucket
-inline constexpr size_t kMaxSegmentBytes = 512 * 1024;  // store values: 1 MB
+inline constexpr size_t kMaxPendingEntries = 4096;  // per bucket
+inline constexpr size_t kMaxClaimWaiters = 4096;    // per bucket
+inline constexpr size_t kMaxLookupWaiters = 1024;   // per bucket
+inline constexpr size_t kMaxRecords = 100'000;      // per bucket
+inline constexpr size_t kMaxTombstones = 500'000;   // per bucket
+inline constexpr size_t kMaxSegmentBytes =
+    size_t{512} * 1024;  // store values: 1 MB
 
 // 64 buckets at this rate stay under 150 writes a second for the whole fleet.
 inline constexpr double kWritesPerSecond = 2.3;
--- a/modules/peridotmill_actions/log/log_entry.h
+++ b/modules/peridotmill_actions/log/log_entry.h
@@ -12,7 +12,7 @@
 namespace peridotmill {
 
 // Answers above this size are kept as digest and status only.
-inline constexpr size_t kMaxInlineAnswer = 16 * 1024;
+inline constexpr size_t kMaxInlineAnswer = size_t{16} * 1024;
 
 // What a finished action answered.
 struct ActionAnswer {
--- a/modules/peridotmill_actions/tests/actions_test.cc
+++ b/modules/peridotmill_actions/tests/actions_test.cc
@@ -18,6 +18,7 @@
 
 int HomeIndex(const std::string& key, const std::vector<int>& live) {
   std::vector<ActionNode> nodes;
+  nodes.reserve(live.size());
   for (const int node : live) {
     nodes.push_back({Fleet::NameOf(node), Incarnation(1), false});
   }
@@ -494,6 +495,7 @@
 // and against a leaving node that stays home.
 TEST(HomeOfTest, MovesOnlyTheBucketsOfTheLeavingNode) {
   std::vector<ActionNode> nodes;
+  nodes.reserve(9);
   for (int i = 0; i < 9; ++i) {
     nodes.push_back({Fleet::NameOf(i), Incarnation(1), false});
   }
--- a/modules/peridotmill_actions/tests/fleet.h
+++ b/modules/peridotmill_actions/tests/fleet.h
@@ -72,6 +72,7 @@
   // Tells `viewer` that only these nodes are live.
   void SetView(int viewer, const std::vector<int>& live) {
     std::vector<ActionNode> nodes;
+    nodes.reserve(live.size());
     for (const int node : live) {
       nodes.push_back({NameOf(node), Incarnation(nodes_[node].life), false});
     }
@@ -228,7 +229,7 @@
 
   void AnswerStoreCall(int node,
                        ActionOperation operation,
-                       StoreAnswer answer) {
+                       const StoreAnswer& answer) {
     const int64_t life = nodes_[node].life;
     After(SomeDelay(), [this, node, operation, answer, life] {
       if (nodes_[node].life == life) {
--- a/modules/peridotmill_orders/orders_step.cc
+++ b/modules/peridotmill_orders/orders_step.cc
@@ -15,7 +15,7 @@
 constexpr Duration kEngineBackoff = std::chrono::seconds(60);
 constexpr Duration kMinWeightsBackoff = std::chrono::seconds(1);
 // Changes within kPlacementHysteresis, as a share of the pool.
-constexpr double kMaxChangeShare = 0.1;
+constexpr size_t kMaxChangePercent = 10;
 
 struct Context {
   OrdersState& state;
@@ -72,8 +72,8 @@
          now - pool.recent_changes.front() >= kPlacementHysteresis) {
     pool.recent_changes.pop_front();
   }
-  const auto limit = std::max<size_t>(
-      1, static_cast<size_t>(kMaxChangeShare * pool.engines.size()));
+  const auto limit =
+      std::max<size_t>(1, pool.engines.size() * kMaxChangePercent / 100);
   return !pool.change && now >= pool.weights_not_before &&
          pool.recent_changes.size() < limit;
 }
