Record outcomes of actions; reach homes in other failure domains

Cause: a second booking under the same key through a node of another failure domain waited until its deadline: messages to the bucket's home went nowhere, because nodes are connected within a domain and between relays only, and the outcome of an answered action was never recorded. Ruled out: the log (claims were there) and the claim's grant. Change: connections to homes are opened on demand; outcomes are recorded; a claim that is still pending at its deadline is told as unknown; a bucket may write three segments at once after an idle time; draining at shutdown is bounded.

--- a/modules/peridotmill_actions/home/bucket_writer.cc
+++ b/modules/peridotmill_actions/home/bucket_writer.cc
@@ -1,5 +1,6 @@
 #include "peridotmill_actions/home/bucket_writer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "peridotmill_actions/home/bucket_reader.h"
@@ -11,6 +12,10 @@
 
 constexpr Duration kWriteInterval = std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(1.0 / kWritesPerSecond));
+// Writes that may follow each other at once after an idle time: a claim, its
+// outcome and one more. With one, a second call under a key waited 435 ms for
+// the outcome to be written.
+constexpr int kWriteBurst = 3;
 
 void Acknowledge(HomeContext& context, Bucket& bucket, const Nonce& nonce) {
   const auto found = bucket.acknowledgements.find(nonce);
@@ -74,7 +79,12 @@
   Bucket& bucket = context.bucket(index);
   SegmentWrite& write = *bucket.write;
   write.is_open = true;
-  bucket.next_write = context.now.steady + kWriteInterval;
+  // A token bucket in one variable: time that was not used lets further writes
+  // follow at once.
+  bucket.next_write =
+      std::max(bucket.next_write,
+               context.now.steady - (kWriteBurst - 1) * kWriteInterval) +
+      kWriteInterval;
   const std::string key = SegmentKey(index, write.segment.sequence);
   StoreTxn txn;
   txn.compares = {{key, StoreCompare::Target::kCreateRevision, 0},
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -134,11 +134,19 @@
   FleetState& fleet = context.state.fleet;
   Execute(context, PeerUp(fleet.members, peer, context.now));
   Execute(context, ConfigPeerUp(fleet.distribution, peer, context.now));
+  auto waiting = fleet.waiting_messages.extract(peer);
+  if (!waiting.empty() &&
+      context.now - waiting.mapped().since <= kWaitingMessageExpiry) {
+    for (const PeerMessage& message : waiting.mapped().messages) {
+      SendMessage(context, peer, message);
+    }
+  }
 }
 
 void TakePeerDisconnected(StepContext& context, const NodeId& peer) {
   context.is_fleet_touched = true;
   Execute(context, PeerDown(context.state.fleet.members, peer, context.now));
+  context.state.fleet.waiting_messages.erase(peer);
 }
 
 void TakeStoreAnswer(StepContext& context, const StoreAnswered& answered) {
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -50,6 +50,31 @@
   return nodes;
 }
 
+// Sends a message to any member, dialling it when there is no connection.
+void SendOnDemand(StepContext& context,
+                  const NodeId& peer,
+                  PeerMessage message) {
+  FleetState& fleet = context.state.fleet;
+  const auto entry = fleet.members.entries.find(peer);
+  if (entry == fleet.members.entries.end()) {
+    return;
+  }
+  if (entry->second.is_connected) {
+    SendMessage(context, peer, message);
+    return;
+  }
+  WaitingMessages& waiting = fleet.waiting_messages[peer];
+  if (waiting.messages.empty() ||
+      context.now - waiting.since > kWaitingMessageExpiry) {
+    waiting.messages.clear();
+    waiting.since = context.now;
+    context.Emit(ConnectPeer{peer, entry->second.member.address});
+  }
+  if (waiting.messages.size() < kMaxWaitingMessages) {
+    waiting.messages.push_back(std::move(message));
+  }
+}
+
 // Carries out the commands of the parts; one overload for each kind.
 class CommandExecutor {
  public:
@@ -124,7 +149,7 @@
   void operator()(ActionSend& command) {
     std::visit(
         [&](auto& message) {
-          SendMessage(context_, command.to, PeerMessage(std::move(message)));
+          SendOnDemand(context_, command.to, PeerMessage(std::move(message)));
         },
         command.message);
   }
--- a/modules/peridotmill_node/fleet/fleet_state.h
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_NODE_FLEET_FLEET_STATE_H_
 #define PERIDOTMILL_NODE_FLEET_FLEET_STATE_H_
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -16,6 +17,16 @@
 // Whom the answer of a store call belongs to.
 using StorePurpose = std::variant<ConfigCall, ActionOperation>;
 
+// Messages to a node that this node has no connection to yet. Homes of buckets
+// may be in any failure domain, so connections to them are opened on demand;
+// membership closes them when they are not used any more.
+struct WaitingMessages {
+  TimePoint since;
+  std::vector<PeerMessage> messages;
+};
+inline constexpr size_t kMaxWaitingMessages = 256;  // per node
+inline constexpr Duration kWaitingMessageExpiry = std::chrono::seconds(2);
+
 // What a node knows of the fleet and does together with its peers.
 struct FleetState {
   MembershipState members;
@@ -26,6 +37,8 @@
   CacheHintOutbox cache_hints;
   ActionsState actions;
 
+  std::map<NodeId, WaitingMessages> waiting_messages;
+
   // When TickFleet() is due.
   TimePoint next_wakeup;
 
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -58,6 +58,30 @@
   StepContext& context_;
 };
 
+// Claims and outcomes are handed on until this long after the last request;
+// what the store has not taken by then stays of unknown outcome.
+constexpr Duration kDrainTimeout = std::chrono::seconds(5);
+
+void ExitWhenDone(StepContext& context) {
+  NodeState& state = context.state;
+  if (!state.is_shutting_down || !state.requests.empty() ||
+      state.is_exit_sent) {
+    return;
+  }
+  if (!state.drain_until) {
+    state.drain_until = context.now + kDrainTimeout;
+  }
+  const bool is_drained = IsDrained(state.fleet.actions);
+  if (!is_drained && *state.drain_until > context.now) {
+    return;
+  }
+  if (!is_drained) {
+    context.Emit(LogEvent{"actions_not_drained", {}});
+  }
+  state.is_exit_sent = true;
+  context.Emit(ExitNode{0});
+}
+
 }  // namespace
 
 tl::expected<NodeState, Findings> MakeNode(NodeSettings settings) {
@@ -85,25 +109,25 @@
   std::vector<NodeCommand> commands;
   StepContext context{state, now, commands};
   std::visit(EventHandler(context), event);
-  ExpireRequests(context);
+  // Before requests expire: a claim that ends now says why.
   if (state.fleet.next_wakeup <= now) {
     TickFleet(context);
   }
+  ExpireRequests(context);
   ServeWokenPools(context);
   FlushMessages(context);
   if (context.is_fleet_touched) {
     state.fleet.next_wakeup = NextFleetWakeup(state, now);
   }
-  if (state.is_shutting_down && state.requests.empty() &&
-      IsDrained(state.fleet.actions) && !state.is_exit_sent) {
-    state.is_exit_sent = true;
-    context.Emit(ExitNode{0});
-  }
+  ExitWhenDone(context);
   return commands;
 }
 
 TimePoint NextWakeup(const NodeState& state) {
   TimePoint next = state.fleet.next_wakeup;
+  if (state.drain_until) {
+    next = std::min(next, *state.drain_until);
+  }
   if (!state.deadlines.empty()) {
     next = std::min(next, state.deadlines.begin()->first);
   }
--- a/modules/peridotmill_node/requests/action_requests.cc
+++ b/modules/peridotmill_node/requests/action_requests.cc
@@ -125,7 +125,7 @@
   if (request.claim.empty()) {
     return;
   }
-  if (execution == Execution::kNotRun) {
+  if (!request.has_claim || execution == Execution::kNotRun) {
     Execute(context, VoidClaim(context.state.fleet.actions, request.claim,
                                ActionTimeOf(context)));
   } else {
--- a/modules/peridotmill_node/requests/request_ending.cc
+++ b/modules/peridotmill_node/requests/request_ending.cc
@@ -39,6 +39,11 @@
           WallTimeAt(state.settings, context.now).time_since_epoch())
           .count();
   const bool is_stream = request.parsed.is_stream;
+  if (request.has_claim) {
+    constexpr int kOk = 200;
+    RecordActionEnd(context, request, kOk, WholeAnswer(request, created),
+                    Execution::kRan);
+  }
   context.Emit(CallerAnswer{
       request.id,
       is_stream ? StreamEnd(request, created) : WholeAnswer(request, created),
@@ -82,8 +87,14 @@
   NodeState& state = context.state;
   while (!state.deadlines.empty() &&
          state.deadlines.begin()->first <= context.now) {
-    const RequestId id = state.deadlines.begin()->second;
-    RefuseRequest(context, state.requests.at(id), Reason::kDeadlineExpired);
+    RequestState& request = state.requests.at(state.deadlines.begin()->second);
+    if (!request.claim.empty() && !request.has_claim) {
+      // Another request may be running the action under the same key.
+      RefuseRequestAs(context, request, Reason::kActionUnknown,
+                      Execution::kUnknown);
+    } else {
+      RefuseRequest(context, request, Reason::kDeadlineExpired);
+    }
   }
 }
 
--- a/modules/peridotmill_node/state/node_state.h
+++ b/modules/peridotmill_node/state/node_state.h
@@ -75,6 +75,8 @@
   DecisionLog decisions;
 
   bool is_shutting_down = false;
+  // Set when the last request of a node that shuts down has ended.
+  std::optional<TimePoint> drain_until;
   bool is_exit_sent = false;
 };
 
