Follow limits, shares, hedges and reviews in the request engine

Cause: the engine queued first come first served and never looked at a running request again. Change: fair queues with admission by predicted finish, adaptive limits, team shares across nodes, hedges, reviews that cancel what cannot finish; a claimed action past its deadline runs on so that its outcome becomes known; metrics of peers, store calls and actions. Conclusion: the decision modules are in use.

--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -132,7 +132,8 @@
     return {is_ready ? 200 : 503, kText, is_ready ? "ready\n" : "not ready\n"};
   }
   if (path == "/metrics") {
-    return {200, "text/plain; version=0.0.4", RenderMetrics(state_)};
+    return {200, "text/plain; version=0.0.4",
+            RenderMetrics(state_, Transport())};
   }
   if (path == "/v1/models") {
     return {200, "application/json", RenderModels(state_, token)};
@@ -143,6 +144,11 @@
   return NotFound();
 }
 
+TransportCounts NodeRunner::Transport() const {
+  return {peers_->bytes_sent(), peers_->bytes_received(),
+          peers_->connected_count()};
+}
+
 PageAnswer NodeRunner::AdminPage(const std::string& path,
                                  const std::string& token) {
   if (!state_.config.objects || !IsOperator(state_.config, token)) {
--- a/modules/peridotmill_net/running/node_runner.h
+++ b/modules/peridotmill_net/running/node_runner.h
@@ -13,6 +13,7 @@
 #include "peridotmill_net/hosts/host_list_client.h"
 #include "peridotmill_net/peers/peer_transport.h"
 #include "peridotmill_net/store/store_client.h"
+#include "peridotmill_node/metrics/metrics_page.h"
 #include "peridotmill_node/node.h"
 
 namespace peridotmill {
@@ -53,6 +54,7 @@
   Result<void> Open(const RunnerSettings& settings);
   Result<void> OpenPeers(const RunnerSettings& settings);
   PageAnswer Page(const std::string& path, const std::string& token);
+  TransportCounts Transport() const;
   PageAnswer AdminPage(const std::string& path, const std::string& token);
 
   // Queues an event and, unless one is being handled, handles all of them.
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -53,7 +53,7 @@
     TakeCacheHints(context_, message);
   }
   void operator()(const TeamUseMessage& message) {
-    ApplyTeamUse(fleet_.team_use, from_, message, context_.now);
+    TakeTeamUse(context_, from_, message);
   }
   void operator()(const DomainSummaryMessage& message) {
     TakeSummary(context_, from_, message);
@@ -193,6 +193,10 @@
 void NoteConfigChange(StepContext& context) {
   NodeState& state = context.state;
   state.fleet.models_by_fingerprint.clear();
+  state.fleet.teams_by_fingerprint.clear();
+  for (const auto& [name, team] : state.config.objects->teams) {
+    state.fleet.teams_by_fingerprint[FingerprintOf(name.value())] = name;
+  }
   for (const auto& [name, version] : state.config.objects->model_versions) {
     const std::string model = version.model + "@" + version.version;
     state.fleet.models_by_fingerprint[FingerprintOf(model)] = model;
--- a/modules/peridotmill_node/fleet/fleet_state.h
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -49,6 +49,8 @@
   std::unordered_map<Fingerprint, EndpointRecord> endpoints_by_fingerprint;
   std::unordered_map<uint32_t, EndpointId> endpoints_by_hint;
   std::unordered_map<Fingerprint, std::string> models_by_fingerprint;
+  std::unordered_map<Fingerprint, TeamId> teams_by_fingerprint;
+  TimePoint next_sweep;
   // Last cache event read from each engine.
   std::unordered_map<EndpointId, uint64_t> cache_sequences;
 
--- a/modules/peridotmill_node/fleet/shared_knowledge.cc
+++ b/modules/peridotmill_node/fleet/shared_knowledge.cc
@@ -7,6 +7,7 @@
 
 #include "peridotmill_node/fleet/fleet.h"
 #include "peridotmill_node/fleet/fleet_commands.h"
+#include "peridotmill_node/requests/endpoint_feedback.h"
 #include "peridotmill_node/requests/prompt_prefix.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
@@ -15,6 +16,7 @@
 
 constexpr Duration kLoadReadInterval = std::chrono::seconds(1);
 constexpr size_t kMaxMembersInRepair = 400;
+constexpr Duration kTeamSweepInterval = std::chrono::seconds(10);
 
 bool HasEngines(const NodeState& state, const PoolId& pool) {
   if (!state.config.objects) {
@@ -59,7 +61,7 @@
         report.load.loaded_models.push_back(name->second);
       }
     }
-    ApplyLoadReport(state.endpoints, report, context.now);
+    LearnFromReport(context, report);
   }
   WakeAllPools(context);
 }
@@ -155,14 +157,21 @@
   }
 }
 
-std::vector<TeamUseEntry> OwnTeamUse(const NodeState& state) {
-  std::map<TeamId, int> running;
-  for (const auto& [id, request] : state.requests) {
-    ++running[request.team];
-  }
+// A team with one request running all the time has this decayed use in
+// milliseconds; peers tell each other running requests.
+double UseOfOneRequest() {
+  constexpr double kLn2 = 0.693147;
+  constexpr double kMillisecondsPerSecond = 1000;
+  return std::chrono::duration<double>(kTeamUseHalfLife).count() / kLn2 *
+         kMillisecondsPerSecond;
+}
+
+std::vector<TeamUseEntry> OwnTeamUse(const NodeState& state, TimePoint now) {
   std::vector<TeamUseEntry> entries;
-  for (const auto& [team, count] : running) {
-    entries.push_back({FingerprintOf(team.value()), QuantiseUse(count)});
+  for (const TeamUse& team :
+       TopTeamUse(state.team_shares, kMaxTeamsPerNode, now)) {
+    entries.push_back({FingerprintOf(team.team.value()),
+                       QuantiseUse(team.use / UseOfOneRequest())});
   }
   return entries;
 }
@@ -205,11 +214,8 @@
   SendUrgent(context,
              RecordReading(fleet.knowledge, *assigned, read.load, context.now));
   if (read.load) {
-    ApplyLoadReport(
-        state.endpoints,
-        {read.endpoint, assigned->record.incarnation, *read.load, context.now},
-        context.now);
-    WakePool(context, assigned->record.pool);
+    LearnFromReport(context, {read.endpoint, assigned->record.incarnation,
+                              *read.load, context.now});
   }
 }
 
@@ -252,6 +258,22 @@
   }
 }
 
+void TakeTeamUse(StepContext& context,
+                 const NodeId& from,
+                 const TeamUseMessage& message) {
+  constexpr double kStepsPerRequest = 16;
+  FleetState& fleet = context.state.fleet;
+  ApplyTeamUse(fleet.team_use, from, message, context.now);
+  for (const TeamUseEntry& entry : message.entries) {
+    const auto team = fleet.teams_by_fingerprint.find(entry.team);
+    if (team != fleet.teams_by_fingerprint.end()) {
+      ApplyPeerTeamUse(context.state.team_shares, from, team->second,
+                       entry.use / kStepsPerRequest * UseOfOneRequest(),
+                       context.now);
+    }
+  }
+}
+
 void TakeSummary(StepContext& context,
                  const NodeId& from,
                  const DomainSummaryMessage& message) {
@@ -306,8 +328,9 @@
     SendMessage(context, domain_peers, *hints);
   }
   if (fleet.team_use.next_send <= context.now) {
-    if (const auto use = TakeTeamUse(fleet.team_use, OwnTeamUse(context.state),
-                                     context.now)) {
+    if (const auto use =
+            TakeTeamUse(fleet.team_use, OwnTeamUse(context.state, context.now),
+                        context.now)) {
       SendMessage(context, domain_peers, *use);
     }
   }
@@ -319,6 +342,10 @@
     }
   }
   SendSummaries(context);
+  if (fleet.next_sweep <= context.now) {
+    fleet.next_sweep = context.now + kTeamSweepInterval;
+    SweepTeams(context.state.team_shares, context.now);
+  }
 }
 
 TimePoint NextSharedKnowledgeWakeup(const NodeState& state) {
--- a/modules/peridotmill_node/fleet/shared_knowledge.h
+++ b/modules/peridotmill_node/fleet/shared_knowledge.h
@@ -13,6 +13,9 @@
                  const NodeId& from,
                  const EndpointReportsMessage& message);
 void TakeCacheHints(StepContext& context, CacheHintsMessage message);
+void TakeTeamUse(StepContext& context,
+                 const NodeId& from,
+                 const TeamUseMessage& message);
 void TakeSummary(StepContext& context,
                  const NodeId& from,
                  const DomainSummaryMessage& message);
--- a/modules/peridotmill_node/metrics/metrics_page.cc
+++ b/modules/peridotmill_node/metrics/metrics_page.cc
@@ -84,6 +84,40 @@
   }
 }
 
+void AddFleet(const FleetState& fleet,
+              const TransportCounts& transport,
+              Page& page) {
+  page.Gauge("peridotmill_members", "Other nodes known.",
+             static_cast<int64_t>(fleet.members.entries.size()));
+  page.Gauge("peridotmill_peers_connected", "Connections to other nodes.",
+             static_cast<int64_t>(transport.peers_connected));
+  page.Counter("peridotmill_peer_bytes_sent_total",
+               "Bytes sent to other nodes.", transport.peer_bytes_sent);
+  page.Counter("peridotmill_peer_bytes_received_total",
+               "Bytes received from other nodes.",
+               transport.peer_bytes_received);
+  page.Counter("peridotmill_peer_frames_sent_total",
+               "Frames sent to other nodes.", fleet.peer_frames_sent);
+  page.Counter("peridotmill_peer_frames_received_total",
+               "Frames received from other nodes.", fleet.peer_frames_received);
+  page.Counter("peridotmill_store_calls_total",
+               "Calls to the platform's store.",
+               static_cast<uint64_t>(fleet.store_call_count));
+  const HomeCounters& home = fleet.actions.home.counters;
+  page.Counter("peridotmill_action_segments_written_total",
+               "Segments of claims and outcomes written.",
+               home.segments_written);
+  page.Counter("peridotmill_action_races_lost_total",
+               "Segment writes that another node had won.", home.races_lost);
+  page.Counter("peridotmill_action_writes_in_doubt_total",
+               "Segment writes whose response was lost.", home.writes_in_doubt);
+  page.Counter("peridotmill_action_malformed_segments_total",
+               "Segments that could not be read.", home.malformed_segments);
+  page.Counter("peridotmill_config_rejected_total",
+               "Configurations that were not put in force.",
+               fleet.distribution.counters.rejected);
+}
+
 std::string AccountLabels(const CostAccount& account) {
   return "stage=" + Quoted(account.stage.value()) +
          ",team=" + Quoted(account.team.value()) +
@@ -115,7 +149,8 @@
 
 }  // namespace
 
-std::string RenderMetrics(const NodeState& state) {
+std::string RenderMetrics(const NodeState& state,
+                          const TransportCounts& transport) {
   Page page;
   const NodeStatistics& statistics = state.statistics;
   page.Family("peridotmill_node_info", "gauge",
@@ -153,6 +188,7 @@
   page.Summary("peridotmill_request_duration_ms",
                "Time from a request to its whole answer.",
                statistics.request_duration);
+  AddFleet(state.fleet, transport, page);
   AddReasons(state.reasons, page);
   AddCosts(state.ledger, page);
   return page.text_;
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -9,6 +9,7 @@
 #include "peridotmill_node/requests/attempt_runner.h"
 #include "peridotmill_node/requests/request_ending.h"
 #include "peridotmill_node/requests/request_intake.h"
+#include "peridotmill_node/requests/request_review.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
 namespace peridotmill {
@@ -46,7 +47,7 @@
     TakePeerDisconnected(context_, event.peer);
   }
   void operator()(const OrderFinished&) {}
-  void operator()(const Tick&) { WakeAllPools(context_); }
+  void operator()(const Tick&) {}
   void operator()(const ShutdownRequested&) {
     if (!context_.state.is_shutting_down) {
       context_.state.is_shutting_down = true;
@@ -114,6 +115,8 @@
     TickFleet(context);
   }
   ExpireRequests(context);
+  ReviewRequests(context);
+  WakeDuePools(context);
   ServeWokenPools(context);
   FlushMessages(context);
   if (context.is_fleet_touched) {
@@ -131,6 +134,10 @@
   if (!state.deadlines.empty()) {
     next = std::min(next, state.deadlines.begin()->first);
   }
+  if (!state.reviews.empty()) {
+    next = std::min(next, state.reviews.begin()->first);
+  }
+  next = std::min(next, NextQueueWakeup(state));
   return next;
 }
 
--- a/modules/peridotmill_node/requests/attempt_runner.cc
+++ b/modules/peridotmill_node/requests/attempt_runner.cc
@@ -5,7 +5,10 @@
 #include <utility>
 
 #include "peridotmill_node/requests/bodies.h"
+#include "peridotmill_node/requests/endpoint_feedback.h"
 #include "peridotmill_node/requests/request_ending.h"
+#include "peridotmill_node/requests/request_review.h"
+#include "peridotmill_node/requests/stage_plan_view.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
 namespace peridotmill {
@@ -21,10 +24,6 @@
                    std::to_string(++state.attempt_count));
 }
 
-SizeClass SizeOf(const RequestState& request) {
-  return SizeClassOf(request.parsed.messages.size());
-}
-
 AttemptUse UseOf(const RequestState& request,
                  const AttemptState& attempt,
                  TimePoint now) {
@@ -43,6 +42,10 @@
   const MicroUnits spend = CostOf(StageOf(request, attempt.stage).price, use);
   AddSpend(context.state.ledger,
            {attempt.stage, request.team, request.pipeline}, spend, is_wasted);
+  const auto team = request.objects->teams.find(request.team);
+  AddTeamUse(context.state.team_shares, request.team,
+             team == request.objects->teams.end() ? 1.0 : team->second.share,
+             use.elapsed, context.now);
   StageProgress& progress = request.stages.at(attempt.stage);
   progress.spend += spend;
   if (!is_wasted) {
@@ -125,6 +128,8 @@
   CancelAttempts(context, request, attempt.stage);
   if (IsComplete(request)) {
     AnswerRequest(context, request);
+  } else if (request.is_expired) {
+    RefuseRequest(context, request, Reason::kDeadlineExpired);
   } else {
     StartReadyStages(context, request);
   }
@@ -194,6 +199,10 @@
     // The other one of a hedged pair may still answer.
     return;
   }
+  if (request.is_expired) {
+    RefuseRequest(context, request, Reason::kDeadlineExpired);
+    return;
+  }
   RetryBudget& budget = BudgetOf(state.retry_budgets, stage.name);
   const RetryDecision decision =
       DecideRetry(stage, DescribeFailure(context, request, attempt, outcome),
@@ -256,6 +265,9 @@
   if (!stage.idempotent) {
     command.action_key = request.key.value();
   }
+  if (request.has_claim) {
+    command.timeout += kOutcomeGrace;
+  }
 
   if (attempt.is_stream && request.parsed.prefix_hash != 0) {
     RecordPrefix(state.prefixes, endpoint, request.parsed.prefix_hash,
@@ -267,6 +279,12 @@
     ++state.statistics.first_attempts;
     RecordFirstAttempt(BudgetOf(state.retry_budgets, stage.name));
   }
+  if (!is_hedge) {
+    const auto hedge = HedgeTime(context, request, stage, attempt.started_at);
+    const TimePoint half_way =
+        context.now + (request.deadline - context.now) / 2;
+    PlanReview(context, request, hedge ? std::min(*hedge, half_way) : half_way);
+  }
   state.attempts.emplace(id, std::move(attempt));
   context.Emit(std::move(command));
 }
@@ -334,9 +352,7 @@
     state.reasons.Add(Reason::kAnswerMismatch);
   }
   const AttemptOutcome outcome = JudgeAnswer(request, attempt, finished);
-  EndAttempt(state.endpoints, attempt.ticket, outcome,
-             ServiceTimeQuantile(state.estimator, stage, SizeOf(request), 0.5),
-             context.now);
+  LearnFromAttempt(context, request, attempt, outcome);
   NoteOutcome(request, outcome);
   const PoolId pool = stage.pool;
   if (outcome == AttemptOutcome::kCompleted) {
--- a/modules/peridotmill_node/requests/attempt_runner.h
+++ b/modules/peridotmill_node/requests/attempt_runner.h
@@ -5,6 +5,10 @@
 
 namespace peridotmill {
 
+// How long after its deadline a claimed action may run on, so that its outcome
+// becomes known and can be asked for under its key.
+inline constexpr Duration kOutcomeGrace = std::chrono::seconds(10);
+
 // Sends one attempt of a stage to an endpoint.
 void StartStageAttempt(StepContext& context,
                        RequestState& request,
--- a/modules/peridotmill_node/requests/request_ending.cc
+++ b/modules/peridotmill_node/requests/request_ending.cc
@@ -1,6 +1,6 @@
 #include "peridotmill_node/requests/request_ending.h"
 
-#include <vector>
+#include <algorithm>
 
 #include "peridotmill_node/requests/action_requests.h"
 #include "peridotmill_node/requests/attempt_runner.h"
@@ -30,6 +30,28 @@
   }
 }
 
+bool HasOpenAttempt(const RequestState& request) {
+  return std::any_of(
+      request.stages.begin(), request.stages.end(),
+      [](const auto& entry) { return !entry.second.open_attempts.empty(); });
+}
+
+// Tells the caller that the deadline has passed, and lets the action run on.
+void AwaitOutcome(StepContext& context, RequestState& request) {
+  NodeState& state = context.state;
+  state.reasons.Add(Reason::kDeadlineExpired);
+  if (!request.is_caller_gone) {
+    context.Emit(CallerRefusal{request.id, Reason::kDeadlineExpired,
+                               Execution::kUnknown, "", "",
+                               request.has_stream_begun});
+  }
+  request.is_caller_gone = true;
+  request.is_expired = true;
+  state.deadlines.erase({request.deadline, request.id});
+  request.deadline += kOutcomeGrace;
+  state.deadlines.emplace(request.deadline, request.id);
+}
+
 }  // namespace
 
 void AnswerRequest(StepContext& context, RequestState& request) {
@@ -44,12 +66,19 @@
     RecordActionEnd(context, request, kOk, WholeAnswer(request, created),
                     Execution::kRan);
   }
-  context.Emit(CallerAnswer{
-      request.id,
-      is_stream ? StreamEnd(request, created) : WholeAnswer(request, created),
-      is_stream});
-  ++state.statistics.completed_on_time;
-  state.statistics.request_duration.Add(context.now - request.arrived_at);
+  if (!request.is_caller_gone) {
+    context.Emit(CallerAnswer{
+        request.id,
+        is_stream ? StreamEnd(request, created) : WholeAnswer(request, created),
+        is_stream});
+  }
+  if (request.is_expired) {
+    ++state.statistics.completed_late;
+    MarkSpendWasted(context, request);
+  } else {
+    ++state.statistics.completed_on_time;
+    state.statistics.request_duration.Add(context.now - request.arrived_at);
+  }
   RecordDecision(state.decisions, request.id, context.now, "answered");
   Forget(context, request);
 }
@@ -69,10 +98,13 @@
   NodeState& state = context.state;
   for (auto& [name, progress] : request.stages) {
     CancelAttempts(context, request, name);
+    LeaveQueue(context, request, name);
   }
   MarkSpendWasted(context, request);
   EndClaim(context, request, reason, execution);
-  state.reasons.Add(reason);
+  if (!request.is_expired) {
+    state.reasons.Add(reason);
+  }
   RecordDecision(state.decisions, request.id, context.now,
                  "refused: " + std::string(ToString(reason)) + ", " +
                      std::string(ToString(execution)));
@@ -88,7 +120,9 @@
   while (!state.deadlines.empty() &&
          state.deadlines.begin()->first <= context.now) {
     RequestState& request = state.requests.at(state.deadlines.begin()->second);
-    if (!request.claim.empty() && !request.has_claim) {
+    if (request.has_claim && !request.is_expired && HasOpenAttempt(request)) {
+      AwaitOutcome(context, request);
+    } else if (!request.claim.empty() && !request.has_claim) {
       // Another request may be running the action under the same key.
       RefuseRequestAs(context, request, Reason::kActionUnknown,
                       Execution::kUnknown);
--- a/modules/peridotmill_node/requests/request_state.h
+++ b/modules/peridotmill_node/requests/request_state.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "peridotmill_config/peridotmill_config.h"
 #include "peridotmill_core/peridotmill_core.h"
+#include "peridotmill_limits/peridotmill_limits.h"
 #include "peridotmill_node/interface/node_event.h"
 #include "peridotmill_node/requests/parsed_request.h"
 
@@ -39,6 +41,8 @@
   // Fragments that came ahead of their turn, by sequence.
   std::map<uint64_t, std::string> early_fragments;
   TimePoint queued_at;
+  // Place in the pool's queue while waiting.
+  std::optional<QueueTicket> ticket;
   // Spend of all attempts, and the part that the stage's result came of.
   MicroUnits spend;
   MicroUnits useful_spend;
@@ -69,6 +73,9 @@
   // Whether the first fragment of a stream was sent to the caller.
   bool has_stream_begun = false;
   bool is_caller_gone = false;
+  // Whether the caller was told that the deadline has passed; the action goes
+  // on until its outcome is known.
+  bool is_expired = false;
 };
 
 // What a caller may be told about a request that ends now.
--- a/modules/peridotmill_node/requests/stage_scheduler.h
+++ b/modules/peridotmill_node/requests/stage_scheduler.h
@@ -9,11 +9,17 @@
 // request can still finish. May end and destroy `request`.
 void StartReadyStages(StepContext& context, RequestState& request);
 
-// Puts one stage (again) into its pool's queue.
+// Puts one stage (again) into its pool's queue, or refuses the request when it
+// would not be served in time. May end and destroy `request`.
 void QueueStage(StepContext& context,
                 RequestState& request,
                 const StageId& stage);
 
+// Removes a stage from its pool's queue, if it waits there.
+void LeaveQueue(StepContext& context,
+                RequestState& request,
+                const StageId& stage);
+
 // Marks a pool whose waiting stages may be able to start.
 void WakePool(StepContext& context, const PoolId& pool);
 void WakeAllPools(StepContext& context);
@@ -23,8 +29,10 @@
 // never runs another one's decisions half-way.
 void ServeWokenPools(StepContext& context);
 
-// Stage plan of the request as of now.
-StagePlan PlanOf(StepContext& context, const RequestState& request);
+// Wakes the pools that time alone makes due: work that expires, or that may be
+// served by other failure domains from now on.
+void WakeDuePools(StepContext& context);
+TimePoint NextQueueWakeup(const NodeState& state);
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_node/state/node_state.h
+++ b/modules/peridotmill_node/state/node_state.h
@@ -1,7 +1,6 @@
 #ifndef PERIDOTMILL_NODE_STATE_NODE_STATE_H_
 #define PERIDOTMILL_NODE_STATE_NODE_STATE_H_
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,6 +10,7 @@
 #include <vector>
 
 #include "peridotmill_core/peridotmill_core.h"
+#include "peridotmill_limits/peridotmill_limits.h"
 #include "peridotmill_node/cost/cost_ledger.h"
 #include "peridotmill_node/fleet/fleet_state.h"
 #include "peridotmill_node/interface/node_command.h"
@@ -37,10 +37,11 @@
   TimePoint first_token_at;
 };
 
-// A stage of a request that waits for an endpoint of its pool.
-struct WaitingStage {
-  RequestId request;
-  StageId stage;
+// Stages that wait for an endpoint of one pool.
+struct PoolQueue {
+  FairQueue queue;
+  // When the next waiting stage may be served by other failure domains.
+  std::optional<TimePoint> retry_at;
 };
 
 // All state of one node. Only Step() changes it.
@@ -54,16 +55,18 @@
   PrefixIndex prefixes;
   ServiceTimeEstimator estimator;
   RetryBudgets retry_budgets;
+  AdaptiveLimits limits;
+  TeamShares team_shares;
 
   std::unordered_map<RequestId, RequestState> requests;
   std::unordered_map<AttemptId, AttemptState> attempts;
-  std::map<PoolId, std::deque<WaitingStage>> queues;
+  std::map<PoolId, PoolQueue> queues;
   // Pools whose queues are served at the end of the step.
   std::set<PoolId> woken_pools;
   // Deadlines of open requests, earliest first.
   std::set<std::pair<TimePoint, RequestId>> deadlines;
-  // Times at which a stage may start a second attempt.
-  std::set<std::pair<TimePoint, RequestId>> hedges;
+  // When running requests are looked at next. @see ReviewRequests
+  std::set<std::pair<TimePoint, RequestId>> reviews;
   uint64_t attempt_count = 0;
   uint64_t request_count = 0;
 
--- a/modules/peridotmill_node/status/status_page.cc
+++ b/modules/peridotmill_node/status/status_page.cc
@@ -39,6 +39,11 @@
   return stages;
 }
 
+std::string RevisionSource(const NodeState& state) {
+  const DistributionStatus status = StatusOf(state.fleet.distribution);
+  return status.from.empty() ? "store" : status.from.value();
+}
+
 }  // namespace
 
 std::string RenderStatus(const NodeState& state, TimePoint now) {
@@ -56,6 +61,7 @@
       {"state", phase},
       {"uptime_s", MillisecondsBetween(state.settings.started_at, now) / 1000},
       {"revision", state.config.revision.value()},
+      {"revision_from", RevisionSource(state)},
       {"open_requests", state.requests.size()},
       {"endpoints", std::move(endpoints)},
       {"cost_by_stage", CostByStage(state.ledger)}}
