Give orders to engines from the node

Cause: the orders module was not used by the daemon. Change: each failure domain elects a holder per pool of engines for its own engines; demand is counted by model version; orders are dropped after the holder's send window; the weight store is asked before a load. Conclusion: placement follows demand under a fenced lease.

--- a/daemons/peridotmilld/main.cc
+++ b/daemons/peridotmilld/main.cc
@@ -33,6 +33,10 @@
               "ip:port of the platform's key-value service; several are "
               "separated by commas");
 DEFINE_string(hosts, "", "ip:port of the platform's host list");
+DEFINE_string(weights,
+              "",
+              "ip:port of the platform's weight store; empty when model loads "
+              "need no permission");
 DEFINE_int32(hosts_interval_ms, 1000, "time between reads of the host list");
 DEFINE_int32(max_body_bytes, 4 << 20, "largest request body accepted");
 DEFINE_int32(body_timeout_ms,
@@ -57,6 +61,7 @@
   checker.Secret("peer_key", peer_key);
   checker.Addresses("store", FLAGS_store);
   checker.Address("hosts", FLAGS_hosts);
+  checker.OptionalAddresses("weights", FLAGS_weights);
   checker.Positive("hosts_interval_ms", FLAGS_hosts_interval_ms);
   checker.Positive("max_body_bytes", FLAGS_max_body_bytes);
   checker.Positive("body_timeout_ms", FLAGS_body_timeout_ms);
@@ -127,6 +132,9 @@
   settings.peer_address = FLAGS_peer_address;
   settings.peer_key = peer_key;
   settings.hosts_url = "http://" + FLAGS_hosts;
+  if (!FLAGS_weights.empty()) {
+    settings.weights_url = "http://" + FLAGS_weights;
+  }
   settings.store_addresses = SplitList(FLAGS_store);
   settings.hosts_interval_ms = static_cast<guint>(FLAGS_hosts_interval_ms);
   settings.limits.max_body_bytes = static_cast<size_t>(FLAGS_max_body_bytes);
--- a/modules/peridotmill_net/endpoints/endpoint_client.cc
+++ b/modules/peridotmill_net/endpoints/endpoint_client.cc
@@ -121,12 +121,30 @@
 void EndpointClient::Send(const SendOrder& command) {
   SendSmall(
       SOUP_METHOD_POST, "http://" + command.address + "/v1/orders",
-      command.body,
+      nlohmann::json{{"fence", command.fence.value()},
+                     {"order", "load"},
+                     {"model", command.model}}
+          .dump(),
       [this, endpoint = command.endpoint](int status, const std::string&) {
         sink_(OrderFinished{endpoint, status == kHttpOk});
       });
 }
 
+void EndpointClient::Read(const ReadWeights& command,
+                          const std::string& base_url) {
+  // The weight store's Retry-After is given in whole seconds; this is the
+  // least that it can be.
+  constexpr Duration kRetryAfter = std::chrono::seconds(1);
+  if (base_url.empty()) {
+    sink_(WeightsRead{command.pool, true, {}});
+    return;
+  }
+  SendSmall(SOUP_METHOD_GET, base_url + "/v1/weights/" + command.model, "",
+            [this, pool = command.pool](int status, const std::string&) {
+              sink_(WeightsRead{pool, status == kHttpOk, kRetryAfter});
+            });
+}
+
 void EndpointClient::SendSmall(const char* method,
                                const std::string& url,
                                const std::string& body,
--- a/modules/peridotmill_net/endpoints/endpoint_client.h
+++ b/modules/peridotmill_net/endpoints/endpoint_client.h
@@ -31,6 +31,8 @@
   void Cancel(const CancelAttempt& command);
   void Read(const ReadLoad& command);
   void Send(const SendOrder& command);
+  // Asks the weight store at `base_url`; permits at once when that is empty.
+  void Read(const ReadWeights& command, const std::string& base_url);
 
  private:
   friend class OpenAttempt;
--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -51,6 +51,7 @@
     return tl::unexpected(store.error());
   }
   store_ = *std::move(store);
+  weights_url_ = settings.weights_url;
   if (auto opened = OpenPeers(settings); !opened) {
     return tl::unexpected(opened.error());
   }
@@ -247,9 +248,17 @@
 }
 
 void NodeRunner::Execute(const SendOrder& command) {
+  if (clock_.Now() > command.not_after) {
+    Post(OrderFinished{command.endpoint, false});
+    return;
+  }
   endpoints_->Send(command);
 }
 
+void NodeRunner::Execute(const ReadWeights& command) {
+  endpoints_->Read(command, weights_url_);
+}
+
 void NodeRunner::Execute(const LogEvent& command) {
   LogInfo(command.name, command.fields);
 }
--- a/modules/peridotmill_net/running/node_runner.h
+++ b/modules/peridotmill_net/running/node_runner.h
@@ -26,6 +26,8 @@
   std::string peer_key;
   // Base URL of the host list, such as "http://127.0.0.1:7002".
   std::string hosts_url;
+  // Base URL of the weight store; empty when loads need no permission.
+  std::string weights_url;
   std::vector<std::string> store_addresses;
   guint hosts_interval_ms = 1000;
   CallerServerLimits limits;
@@ -74,6 +76,7 @@
   void Execute(const RejectPeerFrame& command);
   void Execute(const ReadLoad& command);
   void Execute(const SendOrder& command);
+  void Execute(const ReadWeights& command);
   void Execute(const LogEvent& command);
   void Execute(const ExitNode& command);
 
@@ -83,6 +86,7 @@
   bool is_handling_ = false;
   bool is_shutdown_requested_ = false;
   int exit_code_ = 0;
+  std::string weights_url_;
   GMainLoop* loop_;
   ScopedTimeout timer_;
   ScopedTimeout exit_timer_;
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "peridotmill_node/fleet/engine_orders.h"
 #include "peridotmill_node/fleet/fleet_commands.h"
 #include "peridotmill_node/fleet/shared_knowledge.h"
 #include "peridotmill_node/requests/action_requests.h"
@@ -95,6 +96,7 @@
   actions.self = settings.id;
   actions.incarnation = settings.incarnation;
   actions.seed = state.random.Next();
+  fleet.orders = MakeOrdersState(settings.id, settings.incarnation);
   const ActionTime now{settings.started_at, settings.wall_started_at};
   fleet.actions = MakeActionsState(actions, now);
   SetActionNodes(fleet.actions, {{settings.id, settings.incarnation, false}},
@@ -164,6 +166,8 @@
     Execute(context,
             OnActionStoreAnswer(fleet.actions, *action, answered.answer,
                                 ActionTimeOf(context)));
+  } else if (const auto* order = std::get_if<OrderOperation>(&call.mapped())) {
+    TakeOrderAnswer(context, *order, answered.answer);
   }
 }
 
@@ -184,6 +188,7 @@
     Execute(context, OnActionTick(fleet.actions, ActionTimeOf(context)));
   }
   TickSharedKnowledge(context);
+  TickOrders(context);
 }
 
 void AnnounceLeaving(StepContext& context) {
@@ -209,7 +214,7 @@
   return std::min({NextMembershipWakeup(fleet.members),
                    NextDistributionWakeup(fleet.distribution, now),
                    NextActionWakeup(fleet.actions),
-                   NextSharedKnowledgeWakeup(state)});
+                   NextSharedKnowledgeWakeup(state), fleet.next_orders_tick});
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_node/fleet/fleet_commands.cc
+++ b/modules/peridotmill_node/fleet/fleet_commands.cc
@@ -153,6 +153,24 @@
         },
         command.message);
   }
+  void operator()(OrderStoreCall& command) {
+    CallStore(context_, command.operation, std::move(command.request),
+              command.timeout);
+  }
+  void operator()(ModelOrder& command) {
+    context_.Emit(LogEvent{"model_ordered",
+                           {{"endpoint", command.endpoint.value()},
+                            {"model", command.model},
+                            {"version", command.version},
+                            {"fence", std::to_string(command.fence.value())}}});
+    context_.Emit(SendOrder{command.endpoint, command.address, command.fence,
+                            command.model + "@" + command.version,
+                            command.not_after});
+  }
+  void operator()(WeightsRequest& command) {
+    context_.Emit(ReadWeights{command.pool, command.model});
+  }
+
   void operator()(ActionResult& command) {
     TakeActionResult(context_, command);
   }
@@ -184,6 +202,10 @@
   ExecuteAll(context, commands);
 }
 
+void Execute(StepContext& context, OrderCommands commands) {
+  ExecuteAll(context, commands);
+}
+
 void SendMessage(StepContext& context,
                  const NodeId& peer,
                  const PeerMessage& message) {
--- a/modules/peridotmill_node/fleet/fleet_commands.h
+++ b/modules/peridotmill_node/fleet/fleet_commands.h
@@ -11,6 +11,7 @@
 void Execute(StepContext& context, MembershipCommands commands);
 void Execute(StepContext& context, DistributionCommands commands);
 void Execute(StepContext& context, ActionCommands commands);
+void Execute(StepContext& context, OrderCommands commands);
 
 // Queue a message for the end of the step.
 void SendMessage(StepContext& context,
--- a/modules/peridotmill_node/fleet/fleet_state.h
+++ b/modules/peridotmill_node/fleet/fleet_state.h
@@ -11,11 +11,12 @@
 #include "peridotmill_config/distribution/config_distribution.h"
 #include "peridotmill_membership/peridotmill_membership.h"
 #include "peridotmill_node/interface/node_event.h"
+#include "peridotmill_orders/peridotmill_orders.h"
 
 namespace peridotmill {
 
 // Whom the answer of a store call belongs to.
-using StorePurpose = std::variant<ConfigCall, ActionOperation>;
+using StorePurpose = std::variant<ConfigCall, ActionOperation, OrderOperation>;
 
 // Messages to a node that this node has no connection to yet. Homes of buckets
 // may be in any failure domain, so connections to them are opened on demand;
@@ -36,6 +37,10 @@
   TeamUseState team_use;
   CacheHintOutbox cache_hints;
   ActionsState actions;
+  OrdersState orders;
+  TimePoint next_orders_tick;
+  // Decayed attempts by order pool and model version.
+  std::map<PoolId, std::map<ModelVersionId, double>> demand;
 
   std::map<NodeId, WaitingMessages> waiting_messages;
 
--- a/modules/peridotmill_node/interface/node_command.h
+++ b/modules/peridotmill_node/interface/node_command.h
@@ -97,11 +97,21 @@
   uint64_t cache_events_since = 0;
 };
 
+// Orders an engine to have a model loaded. Dropped after `not_after`: the
+// sender's lease may have ended by then.
 struct SendOrder {
   EndpointId endpoint;
   std::string address;
-  // JSON.
-  std::string body;
+  FencingNumber fence;
+  // "model@version".
+  std::string model;
+  TimePoint not_after;
+};
+
+// Asks the weight store whether a model's weights may be fetched now.
+struct ReadWeights {
+  PoolId pool;
+  std::string model;
 };
 
 struct LogEvent {
@@ -125,6 +135,7 @@
                                  RejectPeerFrame,
                                  ReadLoad,
                                  SendOrder,
+                                 ReadWeights,
                                  LogEvent,
                                  ExitNode>;
 
--- a/modules/peridotmill_node/interface/node_event.h
+++ b/modules/peridotmill_node/interface/node_event.h
@@ -103,6 +103,13 @@
   bool is_accepted = false;
 };
 
+// The weight store's answer to ReadWeights.
+struct WeightsRead {
+  PoolId pool;
+  bool is_permitted = false;
+  Duration retry_after{};
+};
+
 // Time has passed; sent when NextWakeup() is reached.
 struct Tick {};
 
@@ -121,6 +128,7 @@
                                PeerConnected,
                                PeerDisconnected,
                                OrderFinished,
+                               WeightsRead,
                                Tick,
                                ShutdownRequested>;
 
--- a/modules/peridotmill_node/node.cc
+++ b/modules/peridotmill_node/node.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_node/fleet/engine_orders.h"
 #include "peridotmill_node/fleet/fleet.h"
 #include "peridotmill_node/fleet/fleet_commands.h"
 #include "peridotmill_node/requests/action_requests.h"
@@ -46,7 +47,10 @@
   void operator()(const PeerDisconnected& event) {
     TakePeerDisconnected(context_, event.peer);
   }
-  void operator()(const OrderFinished&) {}
+  void operator()(const OrderFinished& event) {
+    TakeOrderFinished(context_, event);
+  }
+  void operator()(const WeightsRead& event) { TakeWeights(context_, event); }
   void operator()(const Tick&) {}
   void operator()(const ShutdownRequested&) {
     if (!context_.state.is_shutting_down) {
--- a/modules/peridotmill_node/requests/attempt_runner.cc
+++ b/modules/peridotmill_node/requests/attempt_runner.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <utility>
 
+#include "peridotmill_node/fleet/engine_orders.h"
 #include "peridotmill_node/requests/bodies.h"
 #include "peridotmill_node/requests/endpoint_feedback.h"
 #include "peridotmill_node/requests/request_ending.h"
@@ -278,6 +279,9 @@
   if (++progress.attempts == 1) {
     ++state.statistics.first_attempts;
     RecordFirstAttempt(BudgetOf(state.retry_budgets, stage.name));
+    if (stage.role == StageRole::kGenerate) {
+      CountDemand(context, stage);
+    }
   }
   if (!is_hedge) {
     const auto hedge = HedgeTime(context, request, stage, attempt.started_at);
--- a/modules/peridotmill_node/requests/endpoint_feedback.cc
+++ b/modules/peridotmill_node/requests/endpoint_feedback.cc
@@ -1,5 +1,6 @@
 #include "peridotmill_node/requests/endpoint_feedback.h"
 
+#include "peridotmill_node/fleet/engine_orders.h"
 #include "peridotmill_node/requests/stage_plan_view.h"
 #include "peridotmill_node/requests/stage_scheduler.h"
 
@@ -20,6 +21,7 @@
 void LearnFromReport(StepContext& context, const LoadReport& report) {
   NodeState& state = context.state;
   ApplyLoadReport(state.endpoints, report, context.now);
+  ReportToOrders(context, report);
   const EndpointView* view = FindEndpoint(state.endpoints, report.endpoint);
   if (view == nullptr) {
     return;
