Add the other experiments and the fleet experiments

The load tool tells refused connections (nothing sent) from broken ones, so that requests to a stopped node do not count as interrupted.

--- a/tools/peridotmill-experiment/main.cc
+++ b/tools/peridotmill-experiment/main.cc
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 #include <filesystem>
@@ -9,9 +10,11 @@
 #include <iterator>
 #include <string>
 
+#include "tools/peridotmill-experiment/summing/fleet_result.h"
 #include "tools/peridotmill-experiment/summing/load_summary.h"
 #include "tools/peridotmill-experiment/summing/metrics_text.h"
 #include "tools/peridotmill-experiment/summing/policy_result.h"
+#include "tools/peridotmill-experiment/watching/watchers.h"
 
 DEFINE_string(name, "", "name of the experiment");
 DEFINE_string(profile, "", "example deployment that was run");
@@ -19,6 +22,14 @@
 DEFINE_int64(seed, 0, "seed of the load");
 DEFINE_string(load, "", "JSON report of peridotmill-load");
 DEFINE_string(metrics, "", "folder with one /metrics page per node");
+DEFINE_string(watched,
+              "",
+              "folder with the logs nodes/ID, endpoint and publications");
+DEFINE_string(counts_before, "", "stand-ins' counts before the load");
+DEFINE_string(counts_after, "", "stand-ins' counts after the load");
+DEFINE_int64(elapsed_ms, 0, "time between the two counts");
+DEFINE_string(address, "", "node or endpoint to watch");
+DEFINE_int64(interval_ms, 20, "time between two samples");
 
 namespace peridotmill::experiment {
 namespace {
@@ -45,12 +56,46 @@
   return 0;
 }
 
+int SumFleet() {
+  const std::filesystem::path watched = FLAGS_watched;
+  FleetRun run;
+  run.name = FLAGS_name;
+  run.seed = FLAGS_seed;
+  run.load = ReadLoadSummary(ReadFile(FLAGS_load));
+  for (const auto& log :
+       std::filesystem::directory_iterator(watched / "nodes")) {
+    run.nodes[log.path().filename()] = ReadNodeLog(ReadFile(log.path()));
+  }
+  run.publications = ReadPublications(ReadFile(watched / "publications"));
+  run.endpoint = ReadEndpointLog(ReadFile(watched / "endpoint"));
+  run.store_calls = CountStoreCalls(ReadFile(FLAGS_counts_after)) -
+                    CountStoreCalls(ReadFile(FLAGS_counts_before));
+  run.elapsed_ms = FLAGS_elapsed_ms;
+  std::printf("%s%s\n", FleetTable(run).c_str(), FleetLine(run).c_str());
+  return 0;
+}
+
 int Run(int argc, char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "policy") {
     return SumPolicy();
   }
-  std::fputs("usage: peridotmill-experiment [flags] policy\n", stderr);
+  if (command == "fleet") {
+    return SumFleet();
+  }
+  const auto interval = std::chrono::milliseconds(FLAGS_interval_ms);
+  if (command == "watch-node") {
+    WatchNode(FLAGS_address, interval);
+    return 0;
+  }
+  if (command == "watch-endpoint") {
+    WatchEndpoint(FLAGS_address, interval);
+    return 0;
+  }
+  std::fputs(
+      "usage: peridotmill-experiment [flags] "
+      "policy|fleet|watch-node|watch-endpoint\n",
+      stderr);
   return 2;
 }
 
--- a/tools/peridotmill-experiment/summing/load_summary.cc
+++ b/tools/peridotmill-experiment/summing/load_summary.cc
@@ -11,6 +11,7 @@
   summary.offered = total.at("offered").get<int64_t>();
   summary.on_time = total.at("on_time").get<int64_t>();
   summary.broken = total.at("broken").get<int64_t>();
+  summary.not_connected = total.at("not_connected").get<int64_t>();
   summary.incomplete = total.at("incomplete").get<int64_t>();
   summary.misdelivered = total.at("misdelivered").get<int64_t>();
   summary.duplicates = report.at("duplicates").get<int64_t>();
--- a/tools/peridotmill-experiment/summing/load_summary.h
+++ b/tools/peridotmill-experiment/summing/load_summary.h
@@ -12,6 +12,7 @@
   int64_t offered = 0;
   int64_t on_time = 0;
   int64_t broken = 0;
+  int64_t not_connected = 0;
   int64_t incomplete = 0;
   int64_t misdelivered = 0;
   int64_t duplicates = -1;
--- a/tools/peridotmill-load/client/load_run.cc
+++ b/tools/peridotmill-load/client/load_run.cc
@@ -154,11 +154,15 @@
 
   static void OnHeaders(GObject* source, GAsyncResult* result, gpointer data) {
     std::unique_ptr<Flight> flight(static_cast<Flight*>(data));
+    GError* error = nullptr;
     flight->stream =
-        soup_session_send_finish(SOUP_SESSION(source), result, nullptr);
+        soup_session_send_finish(SOUP_SESSION(source), result, &error);
     LoadRun* run = flight->run;
     if (flight->stream == nullptr) {
-      run->End(*flight, Ending::kBroken);
+      const bool is_refused =
+          g_error_matches(error, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+      g_clear_error(&error);
+      run->End(*flight, is_refused ? Ending::kNotConnected : Ending::kBroken);
       return;
     }
     run->ReadOn(std::move(flight));
--- a/tools/peridotmill-load/report/outcome.h
+++ b/tools/peridotmill-load/report/outcome.h
@@ -14,8 +14,10 @@
   kAnswered,
   // An error answer or an error event in a stream.
   kRefused,
-  // The connection failed or broke.
+  // The connection broke after the request may have been sent.
   kBroken,
+  // The entry node refused the connection; nothing was sent.
+  kNotConnected,
   // No answer came until the end of the run.
   kUnanswered,
 };
--- a/tools/peridotmill-load/report/report.cc
+++ b/tools/peridotmill-load/report/report.cc
@@ -44,6 +44,9 @@
     case Ending::kBroken:
       ++tally.broken;
       break;
+    case Ending::kNotConnected:
+      ++tally.not_connected;
+      break;
     case Ending::kUnanswered:
       ++tally.incomplete;
       break;
--- a/tools/peridotmill-load/report/report.h
+++ b/tools/peridotmill-load/report/report.h
@@ -21,6 +21,7 @@
   int64_t refused = 0;
   int64_t not_run = 0;
   int64_t broken = 0;
+  int64_t not_connected = 0;
   int64_t misdelivered = 0;
   int64_t incomplete = 0;
   std::vector<double> first_token_ms;
--- a/tools/peridotmill-load/report/report_text.cc
+++ b/tools/peridotmill-load/report/report_text.cc
@@ -43,6 +43,7 @@
           {"refused", tally.refused},
           {"not_run", tally.not_run},
           {"broken", tally.broken},
+          {"not_connected", tally.not_connected},
           {"misdelivered", tally.misdelivered},
           {"incomplete", tally.incomplete},
           {"ttft_ms_p50", Percentile(tally.first_token_ms, kMedian)},
@@ -79,15 +80,16 @@
       line, sizeof(line),
       "LOAD offered=%" PRId64 " on_time=%" PRId64
       " attainment=%.4f late=%" PRId64 " refused=%" PRId64 " not_run=%" PRId64
-      " broken=%" PRId64 " misdelivered=%" PRId64 " incomplete=%" PRId64
-      " key_mismatches=%" PRId64 " duplicates=%" PRId64
+      " broken=%" PRId64 " not_connected=%" PRId64 " misdelivered=%" PRId64
+      " incomplete=%" PRId64 " key_mismatches=%" PRId64 " duplicates=%" PRId64
       " false_not_run=%" PRId64
       " ttft_ms_p50=%.2f ttft_ms_p95=%.2f itl_ms_p95=%.2f total_ms_p95=%.2f "
       "not_run_ms_p95=%.2f schedule_lag_ms_max=%.2f",
       total.offered, total.on_time, Attainment(total), total.late,
-      total.refused, total.not_run, total.broken, total.misdelivered,
-      total.incomplete, report.key_mismatches, report.duplicates,
-      report.false_not_run, Percentile(total.first_token_ms, kMedian),
+      total.refused, total.not_run, total.broken, total.not_connected,
+      total.misdelivered, total.incomplete, report.key_mismatches,
+      report.duplicates, report.false_not_run,
+      Percentile(total.first_token_ms, kMedian),
       Percentile(total.first_token_ms, kP95),
       Percentile(total.token_gap_ms, kP95), Percentile(total.total_ms, kP95),
       Percentile(total.not_run_ms, kP95), report.schedule_lag_ms_max);
