--- a/cmake/install.cmake
+++ b/cmake/install.cmake
@@ -13,6 +13,9 @@
 install(FILES ${CMAKE_CURRENT_BINARY_DIR}/peridotmill-config.cmake
   ${CMAKE_CURRENT_BINARY_DIR}/peridotmill-config-version.cmake
   DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/peridotmill)
+# Relative to the file itself, so that `cmake --install --prefix` may choose another prefix.
+file(RELATIVE_PATH PERIDOTMILL_PC_PREFIX
+  /prefix/${CMAKE_INSTALL_LIBDIR}/pkgconfig /prefix)
 configure_file(cmake/peridotmill.pc.in ${CMAKE_CURRENT_BINARY_DIR}/peridotmill.pc @ONLY)
 install(FILES ${CMAKE_CURRENT_BINARY_DIR}/peridotmill.pc
   DESTINATION ${CMAKE_INSTALL_LIBDIR}/pkgconfig)
