--- a/cmake/module_tests.cmake
+++ b/cmake/module_tests.cmake
@@ -9,6 +9,9 @@
     add_executable(${MODULE_NAME}_tests ${TEST_SOURCES})
     target_link_libraries(${MODULE_NAME}_tests PRIVATE
       peridotmill peridotmill_warnings GTest::gmock GTest::gtest_main nlohmann_json::nlohmann_json)
+    # Where tests find the pages that must agree with the code.
+    target_compile_definitions(${MODULE_NAME}_tests PRIVATE
+      PERIDOTMILL_DOCS_DIR="${CMAKE_SOURCE_DIR}/docs")
     if(TARGET ${MODULE_NAME} AND NOT MODULE_NAME STREQUAL peridotmill)
       get_target_property(MODULE_TYPE ${MODULE_NAME} TYPE)
       if(MODULE_TYPE MATCHES LIBRARY)
--- a/tools/peridotctl/main.cc
+++ b/tools/peridotctl/main.cc
@@ -18,6 +18,7 @@
 #include "peridotmill_core/maths/random.h"
 #include "peridotmill_net/settings/program_flags.h"
 #include "peridotmill_net/settings/settings_checker.h"
+#include "peridotmill_net/settings/settings_page.h"
 
 DEFINE_string(store,
               "127.0.0.1:2379",
@@ -42,6 +43,9 @@
 DEFINE_int64(revision, -1, "Revision for get; -1 for the one in force.");
 DEFINE_int64(count, 20, "Number of publications for history.");
 DEFINE_int32(timeout_ms, 5000, "Time for each call, in milliseconds.");
+DEFINE_bool(print_settings_page,
+            false,
+            "Print the table of settings as Markdown and exit.");
 
 namespace peridotmill {
 namespace {
@@ -230,6 +234,10 @@
 int Run(int argc, char** argv) {
   gflags::SetUsageMessage(kUsage);
   Findings findings = ReadProgramFlags(&argc, &argv);
+  if (FLAGS_print_settings_page) {
+    std::cout << RenderSettingsPage("peridotctl");
+    return kExitOk;
+  }
   Arguments arguments(argv + 1, argv + argc);
   const auto commands = Commands();
   const auto command =
--- a/tools/peridotmill-load/main.cc
+++ b/tools/peridotmill-load/main.cc
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "peridotmill_net/settings/settings_page.h"
 #include "tools/peridotmill-load/client/load_run.h"
 #include "tools/peridotmill-load/mix/mix.h"
 #include "tools/peridotmill-load/mix/schedule.h"
@@ -30,6 +31,9 @@
 DEFINE_int64(seed, -1, "-1 takes the mix's seed");
 DEFINE_int64(drain_ms, 10000, "time for the last answers");
 DEFINE_bool(check, false, "check the settings and exit");
+DEFINE_bool(print_settings_page,
+            false,
+            "print the table of settings as Markdown and exit");
 
 namespace peridotmill::load {
 namespace {
@@ -110,6 +114,10 @@
 }
 
 int Run() {
+  if (FLAGS_print_settings_page) {
+    std::fputs(RenderSettingsPage("peridotmill-load").c_str(), stdout);
+    return 0;
+  }
   Findings findings;
   const Mix mix = ReadSettings(findings);
   const std::vector<Entry> entries = ReadEntries();
