Bound what callers can make a node hold

libsoup's listener bounds neither the number of connections nor the time that one may stay silent, and it buffers a chunked body of any size. Connections are now accepted here: bounds on connections, head, body, time and unread response bytes; a graceful shutdown closes the listener and idle connections and waits until callers have read their answers (it gave them 50 ms).

--- a/modules/peridotmill_net/callers/caller_server.cc
+++ b/modules/peridotmill_net/callers/caller_server.cc
@@ -1,12 +1,9 @@
 #include "peridotmill_net/callers/caller_server.h"
 
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
 #include "peridotmill_net/callers/open_call.h"
-#include "peridotmill_net/logging/event_log.h"
-#include "peridotmill_net/soup/socket_address.h"
 
 namespace peridotmill {
 namespace {
@@ -16,6 +13,11 @@
 constexpr std::string_view kActionPrefix = "/v1/actions/";
 constexpr std::string_view kBearer = "Bearer ";
 
+constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
+constexpr int kRequestTimeout = 408;
+constexpr int kHeadersTooLarge = 431;
+
 std::string Header(SoupServerMessage* message, const char* name) {
   return TextOf(soup_message_headers_get_one(
       soup_server_message_get_request_headers(message), name));
@@ -27,73 +29,77 @@
                                     : std::string();
 }
 
-void SetJson(SoupServerMessage* message, int status, const std::string& body) {
+// Names and values together.
+size_t HeaderBytes(SoupServerMessage* message) {
+  SoupMessageHeadersIter iterator;
+  soup_message_headers_iter_init(
+      &iterator, soup_server_message_get_request_headers(message));
+  const char* name = nullptr;
+  const char* value = nullptr;
+  size_t bytes = 0;
+  while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE) {
+    bytes += std::string_view(name).size() + std::string_view(value).size();
+  }
+  return bytes;
+}
+
+void SetAnswer(SoupServerMessage* message,
+               int status,
+               const std::string& content_type,
+               const std::string& body) {
   soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
-  soup_server_message_set_response(message, "application/json",
+  soup_server_message_set_response(message, content_type.c_str(),
                                    SOUP_MEMORY_COPY, body.data(), body.size());
 }
 
 }  // namespace
 
-std::string RefusalBody(Reason reason,
-                        Execution execution,
-                        const std::string& message,
-                        const std::string& field) {
-  using nlohmann::json;
-  const std::string text =
-      message.empty() ? std::string(InfoOf(reason).description) : message;
-  const json error = {{"code", ToString(reason)},
-                      {"message", text},
-                      {"field", field.empty() ? json() : json(field)},
-                      {"execution", ToString(execution)}};
-  return json{{"error", error}}.dump(-1, ' ', false,
-                                     json::error_handler_t::replace);
-}
-
-CallerServer::CallerServer(CallerServerLimits limits,
-                           CallerServerHandlers handlers)
+CallerServer::CallerServer(CallerLimits limits, CallerServerHandlers handlers)
     : limits_(limits),
       handlers_(std::move(handlers)),
       server_(soup_server_new("server-header", "peridotmill", nullptr)) {}
 
 Result<std::unique_ptr<CallerServer>> CallerServer::Create(
     const std::string& address,
-    CallerServerLimits limits,
-    CallerServerHandlers handlers) {
+    CallerLimits limits,
+    CallerServerHandlers handlers,
+    GTlsCertificate* certificate) {
   std::unique_ptr<CallerServer> server(
       new CallerServer(limits, std::move(handlers)));
-  if (auto listening = server->Listen(address); !listening) {
-    return tl::unexpected(listening.error());
+  CallerListener::Handlers listening;
+  listening.on_slow_request = [self =
+                                   server.get()](CallerConnection& connection) {
+    connection.Refuse(kRequestTimeout,
+                      self->CountedRefusal(
+                          Reason::kBadRequest,
+                          "the request did not arrive within the time limit"));
+  };
+  listening.refuse_connection = [self = server.get()] {
+    return self->CountedRefusal(Reason::kQueueFull, "too many connections");
+  };
+  auto listener =
+      CallerListener::Create(address, server->limits_, server->server_.get(),
+                             certificate, std::move(listening));
+  if (!listener) {
+    return tl::unexpected(listener.error());
   }
+  server->listener_ = *std::move(listener);
+  server->ConnectSignals();
   return server;
 }
 
 CallerServer::~CallerServer() {
+  g_signal_handlers_disconnect_by_data(server_.get(), this);
   calls_.clear();
 }
 
-Result<void> CallerServer::Listen(const std::string& address) {
-  const ObjectPtr<GSocketAddress> socket_address = SocketAddressFrom(address);
-  if (!socket_address) {
-    return tl::unexpected(make_error_code(Error::kMalformed));
-  }
-  GError* error = nullptr;
-  const bool is_listening =
-      soup_server_listen(server_.get(), socket_address.get(),
-                         static_cast<SoupServerListenOptions>(0), &error);
-  const ErrorPointer owned_error(error);
-  if (!is_listening) {
-    LogError("listen_failed",
-             {{"address", address}, {"error", error->message}});
-    return tl::unexpected(make_error_code(Error::kUnavailable));
-  }
-  soup_server_add_early_handler(
-      server_.get(), nullptr,
-      [](SoupServer*, SoupServerMessage* message, const char* path, GHashTable*,
-         gpointer data) {
-        static_cast<CallerServer*>(data)->OnHeaders(message, path);
-      },
-      this, nullptr);
+void CallerServer::ConnectSignals() {
+  g_signal_connect(
+      server_.get(), "request-started",
+      G_CALLBACK(+[](SoupServer*, SoupServerMessage* message, gpointer data) {
+        static_cast<CallerServer*>(data)->OnStarted(message);
+      }),
+      this);
   soup_server_add_handler(
       server_.get(), nullptr,
       [](SoupServer*, SoupServerMessage* message, const char* path, GHashTable*,
@@ -101,69 +107,170 @@
         static_cast<CallerServer*>(data)->OnRequest(message, path);
       },
       this, nullptr);
-  return {};
 }
 
 void CallerServer::StopListening() {
-  // Closes the listeners only; open messages go on.
-  GSList* listeners = soup_server_get_listeners(server_.get());
-  for (GSList* item = listeners; item != nullptr; item = item->next) {
-    g_socket_close(G_SOCKET(item->data), nullptr);
-  }
-  g_slist_free(listeners);
+  is_stopping_ = true;
+  listener_->Stop();
+}
+
+bool CallerServer::has_open_calls() const {
+  return !calls_.empty() || listener_->is_answering();
 }
 
-void CallerServer::OnHeaders(SoupServerMessage* message, const char*) {
+void CallerServer::OnStarted(SoupServerMessage* message) {
+  // The body is collected here: libsoup would buffer one of any size.
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
+  g_signal_connect(message, "got-headers",
+                   G_CALLBACK(+[](SoupServerMessage* started, gpointer data) {
+                     static_cast<CallerServer*>(data)->OnHead(started);
+                   }),
+                   this);
+  g_signal_connect(
+      message, "got-chunk",
+      G_CALLBACK(+[](SoupServerMessage* started, GBytes* chunk, gpointer data) {
+        static_cast<CallerServer*>(data)->OnChunk(started, ViewOf(chunk));
+      }),
+      this);
+  g_signal_connect(
+      message, "wrote-body-data",
+      G_CALLBACK(+[](SoupServerMessage* started, guint size, gpointer data) {
+        auto* self = static_cast<CallerServer*>(data);
+        if (CallerConnection* connection = self->listener_->Find(started)) {
+          connection->OnWritten(size);
+        }
+      }),
+      this);
+  g_signal_connect(
+      message, "finished",
+      G_CALLBACK(+[](SoupServerMessage* started, gpointer data) {
+        auto* self = static_cast<CallerServer*>(data);
+        if (CallerConnection* connection = self->listener_->Find(started)) {
+          connection->OnAnswered();
+        }
+      }),
+      this);
+}
+
+void CallerServer::OnHead(SoupServerMessage* message) {
+  CallerConnection* connection = listener_->Find(message);
+  if (connection == nullptr) {
+    return;
+  }
+  connection->OnHead();
+  if (*g_uri_get_path(soup_server_message_get_uri(message)) != '/') {
+    // libsoup answers "OPTIONS *" itself, without a body.
+    connection->Refuse(kNotFound,
+                       CountedRefusal(Reason::kBadRequest, "no such path"));
+    return;
+  }
+  if (HeaderBytes(message) > limits_.max_header_bytes) {
+    connection->Refuse(
+        kHeadersTooLarge,
+        CountedRefusal(Reason::kBadRequest, "the headers exceed the limit"));
+    return;
+  }
   const goffset length = soup_message_headers_get_content_length(
       soup_server_message_get_request_headers(message));
   if (length > static_cast<goffset>(limits_.max_body_bytes)) {
-    RefuseAtOnce(message, Reason::kBodyTooLarge, "");
+    connection->Refuse(InfoOf(Reason::kBodyTooLarge).http_status,
+                       CountedRefusal(Reason::kBodyTooLarge, ""));
   }
 }
 
-void CallerServer::RefuseAtOnce(SoupServerMessage* message,
-                                Reason reason,
-                                const std::string& detail) {
+void CallerServer::OnChunk(SoupServerMessage* message, std::string_view bytes) {
+  CallerConnection* connection = listener_->Find(message);
+  if (connection != nullptr && !connection->AddToBody(bytes)) {
+    connection->Refuse(InfoOf(Reason::kBodyTooLarge).http_status,
+                       CountedRefusal(Reason::kBodyTooLarge, ""));
+  }
+}
+
+std::string CallerServer::CountedRefusal(Reason reason,
+                                         const std::string& detail) const {
   handlers_.on_refused(reason);
-  SetJson(message, InfoOf(reason).http_status,
-          RefusalBody(reason, Execution::kNotRun, detail, ""));
+  return RefusalBody(reason, Execution::kNotRun, detail, "");
+}
+
+void CallerServer::PrepareAnswer(SoupServerMessage* message) const {
+  if (is_stopping_) {
+    soup_message_headers_replace(
+        soup_server_message_get_response_headers(message), "Connection",
+        "close");
+  }
+}
+
+bool CallerServer::AddUnsent(SoupServerMessage* message, size_t bytes) const {
+  CallerConnection* connection = listener_->Find(message);
+  return connection != nullptr && connection->AddUnsent(bytes);
 }
 
 void CallerServer::OnRequest(SoupServerMessage* message, const char* path) {
-  SoupMessageBody* body = soup_server_message_get_request_body(message);
-  if (body->length > static_cast<goffset>(limits_.max_body_bytes)) {
-    RefuseAtOnce(message, Reason::kBodyTooLarge, "");
-    return;
+  CallerConnection* connection = listener_->Find(message);
+  std::string body;
+  if (connection != nullptr) {
+    body = connection->TakeBody();
   }
-  if (OpenCallFor(message, path)) {
+  if (connection == nullptr || connection->is_refused()) {
+    soup_server_message_set_status(message, kRequestTimeout, nullptr);
     return;
   }
+  if (!OpenCallFor(message, path, body)) {
+    AnswerPage(message, path);
+  }
+}
+
+void CallerServer::RefuseMethod(SoupServerMessage* message,
+                                const char* allowed) {
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(message), "Allow", allowed);
+  PrepareAnswer(message);
+  SetAnswer(message, kMethodNotAllowed, "application/json",
+            CountedRefusal(Reason::kBadRequest,
+                           "the path does not support this method"));
+}
+
+void CallerServer::AnswerPage(SoupServerMessage* message,
+                              const std::string& path) {
+  const std::string_view method = soup_server_message_get_method(message);
   const PageAnswer page = handlers_.page(path, BearerToken(message));
-  soup_server_message_set_status(message, static_cast<guint>(page.http_status),
-                                 nullptr);
-  soup_server_message_set_response(message, page.content_type.c_str(),
-                                   SOUP_MEMORY_COPY, page.body.data(),
-                                   page.body.size());
+  if (page.http_status != kNotFound && method != "GET" && method != "HEAD") {
+    RefuseMethod(message, "GET, HEAD");
+    return;
+  }
+  PrepareAnswer(message);
+  AddUnsent(message, page.body.size());
+  SetAnswer(message, page.http_status, page.content_type, page.body);
 }
 
 bool CallerServer::OpenCallFor(SoupServerMessage* message,
-                               const std::string& path) {
-  const bool is_post =
-      soup_server_message_get_method(message) == SOUP_METHOD_POST;
-  const RequestId id = handlers_.next_request_id();
-  if (!is_post && path.starts_with(kActionPrefix)) {
+                               const std::string& path,
+                               std::string& body) {
+  const std::string_view method = soup_server_message_get_method(message);
+  const bool is_chat = path == kChatPath;
+  if (path.starts_with(kActionPrefix)) {
+    if (method != "GET") {
+      RefuseMethod(message, "GET");
+      return true;
+    }
+    const RequestId id = handlers_.next_request_id();
     OpenAndPost(message,
                 ActionQuery{id, BearerToken(message),
                             IdempotencyKey(path.substr(kActionPrefix.size()))},
                 id);
     return true;
   }
-  if (!is_post || (path != kChatPath && !path.starts_with(kPipelinePrefix))) {
+  if (!is_chat && !path.starts_with(kPipelinePrefix)) {
     return false;
   }
+  if (method != "POST") {
+    RefuseMethod(message, "POST");
+    return true;
+  }
   CallerRequest request;
-  request.id = id;
-  if (path == kChatPath) {
+  request.id = handlers_.next_request_id();
+  if (is_chat) {
     request.form = CallerForm::kChat;
   } else {
     request.form = CallerForm::kPipeline;
@@ -172,9 +279,8 @@
   request.token = BearerToken(message);
   request.deadline = Header(message, "X-Deadline-Ms");
   request.key = IdempotencyKey(Header(message, "Idempotency-Key"));
-  const SoupMessageBody* body = soup_server_message_get_request_body(message);
-  request.body.assign(body->data == nullptr ? "" : body->data,
-                      static_cast<size_t>(body->length));
+  request.body = std::move(body);
+  const RequestId id = request.id;
   OpenAndPost(message, std::move(request), id);
   return true;
 }
@@ -187,15 +293,20 @@
 }
 
 void CallerServer::OnGone(const RequestId& request) {
-  if (calls_.erase(request) > 0) {
-    handlers_.on_event(CallerGone{request});
+  const auto call = calls_.find(request);
+  if (call == calls_.end()) {
+    return;
   }
+  const std::unique_ptr<OpenCall> ending = std::move(call->second);
+  calls_.erase(call);
+  ending->Abort();
+  handlers_.on_event(CallerGone{request});
 }
 
 void CallerServer::Send(const CallerFragment& command) {
   const auto call = calls_.find(command.request);
-  if (call != calls_.end()) {
-    call->second->SendEvent(command.data);
+  if (call != calls_.end() && !call->second->SendEvent(command.data)) {
+    OnGone(command.request);
   }
 }
 
--- a/modules/peridotmill_net/callers/caller_server.h
+++ b/modules/peridotmill_net/callers/caller_server.h
@@ -4,9 +4,13 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
 #include "peridotmill_core/peridotmill_core.h"
+#include "peridotmill_net/callers/caller_limits.h"
+#include "peridotmill_net/callers/caller_listener.h"
+#include "peridotmill_net/callers/refusal_body.h"
 #include "peridotmill_net/soup/soup_pointers.h"
 #include "peridotmill_node/interface/node_command.h"
 #include "peridotmill_node/interface/node_event.h"
@@ -34,20 +38,17 @@
   std::function<void(Reason)> on_refused;
 };
 
-struct CallerServerLimits {
-  size_t max_body_bytes = 4 << 20;
-  // Time in which a caller must have sent the whole request.
-  guint body_timeout_ms = 10'000;
-};
-
 // Serves callers and operators over HTTP.
 class CallerServer {
  public:
-  // `address` is "ip:port". Errors: those of GIO, as kUnavailable.
+  // `address` is "ip:port"; port 0 takes any free port. `certificate` with its
+  // key makes this an HTTPS server; null: HTTP. Errors: kMalformed for the
+  // address, kUnavailable when it cannot be listened on.
   static Result<std::unique_ptr<CallerServer>> Create(
       const std::string& address,
-      CallerServerLimits limits,
-      CallerServerHandlers handlers);
+      CallerLimits limits,
+      CallerServerHandlers handlers,
+      GTlsCertificate* certificate = nullptr);
   ~CallerServer();
   CallerServer(const CallerServer&) = delete;
   CallerServer& operator=(const CallerServer&) = delete;
@@ -56,36 +57,47 @@
   void Send(const CallerAnswer& command);
   void Send(const CallerRefusal& command);
 
-  // Stops accepting connections; open calls go on.
+  // Stops accepting connections, so that another process can bind the address,
+  // and closes idle ones; open calls go on. Each answer from now on is the last
+  // one of its connection.
   void StopListening();
 
+  // Whether a caller still waits for an answer or has not read all of one.
+  bool has_open_calls() const;
+  uint16_t port() const { return listener_->port(); }
+  size_t connection_count() const { return listener_->connection_count(); }
+
  private:
   friend class OpenCall;
 
-  CallerServer(CallerServerLimits limits, CallerServerHandlers handlers);
-  Result<void> Listen(const std::string& address);
-  void OnHeaders(SoupServerMessage* message, const char* path);
+  CallerServer(CallerLimits limits, CallerServerHandlers handlers);
+  void ConnectSignals();
+  void OnStarted(SoupServerMessage* message);
+  void OnHead(SoupServerMessage* message);
+  void OnChunk(SoupServerMessage* message, std::string_view bytes);
   void OnRequest(SoupServerMessage* message, const char* path);
   // True when the path is one of the callers' interfaces.
-  bool OpenCallFor(SoupServerMessage* message, const std::string& path);
+  bool OpenCallFor(SoupServerMessage* message,
+                   const std::string& path,
+                   std::string& body);
   void OpenAndPost(SoupServerMessage* message, NodeEvent event, RequestId id);
   void OnGone(const RequestId& request);
-  void RefuseAtOnce(SoupServerMessage* message,
-                    Reason reason,
-                    const std::string& detail);
-
-  CallerServerLimits limits_;
+  void AnswerPage(SoupServerMessage* message, const std::string& path);
+  // Sets the headers that all answers have.
+  void PrepareAnswer(SoupServerMessage* message) const;
+  // Counts bytes handed to libsoup; false when the caller reads too little.
+  bool AddUnsent(SoupServerMessage* message, size_t bytes) const;
+  void RefuseMethod(SoupServerMessage* message, const char* allowed);
+  std::string CountedRefusal(Reason reason, const std::string& detail) const;
+
+  CallerLimits limits_;
   CallerServerHandlers handlers_;
   ObjectPtr<SoupServer> server_;
+  std::unique_ptr<CallerListener> listener_;
+  bool is_stopping_ = false;
   std::unordered_map<RequestId, std::unique_ptr<OpenCall>> calls_;
 };
 
-// JSON body of a refusal.
-std::string RefusalBody(Reason reason,
-                        Execution execution,
-                        const std::string& message,
-                        const std::string& field);
-
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_NET_CALLERS_CALLER_SERVER_H_
--- a/modules/peridotmill_net/callers/open_call.cc
+++ b/modules/peridotmill_net/callers/open_call.cc
@@ -1,8 +1,8 @@
 #include "peridotmill_net/callers/open_call.h"
 
-#include <sys/socket.h>
+#include <glib-unix.h>
+#include <poll.h>
 
-#include <cerrno>
 #include <utility>
 
 #include "peridotmill_net/callers/caller_server.h"
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr char kJson[] = "application/json";
+// Bytes of an event beyond its data.
+constexpr size_t kEventOverhead = 8;
 
 }  // namespace
 
@@ -39,41 +41,31 @@
 }
 
 // A paused message does not read, so libsoup cannot see that the caller closed
-// the connection; the socket is watched for that.
+// the connection. Only the end of the stream is watched: further requests on
+// the connection wait for this answer. A caller that closes only its sending
+// side counts as gone.
 void OpenCall::WatchConnection(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) {
+  const CallerConnection* connection = server_.listener_->Find(message);
+  if (connection == nullptr) {
     return;
   }
-  connection_watch_ = g_socket_create_source(
-      socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR),
-      nullptr);
-  g_source_set_callback(connection_watch_, G_SOURCE_FUNC(&OpenCall::OnSocket),
+  connection_watch_ = g_unix_fd_source_new(
+      g_socket_get_fd(connection->socket()),
+      static_cast<GIOCondition>(POLLRDHUP | G_IO_HUP | G_IO_ERR));
+  g_source_set_callback(connection_watch_, G_SOURCE_FUNC(&OpenCall::OnClosed),
                         this, nullptr);
   g_source_attach(connection_watch_, nullptr);
 }
 
-gboolean OpenCall::OnSocket(GSocket* socket,
-                            GIOCondition condition,
-                            gpointer data) {
-  char byte = 0;
-  const ssize_t received =
-      recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  const bool is_closed = received == 0 ||
-                         (received < 0 && errno != EAGAIN && errno != EINTR) ||
-                         (condition & (G_IO_HUP | G_IO_ERR)) != 0;
-  if (is_closed) {
-    auto* call = static_cast<OpenCall*>(data);
-    // OnGone destroys the call and with it this source.
-    call->server_.OnGone(call->id_);
-    return G_SOURCE_REMOVE;
-  }
-  // Further requests on the connection wait for this answer; stop watching,
-  // or the readable socket would keep the loop busy.
-  return received > 0 ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
+gboolean OpenCall::OnClosed(gint, GIOCondition, gpointer data) {
+  auto* call = static_cast<OpenCall*>(data);
+  // OnGone destroys the call and with it this source.
+  const RequestId id = call->id_;
+  call->server_.OnGone(id);
+  return G_SOURCE_REMOVE;
 }
 
-void OpenCall::SendEvent(const std::string& data) {
+bool OpenCall::SendEvent(const std::string& data) {
   SoupMessageBody* body = soup_server_message_get_response_body(message_.get());
   if (!is_stream_) {
     is_stream_ = true;
@@ -84,15 +76,41 @@
     soup_message_headers_replace(headers, "Content-Type", "text/event-stream");
     soup_message_headers_replace(headers, "Cache-Control", "no-cache");
     soup_message_headers_replace(headers, "X-Request-Id", id_.value().c_str());
+    server_.PrepareAnswer(message_.get());
     soup_message_body_set_accumulate(body, FALSE);
   }
-  const std::string event = "data: " + data + "\n\n";
+  std::string event;
+  event.reserve(data.size() + kEventOverhead);
+  event.append("data: ").append(data).append("\n\n");
+  if (!server_.AddUnsent(message_.get(), event.size())) {
+    return false;
+  }
   soup_message_body_append(body, SOUP_MEMORY_COPY, event.data(), event.size());
   soup_server_message_unpause(message_.get());
+  return true;
+}
+
+void OpenCall::Abort() {
+  if (CallerConnection* connection = server_.listener_->Find(message_.get())) {
+    connection->Close();
+  }
+  // libsoup frees a message only once it has run to its end, which it does on
+  // the closed socket.
+  if (is_stream_) {
+    soup_message_body_complete(
+        soup_server_message_get_response_body(message_.get()));
+  } else {
+    soup_server_message_set_status(message_.get(),
+                                   SOUP_STATUS_INTERNAL_SERVER_ERROR, nullptr);
+  }
+  soup_server_message_unpause(message_.get());
 }
 
 void OpenCall::EndStream() {
-  SendEvent("[DONE]");
+  if (!SendEvent("[DONE]")) {
+    Abort();
+    return;
+  }
   soup_message_body_complete(
       soup_server_message_get_response_body(message_.get()));
   soup_server_message_unpause(message_.get());
@@ -102,6 +120,8 @@
   SoupMessageHeaders* headers =
       soup_server_message_get_response_headers(message_.get());
   soup_message_headers_replace(headers, "X-Request-Id", id_.value().c_str());
+  server_.PrepareAnswer(message_.get());
+  server_.AddUnsent(message_.get(), body.size());
   soup_server_message_set_status(message_.get(),
                                  static_cast<guint>(http_status), nullptr);
   soup_server_message_set_response(message_.get(), kJson, SOUP_MEMORY_COPY,
--- a/modules/peridotmill_net/callers/open_call.h
+++ b/modules/peridotmill_net/callers/open_call.h
@@ -18,17 +18,18 @@
   OpenCall(const OpenCall&) = delete;
   OpenCall& operator=(const OpenCall&) = delete;
 
-  // Appends one server-sent event; the first one sends the head.
-  void SendEvent(const std::string& data);
+  // Appends one server-sent event; the first one sends the head. False when the
+  // caller has left too much unread; the connection is then closed.
+  bool SendEvent(const std::string& data);
   // Ends a stream.
   void EndStream();
   void SendWhole(int http_status, const std::string& body);
+  // Closes the connection without an answer.
+  void Abort();
 
  private:
   void WatchConnection(SoupServerMessage* message);
-  static gboolean OnSocket(GSocket* socket,
-                           GIOCondition condition,
-                           gpointer data);
+  static gboolean OnClosed(gint fd, GIOCondition condition, gpointer data);
 
   CallerServer& server_;
   ObjectPtr<SoupServerMessage> message_;
--- a/modules/peridotmill_net/peers/peer_transport.cc
+++ b/modules/peridotmill_net/peers/peer_transport.cc
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "peridotmill_net/peers/backoff.h"
-#include "peridotmill_net/peers/listen_socket.h"
 #include "peridotmill_net/peers/tie_break.h"
+#include "peridotmill_net/soup/listen_socket.h"
 
 namespace peridotmill {
 namespace {
--- a/modules/peridotmill_net/running/node_runner.cc
+++ b/modules/peridotmill_net/running/node_runner.cc
@@ -14,8 +14,11 @@
 constexpr std::string_view kAdminPrefix = "/admin/";
 constexpr std::string_view kExplainPrefix = "/admin/explain/";
 constexpr char kText[] = "text/plain; charset=utf-8";
-// Time for the last answers to leave the process.
+// Time between checks whether the last answers have left the process, and the
+// number of checks: a caller that does not read cannot hold the process for
+// longer than 30 s.
 constexpr guint kExitDelayMs = 50;
+constexpr int kMaxExitChecks = 600;
 
 PageAnswer NotFound() {
   return {404, "application/json",
@@ -120,6 +123,7 @@
   is_shutdown_requested_ = true;
   LogInfo("shutdown_requested",
           {{"open_requests", std::to_string(state_.requests.size())}});
+  callers_->StopListening();
   Post(ShutdownRequested{});
 }
 
@@ -250,10 +254,20 @@
 
 void NodeRunner::Execute(const ExitNode& command) {
   exit_code_ = command.code;
+  ExitWhenAnswered();
+}
+
+void NodeRunner::ExitWhenAnswered() {
   exit_timer_.Start(
       kExitDelayMs,
       [](gpointer data) {
-        g_main_loop_quit(static_cast<NodeRunner*>(data)->loop_);
+        auto* self = static_cast<NodeRunner*>(data);
+        if (self->callers_->has_open_calls() &&
+            ++self->exit_checks_ < kMaxExitChecks) {
+          self->ExitWhenAnswered();
+        } else {
+          g_main_loop_quit(self->loop_);
+        }
       },
       this);
 }
--- a/modules/peridotmill_net/running/node_runner.h
+++ b/modules/peridotmill_net/running/node_runner.h
@@ -27,7 +27,7 @@
   std::string hosts_url;
   std::vector<std::string> store_addresses;
   guint hosts_interval_ms = 1000;
-  CallerServerLimits limits;
+  CallerLimits limits;
 };
 
 // Runs one node on the default main context: turns what the adapters report
@@ -59,6 +59,8 @@
   void Post(NodeEvent event);
   void HandleEvents();
   void ArmTimer();
+  // Ends the loop once the callers have their answers.
+  void ExitWhenAnswered();
 
   void Execute(const StartAttempt& command);
   void Execute(const CancelAttempt& command);
@@ -81,6 +83,7 @@
   bool is_handling_ = false;
   bool is_shutdown_requested_ = false;
   int exit_code_ = 0;
+  int exit_checks_ = 0;
   GMainLoop* loop_;
   ScopedTimeout timer_;
   ScopedTimeout exit_timer_;
--- a/modules/peridotmill_net/peers/listen_socket.cc
+++ b/modules/peridotmill_net/soup/listen_socket.cc
@@ -1,4 +1,4 @@
-#include "peridotmill_net/peers/listen_socket.h"
+#include "peridotmill_net/soup/listen_socket.h"
 
 namespace peridotmill {
 namespace {
--- a/modules/peridotmill_net/peers/listen_socket.h
+++ b/modules/peridotmill_net/soup/listen_socket.h
@@ -1,5 +1,5 @@
-#ifndef PERIDOTMILL_NET_PEERS_LISTEN_SOCKET_H_
-#define PERIDOTMILL_NET_PEERS_LISTEN_SOCKET_H_
+#ifndef PERIDOTMILL_NET_SOUP_LISTEN_SOCKET_H_
+#define PERIDOTMILL_NET_SOUP_LISTEN_SOCKET_H_
 
 #include <gio/gio.h>
 
@@ -24,4 +24,4 @@
 
 }  // namespace peridotmill
 
-#endif  // PERIDOTMILL_NET_PEERS_LISTEN_SOCKET_H_
+#endif  // PERIDOTMILL_NET_SOUP_LISTEN_SOCKET_H_
--- a/modules/peridotmill_net/tests/scripted_server.h
+++ b/modules/peridotmill_net/tests/scripted_server.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "peridotmill_net/glib/object_ptr.h"
-#include "peridotmill_net/peers/listen_socket.h"
+#include "peridotmill_net/soup/listen_socket.h"
 
 namespace peridotmill {
 
