--- a/modules/peridotmill_net/running/node_runner.h
+++ b/modules/peridotmill_net/running/node_runner.h
@@ -30,7 +30,7 @@
   std::string weights_url;
   std::vector<std::string> store_addresses;
   guint hosts_interval_ms = 1000;
-  CallerServerLimits limits;
+  CallerLimits limits;
 };
 
 // Runs one node on the default main context: turns what the adapters report
@@ -63,6 +63,8 @@
   void Post(NodeEvent event);
   void HandleEvents();
   void ArmTimer();
+  // Ends the loop once the callers have their answers.
+  void ExitWhenAnswered();
 
   void Execute(const StartAttempt& command);
   void Execute(const CancelAttempt& command);
@@ -87,6 +89,7 @@
   bool is_shutdown_requested_ = false;
   int exit_code_ = 0;
   std::string weights_url_;
+  int exit_checks_ = 0;
   GMainLoop* loop_;
   ScopedTimeout timer_;
   ScopedTimeout exit_timer_;
--- a/modules/peridotmill_node/status/status_page.cc
+++ b/modules/peridotmill_node/status/status_page.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_node/status/status_page.h"
 
 #include <algorithm>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace peridotmill {
@@ -27,16 +28,20 @@
 }
 
 json CostByStage(const CostLedger& ledger) {
-  json stages = json::object();
+  std::map<StageId, CostEntry> stages;
   for (const auto& [account, entry] : ledger.entries) {
-    json& stage = stages[account.stage.value()];
-    stage["spend_micro_units"] =
-        stage.value("spend_micro_units", int64_t{0}) + entry.spend.value();
-    stage["wasted_micro_units"] =
-        stage.value("wasted_micro_units", int64_t{0}) + entry.wasted.value();
-    stage["attempts"] = stage.value("attempts", uint64_t{0}) + entry.attempts;
+    CostEntry& stage = stages[account.stage];
+    stage.spend += entry.spend;
+    stage.wasted += entry.wasted;
+    stage.attempts += entry.attempts;
   }
-  return stages;
+  json answer = json::object();
+  for (const auto& [name, entry] : stages) {
+    answer[name.value()] = {{"spend_micro_units", entry.spend.value()},
+                            {"wasted_micro_units", entry.wasted.value()},
+                            {"attempts", entry.attempts}};
+  }
+  return answer;
 }
 
 std::string RevisionSource(const NodeState& state) {
--- a/modules/peridotmill_node/tests/fake_fleet.cc
+++ b/modules/peridotmill_node/tests/fake_fleet.cc
@@ -83,6 +83,7 @@
     fleet_.Deliver(node_, milliseconds(2), read);
   }
   void operator()(const SendOrder&) {}
+  void operator()(const ReadWeights&) {}
   void operator()(const LogEvent&) {}
   void operator()(const ExitNode& command) {
     fleet_.nodes[node_].exit_codes.push_back(command.code);
--- a/modules/peridotmill_node/tests/operator_pages_test.cc
+++ b/modules/peridotmill_node/tests/operator_pages_test.cc
@@ -36,7 +36,7 @@
   NodeSettings settings;
   settings.id = NodeId("entry-1");
   settings.failure_domain = FailureDomainId("summit");
-  std::istringstream text(RenderMetrics(*MakeNode(settings)));
+  std::istringstream text(RenderMetrics(*MakeNode(settings), {}));
   std::set<std::string> rows;
   std::string line;
   while (std::getline(text, line)) {
