Refuse keyed actions at once when the store refuses; fetch parts from announcers

Parts of a head that a watch brought were asked of a store out of reach although peers had announced the same head; a failed part read waited for its time-out. Change: refused calls over 8 ms mean that the store is down; the announcers of a pending head take turns with the store.

--- a/modules/peridotmill_actions/actions_step.cc
+++ b/modules/peridotmill_actions/actions_step.cc
@@ -55,6 +55,10 @@
       state_.next_tick =
           std::min(state_.next_tick, now_.steady + kTickInterval);
     }
+    if (HasFailed(state_.home.health) && !state_.home.is_probing) {
+      state_.next_tick = std::min(
+          state_.next_tick, std::max(now_.steady, state_.home.next_probe));
+    }
     return outside;
   }
 
@@ -148,7 +152,12 @@
                                    ActionTime now) {
   StepRun run(state, now);
   HomeContext context = run.home();
+  const bool was_down = IsKnownDown(state.home.health, now.steady);
   StepHome(context, operation, answer);
+  if (!was_down && IsRefusing(state.home.health)) {
+    // Calls in progress are refused now, not at the next tick.
+    TickHome(context);
+  }
   return run.Finish();
 }
 
--- a/modules/peridotmill_actions/home/home_step.cc
+++ b/modules/peridotmill_actions/home/home_step.cc
@@ -122,9 +122,17 @@
 }
 
 void NoteHealth(HomeContext& context, const StoreAnswer& answer) {
-  const bool is_success = answer.status == StoreStatus::kOk ||
-                          answer.status == StoreStatus::kConflict;
-  NoteStoreAnswer(context.state.health, is_success, context.now.steady);
+  StoreHealth& health = context.state.health;
+  const TimePoint now = context.now.steady;
+  if (answer.status != StoreStatus::kUnavailable) {
+    NoteStoreAnswer(health, answer.status != StoreStatus::kUnknown, now);
+    return;
+  }
+  NoteStoreRefusal(health, now);
+  if (health.first_refused == now) {
+    // One more call tells an outage from a broken connection.
+    context.state.next_probe = now + kRefusalsMeanDown;
+  }
 }
 
 }  // namespace
--- a/modules/peridotmill_config/distribution/config_distribution.cc
+++ b/modules/peridotmill_config/distribution/config_distribution.cc
@@ -143,6 +143,9 @@
                    DistributionCommands& commands) {
   if (answer.status == StoreStatus::kOk && !answer.entries.empty()) {
     ApplyContent(state, digest, answer.entries.front().value, now, commands);
+  } else if (state.pending && state.pending->missing.contains(digest)) {
+    // The next try asks another source.
+    state.pending->missing[digest].timeout = now;
   }
 }
 
--- a/modules/peridotmill_config/distribution/config_distribution.h
+++ b/modules/peridotmill_config/distribution/config_distribution.h
@@ -44,6 +44,7 @@
 // Names of a head's parts; 71 today.
 inline constexpr size_t kMaxParts = 256;
 inline constexpr size_t kMaxRejected = 16;
+inline constexpr size_t kMaxAnnouncers = 8;
 inline constexpr size_t kMaxTrackedPeers = 1024;
 
 // The members as the distribution needs them.
@@ -63,6 +64,8 @@
   std::string text;
   // Peer that announced it; empty for the store.
   NodeId from;
+  // Peers that announced it, `from` first; they hold its parts.
+  std::vector<NodeId> announcers;
   TimePoint since;
   struct Fetch {
     // When the last request is given up.
--- a/modules/peridotmill_config/distribution/part_fetching.cc
+++ b/modules/peridotmill_config/distribution/part_fetching.cc
@@ -28,20 +28,28 @@
   return std::find(nodes.begin(), nodes.end(), node) != nodes.end();
 }
 
-// Empty means the store.
+bool IsReachable(const ConfigDistribution& state, const NodeId& peer) {
+  return Contains(state.view.domain_peers, peer) ||
+         Contains(state.view.remote_relays, peer);
+}
+
+// Empty means the store. The source of the head comes first. The other
+// announcers take turns with the store, which may be out of reach; without any,
+// a random peer does.
 NodeId SourceFor(ConfigDistribution& state, int tries) {
-  const NodeId& from = state.pending->from;
+  std::vector<NodeId> sources;
+  for (const NodeId& peer : state.pending->announcers) {
+    if (IsReachable(state, peer)) {
+      sources.push_back(peer);
+    }
+  }
   const std::vector<NodeId>& peers = state.view.domain_peers;
-  const bool is_reachable =
-      Contains(peers, from) || Contains(state.view.remote_relays, from);
-  switch (tries % 3) {
-    case 0:
-      return is_reachable ? from : NodeId();
-    case 1:
-      return NodeId();
-    default:
-      return peers.empty() ? NodeId() : peers[state.random.Below(peers.size())];
+  if (sources.empty() && !peers.empty()) {
+    sources.push_back(peers[state.random.Below(peers.size())]);
   }
+  const bool is_from_peer = IsReachable(state, state.pending->from);
+  sources.insert(sources.begin() + (is_from_peer ? 1 : 0), NodeId());
+  return sources[static_cast<size_t>(tries) % sources.size()];
 }
 
 // Returns false when the pace does not allow another request.
@@ -91,6 +99,19 @@
           now - state.pending->since < kPendingGiveUp);
 }
 
+void NoteAnnouncer(ConfigDistribution& state,
+                   const ConfigHead& head,
+                   const NodeId& from) {
+  if (!state.pending || from.empty() ||
+      head.nonce != state.pending->head.nonce) {
+    return;
+  }
+  std::vector<NodeId>& announcers = state.pending->announcers;
+  if (announcers.size() < kMaxAnnouncers && !Contains(announcers, from)) {
+    announcers.push_back(from);
+  }
+}
+
 // Keeps only the parts of the applied head.
 void RetainParts(ConfigDistribution& state, PartContents contents) {
   state.parts.clear();
@@ -128,6 +149,7 @@
   if (head.revision <= RevisionOf(state) || is_rejected ||
       IsBlockedByPending(state, head, now)) {
     ++state.counters.old_heads;
+    NoteAnnouncer(state, head, from);
     return;
   }
   PartContents fetched;
@@ -137,6 +159,9 @@
   PendingConfig pending;
   pending.text = text;
   pending.from = from;
+  if (!from.empty()) {
+    pending.announcers.push_back(from);
+  }
   pending.since = now;
   for (const PartReference& part : head.parts) {
     if (state.parts.contains(part.digest)) {
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -35,6 +35,8 @@
             ApplyLeaving(fleet_.members, from_, message, context_.now));
   }
   void operator()(const ConfigHeadMessage& message) {
+    // The sender may have connected since the last tick.
+    fleet_.distribution.view = DistributionView(fleet_.members);
     Execute(context_, ApplyPeerHead(fleet_.distribution, from_, message.text,
                                     context_.now));
   }
--- a/modules/peridotmill_node/tests/fake_fleet.cc
+++ b/modules/peridotmill_node/tests/fake_fleet.cc
@@ -306,7 +306,8 @@
     return;
   }
   std::erase_if(watches_, [&](const Watch& watch) {
-    if (head->second.mod_revision <= watch.after) {
+    if (head->second.mod_revision <= watch.after || store_faults.is_down ||
+        store_faults.unreachable_from.contains(DomainOf(watch.node))) {
       return false;
     }
     StoreAnswer answer;
