Check ranges of the whole set; find Deployments in several files

Cause: only the YAML reader checked ranges, so sets assembled from parts were not checked; each file's reader counted Deployments by itself. Change: the validator checks the ranges; the reader keeps its own findings, which name the line, and leaves the value out. Deployments are looked for among all objects of the set.

--- a/modules/peridotmill_config/reading/field_reader.cc
+++ b/modules/peridotmill_config/reading/field_reader.cc
@@ -43,8 +43,11 @@
                        double& value,
                        double min,
                        double max) {
+  const double before = value;
   if (Convert(field, "a number", value) &&
       (!std::isfinite(value) || value < min || value > max)) {
+    // The check of the whole set must not report it once more.
+    value = before;
     Report(field, "must be from " + std::to_string(min) + " to " +
                       std::to_string(max));
   }
@@ -54,7 +57,9 @@
                        int64_t& value,
                        int64_t min,
                        int64_t max) {
+  const int64_t before = value;
   if (Convert(field, "a whole number", value) && (value < min || value > max)) {
+    value = before;
     Report(field, "must be at least " + std::to_string(min) +
                       (max == std::numeric_limits<int64_t>::max()
                            ? std::string()
--- a/modules/peridotmill_config/reading/object_reader.cc
+++ b/modules/peridotmill_config/reading/object_reader.cc
@@ -143,10 +143,18 @@
       return;
     }
     place.object = kind + "/" + name;
+    // Another file of the set may have brought the one Deployment.
+    const auto other = places_.lower_bound("Deployment/");
+    const bool has_deployment = other != places_.end() &&
+                                other->first.rfind("Deployment/", 0) == 0;
     if (!places_.emplace(place.object, place).second) {
       findings_.push_back({place, "name is used twice"});
       return;
     }
+    if (kind == "Deployment" && has_deployment) {
+      findings_.push_back({place, "only one Deployment is allowed"});
+      return;
+    }
     FieldReader reader(node, place, findings_);
     reader.Read("kind", kind);
     reader.Read("name", name);
@@ -183,10 +191,6 @@
                   fields.Read("token_sha256", person.token_sha256);
                 });
     } else if (kind == "Deployment") {
-      if (has_deployment_) {
-        reader.Report("kind", "only one Deployment is allowed");
-      }
-      has_deployment_ = true;
       objects_.deployment.name = name;
       ReadDeployment(reader, objects_.deployment);
     } else {
@@ -200,7 +204,6 @@
   ObjectSet& objects_;
   ObjectPlaces& places_;
   Findings& findings_;
-  bool has_deployment_ = false;
 };
 
 }  // namespace
--- a/modules/peridotmill_config/tests/config_test.cc
+++ b/modules/peridotmill_config/tests/config_test.cc
@@ -103,6 +103,31 @@
   EXPECT_EQ(std::count(both.begin(), both.end(), '\n'), 2) << both;
 }
 
+// Guards against parts of another publisher that put a pool or a share in force
+// which the YAML reader would refuse.
+TEST(ConfigTest, RangesHoldForSetsThatWereNotReadFromYaml) {
+  ObjectSet objects = Load(kValidSet).objects;
+  objects.pools.begin()->second.concurrency = 0;
+  objects.stages.begin()->second.max_attempts = 0;
+  objects.stages.begin()->second.price.per_call = MicroUnits(-1);
+  objects.deployment.attainment_weight = 1.5;
+  EXPECT_EQ(ValidateObjects(objects, {}).size(), 4u);
+}
+
+// Guards against the last of several Deployments winning silently.
+TEST(ConfigTest, DeploymentsInTwoFilesAreFound) {
+  ObjectSet objects;
+  ObjectPlaces places;
+  Findings findings;
+  ReadObjects("kind: Deployment\nname: a\n", "a.yaml", objects, places,
+              findings);
+  EXPECT_TRUE(findings.empty());
+  ReadObjects("kind: Deployment\nname: b\n", "b.yaml", objects, places,
+              findings);
+  EXPECT_EQ(ToString(findings),
+            "b.yaml:1: Deployment/b: only one Deployment is allowed\n");
+}
+
 // Guards against a cycle of stages that would never start.
 TEST(ConfigTest, CyclesAndUnreachableDeadlinesAreFound) {
   std::string text = kValidSet;
--- a/modules/peridotmill_config/validation/object_validator.cc
+++ b/modules/peridotmill_config/validation/object_validator.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "peridotmill_config/objects/critical_path.h"
 
@@ -11,6 +12,8 @@
 namespace {
 
 constexpr size_t kSha256Digits = 64;
+constexpr double kMinShare = 0.001;
+constexpr double kMaxShare = 1e6;
 
 class Validator {
  public:
@@ -18,8 +21,18 @@
       : objects_(objects), places_(places) {}
 
   Findings Run() {
+    for (const auto& [name, pool] : objects_.pools) {
+      const std::string object = "Pool/" + name.value();
+      RequireAtLeast(object, "concurrency", pool.concurrency, 1);
+      RequireAtLeast(object, "max_queue", pool.max_queue, 0);
+    }
+    for (const auto& [name, priority] : objects_.priorities) {
+      RequireAtLeast("Priority/" + name.value(), "level", priority.level, 0);
+    }
+    CheckDeployment(objects_.deployment);
     for (const auto& [name, stage] : objects_.stages) {
       CheckStage(stage);
+      CheckStageRanges(stage);
     }
     for (const auto& [name, version] : objects_.model_versions) {
       const std::string object = "ModelVersion/" + name.value();
@@ -59,6 +72,51 @@
     }
   }
 
+  // Sets assembled from parts did not pass the ranges of the YAML reader.
+  void RequireAtLeast(const std::string& object,
+                      const std::string& field,
+                      int64_t value,
+                      int64_t min) {
+    if (value < min) {
+      Report(object, field, "must be at least " + std::to_string(min));
+    }
+  }
+
+  void RequireWithin(const std::string& object,
+                     const std::string& field,
+                     double value,
+                     double min,
+                     double max) {
+    if (!(value >= min && value <= max)) {
+      Report(object, field,
+             "must be from " + std::to_string(min) + " to " +
+                 std::to_string(max));
+    }
+  }
+
+  void CheckDeployment(const Deployment& deployment) {
+    const std::string object = "Deployment/" + deployment.name;
+    RequireWithin(object, "attainment_weight", deployment.attainment_weight, 0,
+                  1);
+    RequireAtLeast(object, "action_retention_s",
+                   deployment.action_retention.count(), 1);
+  }
+
+  void CheckStageRanges(const Stage& stage) {
+    const std::string object = "Stage/" + stage.name.value();
+    RequireAtLeast(object, "max_attempts", stage.max_attempts, 1);
+    RequireAtLeast(object, "max_output_tokens", stage.max_output_tokens, 1);
+    for (const auto& [field, price] :
+         {std::pair("per_prompt_token", stage.price.per_prompt_token),
+          std::pair("per_output_token", stage.price.per_output_token),
+          std::pair("per_call", stage.price.per_call),
+          std::pair("per_second", stage.price.per_second)}) {
+      RequireAtLeast(object, field, price.value(), 0);
+    }
+    RequireAtLeast(object, "median_ms", stage.service_time.median.count(), 1);
+    RequireAtLeast(object, "p95_ms", stage.service_time.p95.count(), 1);
+  }
+
   template <typename Map>
   bool CheckReference(const std::string& object,
                       const std::string& field,
@@ -93,6 +151,7 @@
   void CheckPipeline(const Pipeline& pipeline) {
     const std::string object = "Pipeline/" + pipeline.name.value();
     CheckReference(object, "priority", objects_.priorities, pipeline.priority);
+    RequireAtLeast(object, "deadline_ms", pipeline.deadline.count(), 1);
     if (pipeline.stages.empty()) {
       Report(object, "stages", "at least one stage is needed");
       return;
@@ -141,6 +200,9 @@
   void CheckTeam(const Team& team) {
     const std::string object = "Team/" + team.name.value();
     CheckToken(object, team.token_sha256);
+    if (!(team.share >= kMinShare && team.share <= kMaxShare)) {
+      RequireWithin(object, "share", team.share, kMinShare, kMaxShare);
+    }
     for (const PipelineId& pipeline : team.pipelines) {
       CheckReference(object, "pipelines", objects_.pipelines, pipeline);
     }
