Repeat a claim sooner while the store is down

Cause: a claim sent to a home node out of reach was repeated after 40 ms plus up to 20 ms of tick, past the target of 50 ms for a refusal. Change: repeat after 20 ms.

--- a/modules/peridotmill_actions/origin/home_exchange.cc
+++ b/modules/peridotmill_actions/origin/home_exchange.cc
@@ -9,8 +9,9 @@
 
 // Nodes are at most a few milliseconds apart; a repeat is harmless.
 constexpr Duration kFirstRepeat = std::chrono::milliseconds(150);
-// With the store known to be down, a refusal is due within 50 ms.
-constexpr Duration kFirstRepeatStoreDown = std::chrono::milliseconds(40);
+// With the store known to be down, a refusal is due within 50 ms; the tick that
+// notices the time adds up to 20 ms.
+constexpr Duration kFirstRepeatStoreDown = std::chrono::milliseconds(20);
 constexpr Duration kRepeat = std::chrono::milliseconds(500);
 constexpr int32_t kMaxUnanswered = 2;
 
