Retry fetches of configuration parts when they are due

Cause: NextDistributionWakeup returned now + 50 ms while parts were missing, so the time moved with each question and TickFleet never found it due. A node whose first fetch failed waited for its next read of the head, up to 36 s. Seen as nodes that stayed at revision 0 for more than 10 s after the start in scripts/experiment healthy. Change: the next look at missing parts is a stored time. The distribution tests step a node only when it is due, as the node does; with that DistributionTest.StartWithoutStore fails without the change and passes with it.

--- a/modules/peridotmill_config/distribution/config_distribution.cc
+++ b/modules/peridotmill_config/distribution/config_distribution.cc
@@ -301,8 +301,8 @@
     next = std::min(next, state.started + kStartWindow);
   }
   if (state.pending) {
-    // The pace frees one fetch each 50 ms.
-    next = std::min(next, now + std::chrono::milliseconds(50));
+    // A fixed time: one that moves with `now` would never be due.
+    next = std::min(next, state.next_fetch);
   }
   return next;
 }
--- a/modules/peridotmill_config/tests/distribution_test.cc
+++ b/modules/peridotmill_config/tests/distribution_test.cc
@@ -240,7 +240,8 @@
       Heartbeats();
     }
     for (auto& [node, state] : states) {
-      if (node != paused) {
+      // As the node does it: no step before the time that was asked for.
+      if (node != paused && NextDistributionWakeup(state, now) <= now) {
         Run(node, TickDistribution(state, ViewOf(node), now));
       }
     }
--- a/scripts/experiments/lib/fleet.sh
+++ b/scripts/experiments/lib/fleet.sh
@@ -90,8 +90,8 @@
   done
   for row in "${nodes[@]}"; do
     wait_ready "$(caller_address "${row%% *}")/readyz" || {
-      curl -s -m 1 "http://$(caller_address "${row%% *}")/readyz" >&2
-      tail -n 5 "$work/log/${row%% *}" >&2
+      curl -s -m 1 "http://$(caller_address "${row%% *}")/metrics" | grep -E "config_revision|endpoints " >&2
+      tail -n 20 "$work/log/${row%% *}" >&2
       exit 1
     }
   done
