Add the capacity measurements; keep part fetches going under frequent messages

Cause: nothing measured how work and memory grow towards the design size. The first run showed a relay that never became ready: the wakeup for missing parts was 50 ms after the last event, and a relay gets events more often than that.

--- a/modules/peridotmill_config/distribution/config_distribution.cc
+++ b/modules/peridotmill_config/distribution/config_distribution.cc
@@ -301,8 +301,9 @@
     next = std::min(next, state.started + kStartWindow);
   }
   if (state.pending) {
-    // The pace frees one fetch each 50 ms.
-    next = std::min(next, now + std::chrono::milliseconds(50));
+    // Not reckoned from `now`: a node that gets messages more often than the
+    // interval would put the fetch off for ever.
+    next = std::min(next, state.next_fetch);
   }
   return next;
 }
--- a/modules/peridotmill_config/distribution/config_distribution.h
+++ b/modules/peridotmill_config/distribution/config_distribution.h
@@ -37,6 +37,8 @@
 inline constexpr Duration kHeadRepeatInterval = std::chrono::seconds(2);
 // Sustained part fetches a second, which bounds the load of a recovery.
 inline constexpr double kPartFetchesPerSecond = 20;
+// The pace frees one fetch in this time.
+inline constexpr Duration kFetchInterval = std::chrono::milliseconds(50);
 // A node that starts needs all parts (71) within its start time of 1 s. Peers
 // have no rate limit to protect, so they may be asked for all at once.
 inline constexpr double kPeerFetchBurst = 80;
@@ -128,6 +130,8 @@
   int64_t watch_after = 0;
   FetchTokens peer_tokens;
   FetchTokens store_tokens;
+  // When missing parts are looked at again.
+  TimePoint next_fetch;
   Random random{0};
   DistributionCounters counters;
 };
--- a/modules/peridotmill_config/distribution/part_fetching.cc
+++ b/modules/peridotmill_config/distribution/part_fetching.cc
@@ -161,6 +161,7 @@
   if (!state.pending) {
     return;
   }
+  state.next_fetch = now + kFetchInterval;
   for (auto& [digest, fetch] : state.pending->missing) {
     if (fetch.timeout && now < *fetch.timeout) {
       continue;
--- /dev/null
+++ b/tools/peridotmill-capacity/main.cc
@@ -0,0 +1,35 @@
+// peridotmill-capacity: measures one node's work and memory by size, on logical
+// time and without sockets. Prints one CSV table.
+
+#include <cstdio>
+#include <map>
+#include <string>
+
+#include "node_studies.h"
+#include "table_studies.h"
+
+int main(int argc, char** argv) {
+  using namespace peridotmill::capacity;
+  const std::map<std::string, void (*)()> studies = {
+      {"node_by_members", StudyNodeByMembers},
+      {"node_by_endpoints", StudyNodeByEndpoints},
+      {"node_by_teams", StudyNodeByTeams},
+      {"node_by_requests", StudyNodeByRequests},
+      {"node_by_event", StudyNodeByEvent},
+      {"claims_by_rate", StudyClaimsByRate},
+      {"claims_by_retained", StudyClaimsByRetained},
+      {"answers_by_size", StudyAnswersBySize},
+      {"config_changes", StudyConfigChanges},
+      {"order_leases", StudyOrderLeases},
+  };
+  const auto study = studies.find(argc == 2 ? argv[1] : "");
+  if (study == studies.end()) {
+    std::fputs("usage: peridotmill-capacity STUDY, one of:\n", stderr);
+    for (const auto& [name, run] : studies) {
+      std::fprintf(stderr, "  %s\n", name.c_str());
+    }
+    return 2;
+  }
+  study->second();
+  return 0;
+}
