--- a/modules/peridotmill_config/tests/distribution_test.cc
+++ b/modules/peridotmill_config/tests/distribution_test.cc
@@ -427,5 +427,17 @@
   EXPECT_TRUE(ObjectDifference(*state.objects, SampleObjects(1999, 1)).empty());
 }
 
+// Guards against a node that gets messages all the time and therefore never
+// fetches the parts that the pace held back.
+TEST(DistributionTest, FrequentEventsDoNotPutOffFetches) {
+  DistributionLoop loop(1, 1, 1);
+  loop.Publish(1, 2000);
+  loop.RunFor(milliseconds(40));
+  const ConfigDistribution& state = loop.states.begin()->second;
+  ASSERT_TRUE(state.pending);
+  const TimePoint due = NextDistributionWakeup(state, loop.now);
+  EXPECT_EQ(NextDistributionWakeup(state, loop.now + milliseconds(10)), due);
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_membership/knowledge/endpoint_repair.cc
+++ b/modules/peridotmill_membership/knowledge/endpoint_repair.cc
@@ -111,7 +111,13 @@
                                         const std::vector<NodeId>& domain_peers,
                                         uint64_t members_hash,
                                         TimePoint now) {
-  if (now < knowledge.next_digest || domain_peers.empty()) {
+  if (now < knowledge.next_digest) {
+    return std::nullopt;
+  }
+  if (domain_peers.empty()) {
+    // A wakeup that stays due would keep a node that is alone in its domain
+    // busy.
+    knowledge.next_digest = now + kMinDigestInterval;
     return std::nullopt;
   }
   DigestRequest request;
--- a/modules/peridotmill_membership/tests/knowledge_test.cc
+++ b/modules/peridotmill_membership/tests/knowledge_test.cc
@@ -275,5 +275,15 @@
   EXPECT_FALSE(FindSummary(relay, pools[0].pool, kStart + seconds(120)));
 }
 
+// Guards against a node that is alone in its domain and never sleeps.
+TEST(EndpointKnowledgeTest, DigestWithoutPeersIsPutOff) {
+  EndpointKnowledge knowledge =
+      MakeEndpointKnowledge(NodeId("a"), Incarnation(1), 1, kStart);
+  const TimePoint now = kStart + seconds(20);
+  EXPECT_FALSE(TakeDigest(knowledge, {}, 0, now));
+  TakeReport(knowledge, now);
+  EXPECT_GT(NextKnowledgeWakeup(knowledge), now);
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/tools/peridotmill-capacity/fleet_input.cc
+++ b/tools/peridotmill-capacity/fleet_input.cc
@@ -13,7 +13,9 @@
   return std::string(name) + "-" + std::to_string(number);
 }
 
-void AddStage(ObjectSet& objects, const std::string& name, StageRole role,
+void AddStage(ObjectSet& objects,
+              const std::string& name,
+              StageRole role,
               const PoolId& pool) {
   Stage stage;
   stage.name = StageId(name);
@@ -109,9 +111,9 @@
     EndpointRecord record;
     record.id = EndpointId(Numbered("endpoint", i));
     record.address = "10.0.0.1:" + std::to_string(i + 1);
-    record.pool = PoolId(pool < size.models
-                             ? Numbered("engines", pool)
-                             : Numbered("services", pool - size.models));
+    record.pool =
+        PoolId(pool < size.models ? Numbered("engines", pool)
+                                  : Numbered("services", pool - size.models));
     record.failure_domain = DomainName(i % size.domains);
     record.incarnation = Incarnation(i + 1);
     list.endpoints.push_back(record);
--- a/tools/peridotmill-capacity/fleet_input.h
+++ b/tools/peridotmill-capacity/fleet_input.h
@@ -3,9 +3,9 @@
 
 #include <string>
 
+#include "memory_store.h"
 #include "peridotmill_config/peridotmill_config.h"
 #include "peridotmill_core/peridotmill_core.h"
-#include "memory_store.h"
 
 namespace peridotmill::capacity {
 
--- a/tools/peridotmill-capacity/node_driver.cc
+++ b/tools/peridotmill-capacity/node_driver.cc
@@ -21,11 +21,14 @@
 constexpr Duration kTokenInterval = milliseconds(8);
 
 constexpr std::array<const char*, std::variant_size_v<NodeEvent>> kEventNames =
-    {"caller_request",   "action_query",    "caller_gone",
-     "attempt_fragment", "attempt_finished", "store_answered",
-     "host_list_read",   "load_read",       "cache_events_read",
-     "peer_frame",       "peer_connected",  "peer_disconnected",
-     "order_finished",   "tick",            "shutdown_requested"};
+    {"caller_request",    "action_query",
+     "caller_gone",       "attempt_fragment",
+     "attempt_finished",  "store_answered",
+     "host_list_read",    "load_read",
+     "cache_events_read", "peer_frame",
+     "peer_connected",    "peer_disconnected",
+     "order_finished",    "tick",
+     "shutdown_requested"};
 
 }  // namespace
 
@@ -38,8 +41,13 @@
   if (!IsReady(*state_)) {
     const DistributionStatus status = StatusOf(state_->fleet.distribution);
     std::fprintf(stderr,
-                 "the node did not become ready: revision %ld, pending %ld, %zu parts missing, rejected %lu\n",
-                 status.revision.value(), status.pending.value(), state_->fleet.distribution.pending ? state_->fleet.distribution.pending->missing.size() : 0, status.rejected);
+                 "the node did not become ready: revision %ld, pending %ld, "
+                 "%zu parts missing, rejected %lu\n",
+                 status.revision.value(), status.pending.value(),
+                 state_->fleet.distribution.pending
+                     ? state_->fleet.distribution.pending->missing.size()
+                     : 0,
+                 status.rejected);
     std::exit(1);
   }
 }
@@ -97,8 +105,7 @@
     if (std::holds_alternative<StoreWatch>(call->request)) {
       StoreAnswer nothing;
       nothing.status = StoreStatus::kUnavailable;
-      later_.emplace(now_ + call->timeout,
-                     StoreAnswered{call->call, nothing});
+      later_.emplace(now_ + call->timeout, StoreAnswered{call->call, nothing});
     } else {
       later_.emplace(now_ + milliseconds(2),
                      StoreAnswered{call->call, store_.Execute(call->request)});
@@ -167,8 +174,8 @@
     finished.output_tokens = TokenCount(settings_.tokens_per_stream);
     end = kTokenInterval * (settings_.tokens_per_stream + 1);
   } else {
-    finished.body = R"({"result":{"records":[")" + std::string(500, 'r') +
-                    R"("]}})";
+    finished.body =
+        R"({"result":{"records":[")" + std::string(500, 'r') + R"("]}})";
   }
   later_.emplace(now_ + end, finished);
 }
--- a/tools/peridotmill-capacity/node_studies.cc
+++ b/tools/peridotmill-capacity/node_studies.cc
@@ -31,13 +31,12 @@
     events += work.count;
   }
   const double span = kSeconds;
-  std::printf("%g,%d,%.1f,%.0f,%.0f,%.0f,%.1f,%.0f,%.0f,%lu,%lu\n", point,
-              driver.is_relay() ? 1 : 0, driver.nanoseconds() / 1e3 / span,
-              memory / 1024, driver.bytes_sent() / span,
-              driver.bytes_received() / span,
-              (driver.frames_sent() + driver.frames_received()) / span,
-              events / span, driver.tokens() / span, driver.answered(),
-              driver.refused());
+  std::printf(
+      "%g,%d,%.1f,%.0f,%.0f,%.0f,%.1f,%.0f,%.0f,%lu,%lu\n", point,
+      driver.is_relay() ? 1 : 0, driver.nanoseconds() / 1e3 / span,
+      memory / 1024, driver.bytes_sent() / span, driver.bytes_received() / span,
+      (driver.frames_sent() + driver.frames_received()) / span, events / span,
+      driver.tokens() / span, driver.answered(), driver.refused());
   std::fflush(stdout);
 }
 
--- a/tools/peridotmill-capacity/table_studies.cc
+++ b/tools/peridotmill-capacity/table_studies.cc
@@ -35,13 +35,13 @@
     const auto actions = static_cast<int>(per_second * count_seconds);
     double until_next = 0;
     for (int i = 0; i < actions; ++i) {
-      BeginAction begin{RequestId("request"),
-                        TeamId("team-1234"),
-                        IdempotencyKey("key-0123456789-" +
-                                       std::to_string(count_++)),
-                        "0123456789abcdef0123456789abcdef",
-                        Nonce("0123456789abcdef" + std::to_string(count_)),
-                        now_.steady + seconds(4)};
+      BeginAction begin{
+          RequestId("request"),
+          TeamId("team-1234"),
+          IdempotencyKey("key-0123456789-" + std::to_string(count_++)),
+          "0123456789abcdef0123456789abcdef",
+          Nonce("0123456789abcdef" + std::to_string(count_)),
+          now_.steady + seconds(4)};
       const int64_t start = ThreadNanoseconds();
       ActionCommands commands = Begin(state_, begin, now_);
       nanoseconds_ += ThreadNanoseconds() - start;
@@ -103,8 +103,8 @@
 
  private:
   void MoveTo(TimePoint time) {
-    now_.wall += std::chrono::duration_cast<WallTime::duration>(
-        time - now_.steady);
+    now_.wall +=
+        std::chrono::duration_cast<WallTime::duration>(time - now_.steady);
     now_.steady = time;
   }
 
@@ -166,8 +166,7 @@
   const double memory = AllocatedBytes() - before;
   std::printf("%g,%.1f,%.2f,%.0f,%.1f,%zu,%.0f,%.0f,%lu\n", point, writes,
               reads, written, step, driver.Records(), memory / 1024,
-              memory / static_cast<double>(driver.Records()),
-              driver.refused());
+              memory / static_cast<double>(driver.Records()), driver.refused());
   std::fflush(stdout);
 }
 
@@ -283,8 +282,8 @@
           {ModelVersionId("v-" + std::to_string(i)), "m", "1"}};
       for (int engine = 0; engine < kEnginesPerPool; ++engine) {
         EndpointRecord record;
-        record.id = EndpointId("e-" + std::to_string(i) + "-" +
-                               std::to_string(engine));
+        record.id =
+            EndpointId("e-" + std::to_string(i) + "-" + std::to_string(engine));
         record.pool = pool.name;
         engines.push_back(record);
       }
