Keep callers' connections open between requests

libsoup 3.2 closes a connection that it did not accept itself after one answer unless it has a listener. It gets one end of a socket pair. Before, the second request of a connection was never answered; now sequential and pipelined requests are answered in order.

--- a/modules/peridotmill_net/callers/caller_connection.cc
+++ b/modules/peridotmill_net/callers/caller_connection.cc
@@ -1,8 +1,8 @@
 #include "peridotmill_net/callers/caller_connection.h"
 
 #include <glib-unix.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -20,6 +20,15 @@
   return recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Bytes that the caller has sent since the connection began.
+uint64_t ReceivedBytes(GSocket* socket) {
+  tcp_info info = {};
+  socklen_t size = sizeof(info);
+  const int result =
+      getsockopt(g_socket_get_fd(socket), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return result == 0 ? info.tcpi_bytes_received : 0;
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(const CallerLimits& limits,
@@ -37,6 +46,7 @@
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   g_object_weak_ref(G_OBJECT(stream_), &CallerConnection::OnStreamGone, this);
   WaitForRequest(limits_.body_timeout_ms);
+  received_before_ = 0;
 }
 
 CallerConnection::~CallerConnection() {
@@ -58,6 +68,7 @@
 void CallerConnection::WaitForRequest(guint timeout_ms) {
   StopWaiting();
   phase_ = Phase::kIdle;
+  received_before_ = ReceivedBytes(socket_.get());
   // A GSocket's source would look again when it is dispatched, after libsoup
   // has read the bytes.
   first_byte_ = g_unix_fd_source_new(g_socket_get_fd(socket_.get()), G_IO_IN);
@@ -100,7 +111,12 @@
 void CallerConnection::OnTimeout() {
   switch (phase_) {
     case Phase::kIdle:
-      Close();
+      // libsoup may have read the first bytes before this could see them.
+      if (ReceivedBytes(socket_.get()) > received_before_) {
+        handlers_.on_slow_request(*this);
+      } else {
+        Close();
+      }
       break;
     case Phase::kReading:
       if (is_refused_) {
--- a/modules/peridotmill_net/callers/caller_connection.h
+++ b/modules/peridotmill_net/callers/caller_connection.h
@@ -81,6 +81,8 @@
   bool is_refused_ = false;
   std::string body_;
   size_t unsent_ = 0;
+  // By the end of the request before.
+  uint64_t received_before_ = 0;
   uint64_t written_ = 0;
   uint64_t written_at_last_check_ = 0;
   GSource* first_byte_ = nullptr;
--- a/modules/peridotmill_net/callers/caller_listener.cc
+++ b/modules/peridotmill_net/callers/caller_listener.cc
@@ -1,8 +1,10 @@
 #include "peridotmill_net/callers/caller_listener.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <array>
 #include <utility>
-#include <vector>
 
 #include "peridotmill_net/logging/event_log.h"
 #include "peridotmill_net/soup/listen_socket.h"
@@ -12,6 +14,25 @@
 
 constexpr int kServiceUnavailable = 503;
 
+// libsoup closes each connection after one answer unless it has a listener of
+// its own. It gets one end of a socket pair, on which nothing ever arrives;
+// returns the other end, which must stay open.
+ObjectPtr<GSocket> AddSilentListener(SoupServer* server) {
+  std::array<int, 2> ends = {};
+  if (socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends.data()) != 0) {
+    return nullptr;
+  }
+  const ObjectPtr<GSocket> silent(g_socket_new_from_fd(ends[0], nullptr));
+  ObjectPtr<GSocket> other(g_socket_new_from_fd(ends[1], nullptr));
+  if (!silent || !other ||
+      soup_server_listen_socket(server, silent.get(),
+                                static_cast<SoupServerListenOptions>(0),
+                                nullptr) == FALSE) {
+    return nullptr;
+  }
+  return other;
+}
+
 }  // namespace
 
 CallerListener::CallerListener(const CallerLimits& limits,
@@ -39,6 +60,10 @@
       new CallerListener(limits, server, certificate, std::move(handlers)));
   listener->service_ = std::move(listening->service);
   listener->port_ = listening->port;
+  listener->silent_ = AddSilentListener(server);
+  if (!listener->silent_) {
+    return tl::unexpected(make_error_code(Error::kUnavailable));
+  }
   g_signal_connect(listener->service_.get(), "incoming",
                    G_CALLBACK(&CallerListener::OnIncoming), listener.get());
   g_socket_service_start(listener->service_.get());
@@ -47,6 +72,8 @@
 
 CallerListener::~CallerListener() {
   Stop();
+  // Before its other end closes, which would make it readable.
+  soup_server_disconnect(server_);
   g_signal_handlers_disconnect_by_data(service_.get(), this);
 }
 
--- a/modules/peridotmill_net/callers/caller_listener.h
+++ b/modules/peridotmill_net/callers/caller_listener.h
@@ -64,6 +64,7 @@
   ObjectPtr<GTlsCertificate> certificate_;
   Handlers handlers_;
   ObjectPtr<GSocketService> service_;
+  ObjectPtr<GSocket> silent_;
   uint16_t port_ = 0;
   bool is_stopped_ = false;
   std::unordered_map<GSocketAddress*, std::unique_ptr<CallerConnection>>
--- a/modules/peridotmill_net/callers/caller_server.cc
+++ b/modules/peridotmill_net/callers/caller_server.cc
@@ -159,7 +159,7 @@
     return;
   }
   connection->OnHead();
-  if (*g_uri_get_path(soup_server_message_get_uri(message)) != '/') {
+  if (soup_server_message_is_options_ping(message) != FALSE) {
     // libsoup answers "OPTIONS *" itself, without a body.
     connection->Refuse(kNotFound,
                        CountedRefusal(Reason::kBadRequest, "no such path"));
--- a/modules/peridotmill_net/tests/caller_server_test.cc
+++ b/modules/peridotmill_net/tests/caller_server_test.cc
@@ -209,6 +209,27 @@
   EXPECT_LT(sent, size_t{8} << 20);
 }
 
+// Guards against a connection that is closed, or never answered again, after
+// the first of several requests.
+TEST_F(CallerServerTest, AnswersRequestsOfOneConnectionInOrder) {
+  RawClient client(server_->port());
+  for (const char* body : {"first", "second", "third"}) {
+    client.Send(Chat(body));
+    ASSERT_TRUE(RunUntil([&] { return !events_.empty(); })) << body;
+    ASSERT_EQ(events_.size(), 1U);
+    const auto request = std::get<CallerRequest>(events_.front());
+    events_.clear();
+    EXPECT_EQ(request.body, body);
+    CallerAnswer answer;
+    answer.request = request.id;
+    answer.body = "answer to " + request.body;
+    server_->Send(answer);
+    ASSERT_TRUE(RunUntil([&] { return client.Has(answer.body); }));
+  }
+  EXPECT_FALSE(client.is_closed());
+  EXPECT_TRUE(RunUntil([&] { return !server_->has_open_calls(); }));
+}
+
 // Guards against answers that go to the wrong one of several requests on one
 // connection, and against a lost one.
 TEST_F(CallerServerTest, AnswersPipelinedRequestsInOrder) {
