--- a/tools/peridotmill-capacity/node_studies.cc
+++ b/tools/peridotmill-capacity/node_studies.cc
@@ -33,10 +33,15 @@
   const double span = kSeconds;
   std::printf(
       "%g,%d,%.1f,%.0f,%.0f,%.0f,%.1f,%.0f,%.0f,%lu,%lu\n", point,
-      driver.is_relay() ? 1 : 0, driver.nanoseconds() / 1e3 / span,
-      memory / 1024, driver.bytes_sent() / span, driver.bytes_received() / span,
-      (driver.frames_sent() + driver.frames_received()) / span, events / span,
-      driver.tokens() / span, driver.answered(), driver.refused());
+      driver.is_relay() ? 1 : 0,
+      static_cast<double>(driver.nanoseconds()) / 1e3 / span, memory / 1024,
+      static_cast<double>(driver.bytes_sent()) / span,
+      static_cast<double>(driver.bytes_received()) / span,
+      static_cast<double>(driver.frames_sent() + driver.frames_received()) /
+          span,
+      static_cast<double>(events) / span,
+      static_cast<double>(driver.tokens()) / span, driver.answered(),
+      driver.refused());
   std::fflush(stdout);
 }
 
@@ -98,9 +103,10 @@
     driver.RunSeconds(kSeconds);
     for (const auto& [name, work] : driver.WorkByEvent()) {
       std::printf("%d,%s,%.2f,%.2f,%.1f\n", is_relay ? 1 : 0, name.c_str(),
-                  work.count / double{kSeconds},
-                  work.nanoseconds / 1e3 / work.count,
-                  work.nanoseconds / 1e3 / kSeconds);
+                  static_cast<double>(work.count) / double{kSeconds},
+                  static_cast<double>(work.nanoseconds) / 1e3 /
+                      static_cast<double>(work.count),
+                  static_cast<double>(work.nanoseconds) / 1e3 / kSeconds);
     }
   }
 }
--- a/tools/peridotmill-capacity/table_studies.cc
+++ b/tools/peridotmill-capacity/table_studies.cc
@@ -161,7 +161,7 @@
   const double writes = static_cast<double>(driver.writes()) / span;
   const double reads = static_cast<double>(driver.reads()) / span;
   const double written = static_cast<double>(driver.written_bytes()) / span;
-  const double step = driver.nanoseconds() / 1e3 / span;
+  const double step = static_cast<double>(driver.nanoseconds()) / 1e3 / span;
   driver.Advance(seconds(5));
   const double memory = AllocatedBytes() - before;
   std::printf("%g,%.1f,%.2f,%.0f,%.1f,%zu,%.0f,%.0f,%lu\n", point, writes,
@@ -257,7 +257,8 @@
     const uint64_t before_change = store.bytes_read();
     run(Revision(2));
     std::printf("%d,%zu,%zu,%.0f,%.0f,%lu,%.0f\n", teams, parts, bytes,
-                first / 1e3, nanoseconds / 1e3,
+                static_cast<double>(first) / 1e3,
+                static_cast<double>(nanoseconds) / 1e3,
                 store.bytes_read() - before_change, memory / 1024);
     std::fflush(stdout);
     (void)fetched;
@@ -326,7 +327,8 @@
       handle(std::move(commands));
     }
     std::printf("%d,%zu,%.2f,%.1f,%.0f\n", pools, engines.size(),
-                static_cast<double>(calls) / kSpan, nanoseconds / 1e3 / kSpan,
+                static_cast<double>(calls) / kSpan,
+                static_cast<double>(nanoseconds) / 1e3 / kSpan,
                 (AllocatedBytes() - before) / 1024);
     std::fflush(stdout);
   }
