--- a/modules/peridotmill_actions/actions_step.cc
+++ b/modules/peridotmill_actions/actions_step.cc
@@ -108,6 +108,11 @@
   return run.Finish();
 }
 
+void SetRetention(ActionsState& state, std::chrono::seconds retention) {
+  state.home.retention = retention;
+  state.origin.retention = retention;
+}
+
 ActionCommands RecordOutcome(ActionsState& state,
                              const Nonce& nonce,
                              ActionAnswer answer,
--- a/modules/peridotmill_actions/actions_step.h
+++ b/modules/peridotmill_actions/actions_step.h
@@ -26,6 +26,9 @@
 
 ActionsState MakeActionsState(const ActionsSettings& settings, ActionTime now);
 
+// Changes how long outcomes are kept, from the configuration in force.
+void SetRetention(ActionsState& state, std::chrono::seconds retention);
+
 // A caller's keyed action. `nonce` must be new. Ends with one ActionResult.
 struct BeginAction {
   RequestId request;
--- a/modules/peridotmill_node/fleet/fleet.cc
+++ b/modules/peridotmill_node/fleet/fleet.cc
@@ -199,6 +199,8 @@
 
 void NoteConfigChange(StepContext& context) {
   NodeState& state = context.state;
+  SetRetention(state.fleet.actions,
+               state.config.objects->deployment.action_retention);
   state.fleet.models_by_fingerprint.clear();
   state.fleet.teams_by_fingerprint.clear();
   for (const auto& [name, team] : state.config.objects->teams) {
