--- /dev/null
+++ b/daemons/peridotmill-gateway/main.cc
@@ -0,0 +1,90 @@
+// peridotmill-gateway: an entry node on the users' platform as a process.
+
+#include <gflags/gflags.h>
+#include <glib-unix.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+#include "daemons/peridotmill-gateway/gateway_process.h"
+#include "daemons/peridotmill-gateway/settings_file.h"
+#include "platform/settings_codec.h"
+
+DEFINE_string(settings,
+              "",
+              "path of the platform's settings file; by default the one that "
+              "the environment names");
+DEFINE_bool(check, false, "check the settings file and exit");
+
+namespace peridotmill {
+namespace {
+
+constexpr int kExitFindings = 2;
+
+gboolean OnTerminate(gpointer process) {
+  static_cast<GatewayProcess*>(process)->RequestStop();
+  return G_SOURCE_CONTINUE;
+}
+
+gboolean OnHangUp(gpointer process) {
+  static_cast<GatewayProcess*>(process)->ReloadSettings();
+  return G_SOURCE_CONTINUE;
+}
+
+std::string SettingsPath() {
+  if (!FLAGS_settings.empty()) {
+    return FLAGS_settings;
+  }
+  const char* const path = std::getenv(platform::kSettingsVariable);
+  return path == nullptr ? "" : path;
+}
+
+int Main(int argc, char** argv) {
+  gflags::SetUsageMessage("--settings=FILE [--check]");
+  gflags::ParseCommandLineFlags(&argc, &argv, /*remove_flags=*/true);
+  const std::string path = SettingsPath();
+  Findings findings;
+  if (path.empty()) {
+    findings.push_back({.place = {.object = "--settings"},
+                        .message = std::string("is missing, and ") +
+                                   platform::kSettingsVariable +
+                                   " is not set"});
+  }
+  GatewaySettings settings;
+  if (findings.empty()) {
+    settings = ReadSettingsFile(path, findings);
+  }
+  if (!findings.empty()) {
+    std::fputs(ToString(findings).c_str(), stderr);
+    return kExitFindings;
+  }
+  if (FLAGS_check) {
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  const SystemClock clock;
+  OutputLog log(STDOUT_FILENO, clock);
+  auto process = GatewayProcess::Create(settings, path, clock, log);
+  if (!process) {
+    log.Write("start_failed", {{"error", process.error().message()}});
+    return 1;
+  }
+  g_unix_signal_add(SIGTERM, OnTerminate, process->get());
+  g_unix_signal_add(SIGINT, OnTerminate, process->get());
+  g_unix_signal_add(SIGHUP, OnHangUp, process->get());
+  log.Write("started", {{"node", settings.node.value()},
+                        {"failure_domain", settings.failure_domain.value()},
+                        {"caller_address", settings.caller_address},
+                        {"store", settings.store_address}});
+  return (*process)->Run();
+}
+
+}  // namespace
+}  // namespace peridotmill
+
+int main(int argc, char** argv) {
+  return peridotmill::Main(argc, argv);
+}
--- /dev/null
+++ b/modules/peridotmill_gateway/configuration/active_configuration.cc
@@ -0,0 +1,54 @@
+#include "peridotmill_gateway/configuration/active_configuration.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotmill {
+
+ActiveConfiguration::ActiveConfiguration(GatewayConfig config)
+    : config_(std::move(config)) {
+  for (const RouteDefinition& route : config_.routes) {
+    routes_by_host_[route.host].push_back(&route);
+  }
+  for (auto& [host, routes] : routes_by_host_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const RouteDefinition* a, const RouteDefinition* b) {
+                       return a->path_prefix.size() > b->path_prefix.size();
+                     });
+  }
+  for (const TeamDefinition& team : config_.teams) {
+    for (const std::string& key : team.keys) {
+      teams_by_key_.emplace(key, &team);
+    }
+  }
+  for (const PoolDefinition& pool : config_.pools) {
+    pools_by_id_.emplace(pool.id, &pool);
+  }
+}
+
+const RouteDefinition* ActiveConfiguration::FindRoute(
+    std::string_view host,
+    std::string_view path) const {
+  const auto routes = routes_by_host_.find(host);
+  if (routes == routes_by_host_.end()) {
+    return nullptr;
+  }
+  const auto route = std::find_if(routes->second.begin(), routes->second.end(),
+                                  [&](const RouteDefinition* r) {
+                                    return path.starts_with(r->path_prefix);
+                                  });
+  return route == routes->second.end() ? nullptr : *route;
+}
+
+const TeamDefinition* ActiveConfiguration::FindTeam(
+    std::string_view key) const {
+  const auto team = teams_by_key_.find(key);
+  return team == teams_by_key_.end() ? nullptr : team->second;
+}
+
+const PoolDefinition* ActiveConfiguration::FindPool(const PoolId& id) const {
+  const auto pool = pools_by_id_.find(id);
+  return pool == pools_by_id_.end() ? nullptr : pool->second;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -0,0 +1,23 @@
+// peridotmill_gateway: the transparent path of an entry node.
+//
+// Routes of callers' requests onto pools, placement of attempts, batched stage
+// calls, streams, the budget of repeats and the followers of the store. Calls,
+// callers, timers and the store are interfaces, so that a test drives
+// everything without a socket.
+//
+// Dependencies: peridotmill_core.
+
+#ifndef PERIDOTMILL_GATEWAY_PERIDOTMILL_GATEWAY_H_
+#define PERIDOTMILL_GATEWAY_PERIDOTMILL_GATEWAY_H_
+
+#include "peridotmill_gateway/configuration/active_configuration.h"
+#include "peridotmill_gateway/configuration/config_check.h"
+#include "peridotmill_gateway/registry/endpoint_registry.h"
+#include "peridotmill_gateway/repeats/repeat_budget.h"
+#include "peridotmill_gateway/requests/gateway.h"
+#include "peridotmill_gateway/settings/gateway_settings.h"
+#include "peridotmill_gateway/stages/stage_coordinator.h"
+#include "peridotmill_gateway/store/prefix_follower.h"
+#include "peridotmill_gateway/store/registration_keeper.h"
+
+#endif  // PERIDOTMILL_GATEWAY_PERIDOTMILL_GATEWAY_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -0,0 +1,43 @@
+#ifndef PERIDOTMILL_GATEWAY_PLACEMENT_ENDPOINT_PLACEMENT_H_
+#define PERIDOTMILL_GATEWAY_PLACEMENT_ENDPOINT_PLACEMENT_H_
+
+#include <span>
+#include <vector>
+
+#include "peridotmill_core/maths/random.h"
+#include "peridotmill_gateway/registry/endpoint_registry.h"
+
+namespace peridotmill {
+
+// What a request asks of its placement.
+struct PlacementRequest {
+  // Endpoints that this request has tried.
+  std::span<const EndpointId> tried;
+  // Where the data that the request needs lies; empty when it does not matter.
+  FailureDomainId preferred_domain;
+  // Requests with the same affinity go to the same few endpoints while these
+  // have room, so that shared parts of prompts are read once. 0: none.
+  uint64_t affinity = 0;
+};
+
+// Load of an endpoint as a share of its slots: its own report, decayed, or the
+// calls that this node has open there, whichever is more; above 1 work waits.
+double EstimateLoad(const Endpoint& endpoint, TimePoint now);
+
+// Whether the endpoint may be used: not ejected, and no call without an answer
+// for longer than `longest_wait`.
+bool IsTrusted(const Endpoint& endpoint, TimePoint now, Duration longest_wait);
+
+// Chooses an endpoint for one call, or null when `serving` is empty but for
+// what was tried. Answers the load of bursts on pools of engines: affinity
+// holds while the endpoint has slots to spare, and load decides beyond that.
+// Untrusted endpoints are used only where no other is left.
+EndpointPtr ChooseEndpoint(const std::vector<EndpointPtr>& serving,
+                           const PlacementRequest& request,
+                           Duration longest_wait,
+                           TimePoint now,
+                           Random& random);
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_PLACEMENT_ENDPOINT_PLACEMENT_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -0,0 +1,119 @@
+#include "peridotmill_gateway/registry/endpoint_registry.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace peridotmill {
+namespace {
+
+// Consecutive failures after which an endpoint is ejected: with a natural error
+// rate of 14% three in a row are rarer than 1 in 300.
+constexpr int kFailuresToEject = 3;
+// First ejection; doubled with each further failure up to the maximum.
+constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
+constexpr int kMaxEjectionDoublings = 3;
+
+}  // namespace
+
+void EndpointRegistry::Put(EndpointRegistration registration) {
+  EndpointPtr& endpoint = by_id_[registration.id];
+  PoolId old_pool;
+  if (endpoint != nullptr) {
+    old_pool = endpoint->registration.pool;
+    if (endpoint->registration == registration) {
+      return;
+    }
+  }
+  const PoolId pool = registration.pool;
+  if (endpoint == nullptr ||
+      endpoint->registration.started_at_ms != registration.started_at_ms ||
+      endpoint->registration.address != registration.address) {
+    if (endpoint != nullptr) {
+      endpoint->is_removed = true;
+    }
+    endpoint = std::make_shared<Endpoint>();
+  }
+  endpoint->registration = std::move(registration);
+  if (!old_pool.empty() && old_pool != pool) {
+    Rebuild(old_pool);
+  }
+  Rebuild(pool);
+}
+
+void EndpointRegistry::Remove(const EndpointId& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
+    return;
+  }
+  found->second->is_removed = true;
+  const PoolId pool = found->second->registration.pool;
+  by_id_.erase(found);
+  Rebuild(pool);
+}
+
+void EndpointRegistry::ReplaceAll(
+    std::vector<EndpointRegistration> registrations) {
+  std::set<EndpointId> kept;
+  for (EndpointRegistration& registration : registrations) {
+    kept.insert(registration.id);
+    Put(std::move(registration));
+  }
+  std::vector<EndpointId> removed;
+  for (const auto& [id, endpoint] : by_id_) {
+    if (!kept.contains(id)) {
+      removed.push_back(id);
+    }
+  }
+  for (const EndpointId& id : removed) {
+    Remove(id);
+  }
+}
+
+const std::vector<EndpointPtr>& EndpointRegistry::Serving(
+    const PoolId& pool) const {
+  static const std::vector<EndpointPtr> kNone;
+  const auto found = serving_.find(pool);
+  return found == serving_.end() ? kNone : found->second;
+}
+
+void EndpointRegistry::Rebuild(const PoolId& pool) {
+  std::vector<EndpointPtr>& serving = serving_[pool];
+  serving.clear();
+  for (const auto& [id, endpoint] : by_id_) {
+    if (endpoint->registration.pool == pool &&
+        !endpoint->registration.is_draining) {
+      serving.push_back(endpoint);
+    }
+  }
+}
+
+void BeginCall(Endpoint& endpoint, TimePoint now) {
+  ++endpoint.open_calls;
+  endpoint.unanswered_since.push_back(now);
+}
+
+void EndWaiting(Endpoint& endpoint, TimePoint started) {
+  auto& waiting = endpoint.unanswered_since;
+  const auto found = std::find(waiting.begin(), waiting.end(), started);
+  if (found != waiting.end()) {
+    waiting.erase(found);
+  }
+}
+
+void EndCall(Endpoint& endpoint, CallVerdict verdict, TimePoint now) {
+  --endpoint.open_calls;
+  if (verdict == CallVerdict::kSuccess) {
+    endpoint.failures_in_row = 0;
+    endpoint.ejected_until = TimePoint();
+  } else if (verdict == CallVerdict::kFailure) {
+    ++endpoint.failures_in_row;
+    if (endpoint.failures_in_row >= kFailuresToEject) {
+      const int doublings = std::min(
+          endpoint.failures_in_row - kFailuresToEject, kMaxEjectionDoublings);
+      endpoint.ejected_until = now + kFirstEjection * (1 << doublings);
+    }
+  }
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -0,0 +1,69 @@
+#ifndef PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRY_H_
+#define PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRY_H_
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotmill_gateway/registry/endpoint_registration.h"
+
+namespace peridotmill {
+
+// An endpoint and what this node has seen of it.
+struct Endpoint {
+  EndpointRegistration registration;
+  // Calls of this node that have not ended.
+  int open_calls = 0;
+  // Load that the endpoint reported last, and when.
+  int reported_running = 0;
+  int reported_waiting = 0;
+  TimePoint reported_at;
+  // Failures since the last success.
+  int failures_in_row = 0;
+  // Takes no work before this time, unless no other endpoint is left.
+  TimePoint ejected_until;
+  // Start of each open call that has had no answer yet, oldest first.
+  std::deque<TimePoint> unanswered_since;
+  // The registration is gone; the object lives on while calls are open.
+  bool is_removed = false;
+};
+
+using EndpointPtr = std::shared_ptr<Endpoint>;
+
+// How a call to an endpoint went, for judging the endpoint.
+enum class CallVerdict : uint8_t { kSuccess, kRefused, kFailure, kCancelled };
+
+// Endpoints that have registered, by pool.
+class EndpointRegistry {
+ public:
+  // Inserts or replaces a registration. An endpoint that started anew loses
+  // what was known of it.
+  void Put(EndpointRegistration registration);
+  void Remove(const EndpointId& id);
+  // Keeps exactly these; the others are removed.
+  void ReplaceAll(std::vector<EndpointRegistration> registrations);
+
+  // Endpoints of a pool that take new work, in order of id.
+  const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
+  size_t size() const { return by_id_.size(); }
+
+ private:
+  void Rebuild(const PoolId& pool);
+
+  std::map<EndpointId, EndpointPtr> by_id_;
+  std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
+};
+
+// Notes the start of a call.
+void BeginCall(Endpoint& endpoint, TimePoint now);
+// Notes the first byte of a call's answer, or that none will come.
+void EndWaiting(Endpoint& endpoint, TimePoint started);
+// Notes the end of a call.
+void EndCall(Endpoint& endpoint, CallVerdict verdict, TimePoint now);
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRY_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/repeats/repeat_budget.h
@@ -0,0 +1,60 @@
+#ifndef PERIDOTMILL_GATEWAY_REPEATS_REPEAT_BUDGET_H_
+#define PERIDOTMILL_GATEWAY_REPEATS_REPEAT_BUDGET_H_
+
+#include <array>
+#include <cstdint>
+#include <unordered_map>
+
+#include "peridotmill_core/ids/ids.h"
+#include "peridotmill_core/time/clock.h"
+
+namespace peridotmill {
+
+// Limit on repeated calls that all nodes together keep.
+struct RepeatBudgetSettings {
+  // Repeats allowed for each first call, over any window.
+  double ratio = 0.2;
+  Duration window = std::chrono::seconds(10);
+  // Repeats that a node may make beyond its ratio. Nodes spend without asking
+  // one another, so the sum over all nodes stays within the fleet's allowance.
+  double node_allowance = 2;
+};
+
+// Counts first and repeated calls of one node to each pool over a sliding
+// window. A node spends only what its own first calls have earned, and so needs
+// no agreement with the others.
+class RepeatBudget {
+ public:
+  explicit RepeatBudget(const RepeatBudgetSettings& settings)
+      : settings_(settings) {}
+
+  void set_settings(const RepeatBudgetSettings& settings) {
+    settings_ = settings;
+  }
+
+  void AddFirst(const PoolId& pool, TimePoint now) {
+    CountsOf(pool, now).first[0] += 1;
+  }
+  // Withdraws for `count` repeats; false when the budget does not allow them.
+  bool TakeRepeats(const PoolId& pool, int count, TimePoint now);
+
+ private:
+  // Slices of a window. One more than a window is kept for repeats and one less
+  // for first calls, so that any alignment of the window is within the limit.
+  static constexpr size_t kSlices = 10;
+  struct Counts {
+    // The slice at 0 is the current one.
+    std::array<double, kSlices + 1> first = {};
+    std::array<double, kSlices + 1> repeated = {};
+    TimePoint slice_start;
+  };
+
+  Counts& CountsOf(const PoolId& pool, TimePoint now);
+
+  RepeatBudgetSettings settings_;
+  std::unordered_map<PoolId, Counts> counts_;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_REPEATS_REPEAT_BUDGET_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -0,0 +1,525 @@
+#include "peridotmill_gateway/requests/gateway_request.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "peridotmill_core/hashing/hashing.h"
+#include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/placement/endpoint_placement.h"
+
+namespace peridotmill {
+namespace {
+
+constexpr int kServerError = 500;
+// Answers of plain services up to this size are checked as a whole before they
+// are passed on; larger ones are passed on as they arrive.
+constexpr size_t kMaxBufferedAnswer = 65536;
+// Calls that must not run twice use connections that were idle for less than
+// this: a server may close one at any time and leave open what it has run.
+constexpr Duration kFreshConnection = std::chrono::milliseconds(300);
+constexpr Duration kKeptConnection = std::chrono::seconds(10);
+// Time reserved for the engine's first event after the stages: a long prompt of
+// 17,000 tokens at 40 to 57 tokens a millisecond.
+constexpr Duration kEngineStartTime = std::chrono::milliseconds(350);
+// Time reserved for each further stage: a call with a batch that is half full.
+constexpr Duration kFollowingStageTime = std::chrono::milliseconds(260);
+// Rounds in which lost inputs are produced again.
+constexpr int kMaxLostInputs = 2;
+// The first event may take this many times the target before a stream that may
+// be resumed goes to another engine.
+constexpr int kSilentTargets = 2;
+// A pause of this many times the longest one aimed at ends an attempt that may
+// be resumed elsewhere.
+constexpr int kSilentGaps = 3;
+constexpr Duration kDefaultGap = std::chrono::milliseconds(400);
+// An idempotent call is sent to a second endpoint after this share of the
+// target latency: three times its mean work of 60 ms for a target of 300 ms.
+constexpr double kSecondSendShare = 0.7;
+// Endpoint without an answer to some call for this long is avoided.
+constexpr Duration kPlainLongestWait = std::chrono::milliseconds(600);
+constexpr Duration kEngineLongestWait = std::chrono::milliseconds(1500);
+// Callers whose request found no free endpoint come back after about one call.
+constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
+// Cost of crossing failure domains when a domain is chosen for a request's
+// stages, as time.
+constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(60);
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(std::lround(ToMilliseconds(duration)));
+}
+
+}  // namespace
+
+GatewayRequest::GatewayRequest(Gateway* gateway,
+                               ActiveConfigurationPtr configuration,
+                               const RouteDefinition* route,
+                               TeamId team,
+                               int priority,
+                               CallerRequest request,
+                               std::shared_ptr<CallerChannel> channel)
+    : gateway_(gateway),
+      context_(gateway->context_),
+      configuration_(std::move(configuration)),
+      route_(route),
+      team_(std::move(team)),
+      priority_(priority),
+      request_(std::move(request)),
+      channel_(std::move(channel)),
+      accepted_(context_.clock.Now()) {
+  const Duration time = request_.deadline
+                            ? std::min(*request_.deadline, route_->timeout)
+                            : route_->timeout;
+  deadline_ = accepted_ + time;
+}
+
+GatewayRequest::~GatewayRequest() = default;
+
+void GatewayRequest::Start() {
+  channel_->set_on_caller_gone([this] { OnCallerGone(); });
+  if (deadline_ <= accepted_) {
+    Fail(Reason::kDeadlineExpired, kRetryAfter);
+    return;
+  }
+  timeout_ =
+      context_.timers.After(deadline_ - accepted_, [this] { OnTimeout(); });
+  pool_ = gateway_->ChoosePool(*route_);
+  context_.repeats.AddFirst(pool_, accepted_);
+  if (!HasStages()) {
+    StartAttempt();
+    return;
+  }
+  if (request_.stage_item_counts.size() != route_->stages.size()) {
+    // The engine answers for the missing inputs.
+    request_.stage_item_counts.assign(route_->stages.size(), 0);
+  }
+  progress_ = MakeStageProgress(request_.stage_item_counts);
+  stage_tasks_.resize(route_->stages.size());
+  work_domain_ = context_.failure_domain;
+  ChooseDomain();
+  SubmitReadyStages();
+}
+
+bool GatewayRequest::ChooseDomain() {
+  const auto ready = ReadyStages(route_->stages, progress_);
+  if (ready.empty()) {
+    return false;
+  }
+  const size_t stage = ready.front();
+  const PoolId& pool = route_->stages[stage].pool;
+  const int items = progress_.stages[stage].item_count;
+  FailureDomainId best = work_domain_;
+  Duration best_delay =
+      context_.stage_worker.PredictDelay(pool, work_domain_, items);
+  for (const EndpointPtr& endpoint : context_.endpoints.Serving(pool)) {
+    const FailureDomainId& domain = endpoint->registration.failure_domain;
+    if (domain == work_domain_) {
+      continue;
+    }
+    const Duration delay =
+        context_.stage_worker.PredictDelay(pool, domain, items) +
+        kOtherDomainDelay;
+    if (delay < best_delay) {
+      best = domain;
+      best_delay = delay;
+    }
+  }
+  work_domain_ = best;
+  return true;
+}
+
+TimePoint GatewayRequest::LatestEnd(size_t stage, TimePoint limit) const {
+  const int following = RemainingDepth(route_->stages, progress_, stage) - 1;
+  return limit - kEngineStartTime - following * kFollowingStageTime;
+}
+
+void GatewayRequest::SubmitReadyStages() {
+  for (const size_t stage : ReadyStages(route_->stages, progress_)) {
+    const StageDefinition& definition = route_->stages[stage];
+    StageTask task;
+    task.request = request_.id;
+    task.pool = definition.pool;
+    task.failure_domain = work_domain_;
+    task.stage = stage;
+    task.item_count = progress_.stages[stage].item_count;
+    if (definition.after.empty()) {
+      task.key = request_.stage_input_key;
+    } else {
+      task.inputs = InputsOf(route_->stages, progress_, stage);
+    }
+    task.due = LatestEnd(stage, accepted_ + route_->target_latency);
+    task.deadline = LatestEnd(stage, deadline_);
+    task.priority = priority_;
+    progress_.stages[stage].state = StageProgress::State::kRunning;
+    stage_tasks_[stage] = context_.stage_worker.Submit(std::move(task), this);
+  }
+  if (AreAllDone(progress_)) {
+    StartAttempt();
+  }
+}
+
+void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
+  stage_tasks_[stage].reset();
+  StageProgress::Stage& state = progress_.stages[stage];
+  if (result.outcome == StageItemOutcome::kDone) {
+    state.state = StageProgress::State::kDone;
+    state.results = std::move(result.handles);
+    state.is_released = false;
+    const auto spent = TakeSpentResults(route_->stages, progress_);
+    if (!spent.empty()) {
+      context_.stage_caller.Release(spent);
+    }
+    SubmitReadyStages();
+    return;
+  }
+  if (result.outcome == StageItemOutcome::kInputGone &&
+      lost_inputs_ < kMaxLostInputs) {
+    ++lost_inputs_;
+    // Everything that the stage depends on is produced again.
+    for (const size_t input : route_->stages[stage].after) {
+      progress_.stages[input].state = progress_.stages[input].item_count == 0
+                                          ? StageProgress::State::kDone
+                                          : StageProgress::State::kWaiting;
+      progress_.stages[input].results.clear();
+    }
+    state.state = StageProgress::State::kWaiting;
+    SubmitReadyStages();
+    return;
+  }
+  Fail(result.outcome == StageItemOutcome::kLate ? Reason::kDeadlineUnreachable
+                                                 : Reason::kStageFailed,
+       kRetryAfter);
+}
+
+uint64_t GatewayRequest::PromptAffinity() const {
+  if (!request_.generation || request_.generation->parts.empty()) {
+    return 0;
+  }
+  const auto& parts = request_.generation->parts;
+  // The last part is the request's own and shared with no other.
+  const size_t shared = std::max<size_t>(1, parts.size() - 1);
+  uint64_t hash = Hash64(request_.generation->model);
+  for (size_t i = 0; i < shared; ++i) {
+    hash = Hash64(parts[i].id, hash);
+  }
+  return hash | 1;
+}
+
+void GatewayRequest::StartAttempt() {
+  const TimePoint now = context_.clock.Now();
+  PlacementRequest placement;
+  placement.tried = history_.tried();
+  placement.affinity = PromptAffinity();
+  placement.preferred_domain =
+      HasStages() ? work_domain_ : context_.failure_domain;
+  endpoint_ =
+      ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
+                     IsStream() ? kEngineLongestWait : kPlainLongestWait, now,
+                     gateway_->random_);
+  if (endpoint_ == nullptr) {
+    Fail(Reason::kNoEndpoint, kRetryAfter);
+    return;
+  }
+  EndpointCall call;
+  call.request = &request_;
+  call.endpoint = endpoint_->registration;
+  call.time_left = deadline_ - now;
+  call.team = team_;
+  if (HasStages()) {
+    call.inputs = FinalResults(route_->stages, progress_);
+  }
+  call.resume_after_event = events_.last_event_id().empty()
+                                ? request_.resume_after_event
+                                : events_.last_event_id();
+  call.max_connection_idle =
+      route_->MayRunAgain() ? kKeptConnection : kFreshConnection;
+  has_answer_head_ = false;
+  answer_body_.clear();
+  events_.DropRest();
+  attempt_started_ = now;
+  BeginCall(*endpoint_, now);
+  call_ = context_.endpoint_caller.Start(call, this);
+  context_.events.Write(
+      "attempt", {{"request", request_.id.value()},
+                  {"endpoint", endpoint_->registration.id.value()},
+                  {"load", std::to_string(EstimateLoad(*endpoint_, now))},
+                  {"report_age_ms", Milliseconds(now - endpoint_->reported_at)},
+                  {"waited_ms", Milliseconds(now - accepted_)}});
+  ArmSilenceTimer();
+}
+
+void GatewayRequest::ArmSilenceTimer() {
+  silence_timer_.reset();
+  if (!route_->MayRunAgain()) {
+    return;
+  }
+  Duration limit = FromMilliseconds(ToMilliseconds(route_->target_latency) *
+                                    kSecondSendShare);
+  if (IsStream()) {
+    limit = has_answer_head_
+                ? kSilentGaps * route_->target_event_gap.value_or(kDefaultGap)
+                : kSilentTargets * route_->target_latency;
+  }
+  silence_timer_ = context_.timers.After(limit, [this] { OnSilence(); });
+}
+
+void GatewayRequest::OnSilence() {
+  silence_timer_.reset();
+  if (call_ == nullptr) {
+    return;
+  }
+  // Only an attempt that another endpoint can take over is given up.
+  AttemptHistory next = history_;
+  next.Add(endpoint_->registration.id, AttemptOutcome::kSentUnknown);
+  PlacementRequest placement;
+  placement.tried = next.tried();
+  const TimePoint now = context_.clock.Now();
+  if (!next.MayTryAgain(*route_) ||
+      ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
+                     kPlainLongestWait, now, gateway_->random_) == nullptr ||
+      !context_.repeats.TakeRepeats(pool_, 1, now)) {
+    return;
+  }
+  ++gateway_->counters_.repeats;
+  gateway_->reasons_.Add(Reason::kAttemptTimeout);
+  EndAttempt(CallVerdict::kFailure, AttemptOutcome::kSentUnknown);
+  StartAttempt();
+}
+
+void GatewayRequest::OnAnswerHead(const EndpointAnswerHead& head) {
+  const TimePoint now = context_.clock.Now();
+  EndWaiting(*endpoint_, attempt_started_);
+  answer_ = head;
+  has_answer_head_ = true;
+  if (head.load) {
+    endpoint_->reported_running = head.load->running;
+    endpoint_->reported_waiting = head.load->waiting;
+    endpoint_->reported_at = now;
+  }
+  // The engine has fetched its inputs; only a resumed stream needs them again.
+  if (HasStages() && head.status < 300 && !route_->MayRunAgain()) {
+    ReleaseResults();
+  }
+  if (IsStream()) {
+    ArmSilenceTimer();
+  }
+}
+
+void GatewayRequest::OnAnswerBody(std::string_view bytes) {
+  if (IsStream() && answer_.status == 200 && answer_.is_event_stream &&
+      answer_.is_authentic) {
+    ForwardStreamBytes(bytes);
+    return;
+  }
+  if (is_head_sent_) {
+    channel_->SendBody(bytes);
+    return;
+  }
+  answer_body_.append(bytes);
+  if (answer_body_.size() > kMaxBufferedAnswer && answer_.is_authentic &&
+      !answer_.is_stated_not_run && answer_.content_length) {
+    SendAnswerHead(answer_.content_length);
+    channel_->SendBody(std::exchange(answer_body_, std::string()));
+  }
+}
+
+void GatewayRequest::ForwardStreamBytes(std::string_view bytes) {
+  const std::string whole = events_.Add(bytes);
+  if (whole.empty()) {
+    return;
+  }
+  if (!is_head_sent_) {
+    first_event_at_ = context_.clock.Now();
+    SendAnswerHead(std::nullopt);
+  }
+  channel_->SendBody(whole);
+  ArmSilenceTimer();
+}
+
+void GatewayRequest::SendAnswerHead(std::optional<uint64_t> content_length) {
+  HttpResponseHead head;
+  head.status = answer_.status;
+  head.reason = answer_.reason;
+  head.headers = answer_.headers;
+  head.content_length = content_length;
+  is_head_sent_ = true;
+  channel_->SendHead(head);
+}
+
+void GatewayRequest::OnAnswerEnd(HttpCallEnd end) {
+  silence_timer_.reset();
+  if (end == HttpCallEnd::kNotSent) {
+    HandleFailedAttempt(AttemptOutcome::kNotSent, Reason::kConnectFailed);
+    return;
+  }
+  if (end != HttpCallEnd::kComplete) {
+    HandleFailedAttempt(
+        AttemptOutcome::kSentUnknown,
+        has_answer_head_ ? Reason::kStreamBroken : Reason::kEndpointFailed);
+    return;
+  }
+  if (answer_.is_stated_not_run) {
+    HandleFailedAttempt(AttemptOutcome::kRefused, Reason::kEndpointRefused);
+    return;
+  }
+  if (answer_.status < 300 && !answer_.is_authentic) {
+    HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kAnswerMismatch);
+    return;
+  }
+  if (answer_.status >= kServerError && !is_head_sent_) {
+    AttemptHistory next = history_;
+    next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
+    if (next.MayTryAgain(*route_) &&
+        context_.repeats.TakeRepeats(pool_, 1, context_.clock.Now())) {
+      ++gateway_->counters_.repeats;
+      gateway_->reasons_.Add(Reason::kEndpointFailed);
+      EndAttempt(CallVerdict::kFailure, AttemptOutcome::kFailed);
+      StartAttempt();
+      return;
+    }
+  }
+  ForwardWholeAnswer();
+}
+
+void GatewayRequest::ForwardWholeAnswer() {
+  EndAttempt(answer_.status < kServerError ? CallVerdict::kSuccess
+                                           : CallVerdict::kFailure,
+             AttemptOutcome::kCompleted);
+  if (!is_head_sent_) {
+    SendAnswerHead(answer_body_.size());
+    channel_->SendBody(answer_body_);
+  } else if (!events_.rest().empty()) {
+    channel_->SendBody(events_.rest());
+  }
+  channel_->Finish();
+  ++gateway_->counters_.answered;
+  End("answered", answer_.status, "");
+}
+
+void GatewayRequest::EndAttempt(CallVerdict verdict, AttemptOutcome outcome) {
+  call_.reset();
+  silence_timer_.reset();
+  EndWaiting(*endpoint_, attempt_started_);
+  EndCall(*endpoint_, verdict, context_.clock.Now());
+  history_.Add(endpoint_->registration.id, outcome);
+}
+
+bool GatewayRequest::TakeRepeat(AttemptOutcome outcome) {
+  if (!history_.MayTryAgain(*route_)) {
+    return false;
+  }
+  if (outcome == AttemptOutcome::kNotSent) {
+    return true;
+  }
+  if (!context_.repeats.TakeRepeats(pool_, 1, context_.clock.Now())) {
+    gateway_->reasons_.Add(Reason::kRetryBudgetExhausted);
+    return false;
+  }
+  ++gateway_->counters_.repeats;
+  return true;
+}
+
+void GatewayRequest::HandleFailedAttempt(AttemptOutcome outcome,
+                                         Reason reason) {
+  gateway_->reasons_.Add(reason);
+  context_.events.Write(
+      "attempt_failed",
+      {{"request", request_.id.value()},
+       {"endpoint", endpoint_->registration.id.value()},
+       {"reason", std::string(ToString(reason))},
+       {"status", std::to_string(has_answer_head_ ? answer_.status : 0)},
+       {"ms", Milliseconds(context_.clock.Now() - attempt_started_)}});
+  EndAttempt(outcome == AttemptOutcome::kRefused ? CallVerdict::kRefused
+                                                 : CallVerdict::kFailure,
+             outcome);
+  if (TakeRepeat(outcome)) {
+    if (is_head_sent_) {
+      ++gateway_->counters_.resumed_streams;
+    }
+    StartAttempt();
+    return;
+  }
+  if (is_head_sent_) {
+    Cut(reason);
+    return;
+  }
+  Fail(reason, kRetryAfter);
+}
+
+void GatewayRequest::OnCallerGone() {
+  ++gateway_->counters_.caller_gone;
+  if (call_ != nullptr) {
+    EndAttempt(CallVerdict::kCancelled, AttemptOutcome::kSentUnknown);
+  }
+  End("caller_gone", 0, ToString(Reason::kCallerGone));
+}
+
+void GatewayRequest::OnTimeout() {
+  if (call_ != nullptr) {
+    EndAttempt(CallVerdict::kFailure, AttemptOutcome::kSentUnknown);
+  }
+  if (is_head_sent_) {
+    Cut(Reason::kDeadlineExpired);
+    return;
+  }
+  Fail(Reason::kDeadlineExpired, kRetryAfter);
+}
+
+void GatewayRequest::Fail(Reason reason, Duration retry_after) {
+  const NodeAnswer answer = MakeFailure(history_, reason, retry_after);
+  gateway_->reasons_.Add(reason);
+  ++(answer.execution == Execution::kNotRun ? gateway_->counters_.refused
+                                            : gateway_->counters_.failed);
+  SendNodeAnswer(*channel_, answer);
+  End(answer.execution == Execution::kNotRun ? "refused" : "failed",
+      answer.status, ToString(reason));
+}
+
+void GatewayRequest::Cut(Reason reason) {
+  ++gateway_->counters_.cut;
+  gateway_->reasons_.Add(reason);
+  channel_->Abort();
+  End("cut", answer_.status, ToString(reason));
+}
+
+void GatewayRequest::ReleaseResults() {
+  const auto results = TakeAllResults(progress_);
+  if (!results.empty()) {
+    context_.stage_caller.Release(results);
+  }
+}
+
+Duration GatewayRequest::Elapsed() const {
+  return context_.clock.Now() - accepted_;
+}
+
+void GatewayRequest::End(std::string_view outcome,
+                         int status,
+                         std::string_view reason) {
+  if (is_ended_) {
+    return;
+  }
+  is_ended_ = true;
+  timeout_.reset();
+  silence_timer_.reset();
+  call_.reset();
+  stage_tasks_.clear();
+  ReleaseResults();
+  const TimePoint first =
+      first_event_at_ == TimePoint() ? context_.clock.Now() : first_event_at_;
+  context_.events.Write(
+      "request_end",
+      {{"request", request_.id.value()},
+       {"route", route_->name},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(status)},
+       {"reason", std::string(reason)},
+       {"revision", std::to_string(configuration_->config().revision.value())},
+       {"attempts", std::to_string(history_.tried().size())},
+       {"events", std::to_string(events_.event_count())},
+       {"first_ms", Milliseconds(first - accepted_)},
+       {"ms", Milliseconds(Elapsed())}});
+  gateway_->Release(this);
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -0,0 +1,108 @@
+#ifndef PERIDOTMILL_GATEWAY_REQUESTS_GATEWAY_REQUEST_H_
+#define PERIDOTMILL_GATEWAY_REQUESTS_GATEWAY_REQUEST_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "peridotmill_core/http/caller_channel.h"
+#include "peridotmill_gateway/calls/endpoint_call.h"
+#include "peridotmill_gateway/requests/attempt_history.h"
+#include "peridotmill_gateway/requests/gateway.h"
+#include "peridotmill_gateway/requests/refusal.h"
+#include "peridotmill_gateway/requests/stage_progress.h"
+#include "peridotmill_gateway/streams/event_splitter.h"
+
+namespace peridotmill {
+
+// One request from its acceptance to its end: the stages of its route, its
+// attempts at endpoints, and the answer.
+class GatewayRequest final : public EndpointCallListener,
+                             public StageTaskListener {
+ public:
+  GatewayRequest(Gateway* gateway,
+                 ActiveConfigurationPtr configuration,
+                 const RouteDefinition* route,
+                 TeamId team,
+                 int priority,
+                 CallerRequest request,
+                 std::shared_ptr<CallerChannel> channel);
+  ~GatewayRequest() override;
+
+  void Start();
+
+ private:
+  // EndpointCallListener
+  void OnAnswerHead(const EndpointAnswerHead& head) override;
+  void OnAnswerBody(std::string_view bytes) override;
+  void OnAnswerEnd(HttpCallEnd end) override;
+  // StageTaskListener
+  void OnStageTaskEnd(size_t stage, StageTaskResult result) override;
+
+  void OnCallerGone();
+  void OnTimeout();
+  void OnSilence();
+
+  // Stages.
+  bool HasStages() const { return !route_->stages.empty(); }
+  bool ChooseDomain();
+  void SubmitReadyStages();
+  // Latest end of a stage with which the rest of the request ends by `limit`.
+  TimePoint LatestEnd(size_t stage, TimePoint limit) const;
+
+  // Attempts.
+  void StartAttempt();
+  void ArmSilenceTimer();
+  void EndAttempt(CallVerdict verdict, AttemptOutcome outcome);
+  void HandleFailedAttempt(AttemptOutcome outcome, Reason reason);
+  bool TakeRepeat(AttemptOutcome outcome);
+  bool IsStream() const { return route_->kind == RequestKind::kStream; }
+  void ForwardStreamBytes(std::string_view bytes);
+  void ForwardWholeAnswer();
+  void SendAnswerHead(std::optional<uint64_t> content_length);
+
+  // Ends.
+  void Fail(Reason reason, Duration retry_after);
+  void Cut(Reason reason);
+  void End(std::string_view outcome, int status, std::string_view reason);
+  // Tells the makers that the stage results are no longer needed.
+  void ReleaseResults();
+  Duration Elapsed() const;
+  uint64_t PromptAffinity() const;
+
+  Gateway* gateway_;
+  GatewayContext& context_;
+  ActiveConfigurationPtr configuration_;
+  const RouteDefinition* route_;
+  TeamId team_;
+  int priority_;
+  CallerRequest request_;
+  std::shared_ptr<CallerChannel> channel_;
+  TimePoint accepted_;
+  TimePoint deadline_;
+  PoolId pool_;
+
+  StageProgress progress_;
+  std::vector<std::unique_ptr<OpenStageTask>> stage_tasks_;
+  FailureDomainId work_domain_;
+  int lost_inputs_ = 0;
+
+  AttemptHistory history_;
+  EndpointPtr endpoint_;
+  std::unique_ptr<OpenEndpointCall> call_;
+  TimePoint attempt_started_;
+  EndpointAnswerHead answer_;
+  bool has_answer_head_ = false;
+  std::string answer_body_;
+  EventSplitter events_;
+  bool is_head_sent_ = false;
+  TimePoint first_event_at_;
+  std::unique_ptr<Timer> timeout_;
+  std::unique_ptr<Timer> silence_timer_;
+  bool is_ended_ = false;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_REQUESTS_GATEWAY_REQUEST_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/requests/stage_progress.cc
@@ -0,0 +1,131 @@
+#include "peridotmill_gateway/requests/stage_progress.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace peridotmill {
+namespace {
+
+bool Follows(const StageDefinition& definition, size_t stage) {
+  return std::find(definition.after.begin(), definition.after.end(), stage) !=
+         definition.after.end();
+}
+
+bool IsFinal(const std::vector<StageDefinition>& definitions, size_t stage) {
+  return std::none_of(definitions.begin(), definitions.end(),
+                      [&](const StageDefinition& definition) {
+                        return Follows(definition, stage);
+                      });
+}
+
+}  // namespace
+
+StageProgress MakeStageProgress(const std::vector<int>& item_counts) {
+  StageProgress progress;
+  for (const int count : item_counts) {
+    StageProgress::Stage stage;
+    stage.item_count = count;
+    stage.state = count == 0 ? StageProgress::State::kDone
+                             : StageProgress::State::kWaiting;
+    progress.stages.push_back(std::move(stage));
+  }
+  return progress;
+}
+
+std::vector<size_t> ReadyStages(const std::vector<StageDefinition>& definitions,
+                                const StageProgress& progress) {
+  std::vector<size_t> ready;
+  for (size_t i = 0; i < definitions.size(); ++i) {
+    const auto& after = definitions[i].after;
+    if (progress.stages[i].state == StageProgress::State::kWaiting &&
+        std::all_of(after.begin(), after.end(), [&](size_t input) {
+          return progress.stages[input].state == StageProgress::State::kDone;
+        })) {
+      ready.push_back(i);
+    }
+  }
+  return ready;
+}
+
+bool AreAllDone(const StageProgress& progress) {
+  return std::all_of(progress.stages.begin(), progress.stages.end(),
+                     [](const StageProgress::Stage& stage) {
+                       return stage.state == StageProgress::State::kDone;
+                     });
+}
+
+std::vector<ResultHandle> InputsOf(
+    const std::vector<StageDefinition>& definitions,
+    const StageProgress& progress,
+    size_t stage) {
+  std::vector<ResultHandle> inputs;
+  for (const size_t input : definitions[stage].after) {
+    const auto& results = progress.stages[input].results;
+    inputs.insert(inputs.end(), results.begin(), results.end());
+  }
+  return inputs;
+}
+
+std::vector<ResultHandle> FinalResults(
+    const std::vector<StageDefinition>& definitions,
+    const StageProgress& progress) {
+  std::vector<ResultHandle> inputs;
+  for (size_t i = 0; i < definitions.size(); ++i) {
+    if (IsFinal(definitions, i)) {
+      const auto& results = progress.stages[i].results;
+      inputs.insert(inputs.end(), results.begin(), results.end());
+    }
+  }
+  return inputs;
+}
+
+std::vector<ResultHandle> TakeSpentResults(
+    const std::vector<StageDefinition>& definitions,
+    StageProgress& progress) {
+  std::vector<ResultHandle> spent;
+  for (size_t i = 0; i < definitions.size(); ++i) {
+    StageProgress::Stage& stage = progress.stages[i];
+    if (stage.is_released || stage.results.empty() || IsFinal(definitions, i)) {
+      continue;
+    }
+    bool is_needed = false;
+    for (size_t j = i + 1; j < definitions.size(); ++j) {
+      is_needed = is_needed ||
+                  (Follows(definitions[j], i) &&
+                   progress.stages[j].state != StageProgress::State::kDone);
+    }
+    if (!is_needed) {
+      stage.is_released = true;
+      spent.insert(spent.end(), stage.results.begin(), stage.results.end());
+    }
+  }
+  return spent;
+}
+
+std::vector<ResultHandle> TakeAllResults(StageProgress& progress) {
+  std::vector<ResultHandle> all;
+  for (StageProgress::Stage& stage : progress.stages) {
+    if (!stage.is_released) {
+      stage.is_released = true;
+      all.insert(all.end(), stage.results.begin(), stage.results.end());
+    }
+  }
+  return all;
+}
+
+int RemainingDepth(const std::vector<StageDefinition>& definitions,
+                   const StageProgress& progress,
+                   size_t stage) {
+  if (progress.stages[stage].state == StageProgress::State::kDone) {
+    return 0;
+  }
+  int deepest = 0;
+  for (size_t j = stage + 1; j < definitions.size(); ++j) {
+    if (Follows(definitions[j], stage)) {
+      deepest = std::max(deepest, RemainingDepth(definitions, progress, j));
+    }
+  }
+  return deepest + 1;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -0,0 +1,121 @@
+#include "peridotmill_gateway/stages/batch_queue.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace peridotmill {
+namespace {
+
+// How much earlier a task counts as due for each step of priority: about one
+// call, so that urgent requests win a place without starving the others.
+constexpr Duration kPriorityStep = std::chrono::milliseconds(150);
+
+TimePoint OrderingTime(const WaitingTask& task) {
+  return task.due + task.priority * kPriorityStep;
+}
+
+}  // namespace
+
+void AddTask(BatchQueue& queue, StageTaskId id, const WaitingTask& task) {
+  queue.waiting.emplace(id, task);
+  queue.waiting_items += task.item_count - task.next_item;
+}
+
+void RemoveTask(BatchQueue& queue, StageTaskId id) {
+  const auto found = queue.waiting.find(id);
+  if (found != queue.waiting.end()) {
+    queue.waiting_items -= found->second.item_count - found->second.next_item;
+    queue.waiting.erase(found);
+  }
+}
+
+void ReturnPart(BatchQueue& queue,
+                const BatchPart& part,
+                const WaitingTask& task) {
+  RemoveTask(queue, part.task);
+  WaitingTask returned = task;
+  returned.next_item = part.first_item;
+  AddTask(queue, part.task, returned);
+}
+
+Duration CallTime(const StagePoolDefinition& pool, int item_count) {
+  return pool.call_time + item_count * pool.item_time;
+}
+
+std::vector<BatchPart> TakeBatch(BatchQueue& queue,
+                                 const StagePoolDefinition& pool,
+                                 TimePoint now) {
+  struct Entry {
+    bool is_late;
+    TimePoint order;
+    StageTaskId id;
+    WaitingTask* task;
+  };
+  std::vector<Entry> order;
+  order.reserve(queue.waiting.size());
+  for (auto& [id, task] : queue.waiting) {
+    const int items = task.item_count - task.next_item;
+    const bool is_late = now + CallTime(pool, items) > task.due;
+    order.push_back({is_late, OrderingTime(task), id, &task});
+  }
+  std::sort(order.begin(), order.end(), [](const Entry& a, const Entry& b) {
+    return std::tie(a.is_late, a.order, a.id) <
+           std::tie(b.is_late, b.order, b.id);
+  });
+  std::vector<BatchPart> batch;
+  int room = pool.batch_size;
+  std::vector<StageTaskId> emptied;
+  for (const Entry& entry : order) {
+    const int items = entry.task->item_count - entry.task->next_item;
+    // A task is split only if it exceeds a whole call.
+    if (items > room && items <= pool.batch_size) {
+      continue;
+    }
+    const int taken = std::min(items, room);
+    if (taken == 0) {
+      break;
+    }
+    batch.push_back({entry.id, entry.task->next_item, taken});
+    entry.task->next_item += taken;
+    queue.waiting_items -= taken;
+    room -= taken;
+    if (entry.task->next_item == entry.task->item_count) {
+      emptied.push_back(entry.id);
+    }
+  }
+  for (const StageTaskId id : emptied) {
+    queue.waiting.erase(id);
+  }
+  return batch;
+}
+
+std::vector<StageTaskId> TakeHopeless(BatchQueue& queue,
+                                      const StagePoolDefinition& pool,
+                                      TimePoint now) {
+  std::vector<StageTaskId> hopeless;
+  for (const auto& [id, task] : queue.waiting) {
+    if (now + CallTime(pool, task.item_count - task.next_item) >
+        task.deadline) {
+      hopeless.push_back(id);
+    }
+  }
+  for (const StageTaskId id : hopeless) {
+    RemoveTask(queue, id);
+  }
+  return hopeless;
+}
+
+Duration PredictQueueDelay(const BatchQueue& queue,
+                           const StagePoolDefinition& pool,
+                           int endpoint_count,
+                           int item_count) {
+  const int full_calls = queue.waiting_items / std::max(1, pool.batch_size);
+  const Duration ahead = full_calls * CallTime(pool, pool.batch_size) /
+                         std::max(1, endpoint_count);
+  const int own_batch =
+      std::min(pool.batch_size,
+               queue.waiting_items % std::max(1, pool.batch_size) + item_count);
+  return ahead + CallTime(pool, own_batch);
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -0,0 +1,69 @@
+#ifndef PERIDOTMILL_GATEWAY_STAGES_BATCH_QUEUE_H_
+#define PERIDOTMILL_GATEWAY_STAGES_BATCH_QUEUE_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "peridotmill_gateway/configuration/gateway_config.h"
+#include "peridotmill_gateway/stages/stage_task.h"
+
+namespace peridotmill {
+
+using StageTaskId = uint64_t;
+
+// Items of one task that go into a call together.
+struct BatchPart {
+  StageTaskId task = 0;
+  int first_item = 0;
+  int item_count = 0;
+};
+
+// A task with items that wait for a call.
+struct WaitingTask {
+  TimePoint due;
+  TimePoint deadline;
+  int priority = 0;
+  // Items from here on wait.
+  int next_item = 0;
+  int item_count = 0;
+};
+
+// Tasks that wait for a call to the endpoints of one pool.
+struct BatchQueue {
+  std::map<StageTaskId, WaitingTask> waiting;
+  int waiting_items = 0;
+};
+
+void AddTask(BatchQueue& queue, StageTaskId id, const WaitingTask& task);
+void RemoveTask(BatchQueue& queue, StageTaskId id);
+// Returns the items of a part to the queue.
+void ReturnPart(BatchQueue& queue,
+                const BatchPart& part,
+                const WaitingTask& task);
+
+// Time that an endpoint works on a call with this many items.
+Duration CallTime(const StagePoolDefinition& pool, int item_count);
+
+// Takes the next call's items. Answers bursts above the pool's capacity: tasks
+// that can still be on time go first, the most urgent one leading, so that the
+// excess gathers in tasks that are late already, which take what is left.
+std::vector<BatchPart> TakeBatch(BatchQueue& queue,
+                                 const StagePoolDefinition& pool,
+                                 TimePoint now);
+
+// Takes out the tasks that cannot end before their deadline any more.
+std::vector<StageTaskId> TakeHopeless(BatchQueue& queue,
+                                      const StagePoolDefinition& pool,
+                                      TimePoint now);
+
+// Predicted time until a new task's call has ended, when `endpoint_count`
+// endpoints work on the queue.
+Duration PredictQueueDelay(const BatchQueue& queue,
+                           const StagePoolDefinition& pool,
+                           int endpoint_count,
+                           int item_count);
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_STAGES_BATCH_QUEUE_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -0,0 +1,398 @@
+#include "peridotmill_gateway/stages/stage_coordinator.h"
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+
+#include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/placement/endpoint_placement.h"
+
+namespace peridotmill {
+namespace {
+
+// A call that takes this many times its predicted time is given up: slow
+// endpoints take four to five times as long, and two calls of other nodes may
+// wait in front.
+constexpr int kCallTimeoutFactor = 3;
+constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(300);
+// An endpoint that refused a call as full is left alone for about one call.
+constexpr Duration kRefusalPause = std::chrono::milliseconds(150);
+// Time until the next look at a queue for which no endpoint was free.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+// Weight of a repeated item against the budget, which counts requests.
+constexpr int kRepeatWeight = 1;
+
+WaitingTask Describe(const StageTask& task) {
+  WaitingTask waiting;
+  waiting.due = task.due;
+  waiting.deadline = task.deadline;
+  waiting.priority = task.priority;
+  waiting.item_count = task.item_count;
+  return waiting;
+}
+
+std::string_view NameOf(StageCallOutcome outcome) {
+  switch (outcome) {
+    case StageCallOutcome::kAnswered:
+      return "answered";
+    case StageCallOutcome::kRefused:
+      return "refused";
+    case StageCallOutcome::kNotSent:
+      return "not_sent";
+    case StageCallOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace
+
+// One call to an endpoint with the items of several tasks.
+class StageCoordinator::Call final : public StageCallListener {
+ public:
+  Call(StageCoordinator* owner,
+       QueueKey key,
+       EndpointPtr endpoint,
+       TimePoint started)
+      : owner_(owner),
+        key_(std::move(key)),
+        endpoint_(std::move(endpoint)),
+        started_(started) {}
+
+  void OnStageAnswer(StageAnswer answer) override {
+    owner_->FinishCall(this, std::move(answer));
+  }
+
+  StageCoordinator* owner_;
+  QueueKey key_;
+  EndpointPtr endpoint_;
+  TimePoint started_;
+  std::vector<BatchPart> parts_;
+  std::unique_ptr<OpenStageCall> open_;
+  std::unique_ptr<Timer> timeout_;
+};
+
+class StageCoordinator::Ticket final : public OpenStageTask {
+ public:
+  Ticket(StageCoordinator* owner, StageTaskId id) : owner_(owner), id_(id) {}
+  ~Ticket() override { owner_->Abandon(id_); }
+
+ private:
+  StageCoordinator* owner_;
+  StageTaskId id_;
+};
+
+StageCoordinator::StageCoordinator(const Dependencies& dependencies,
+                                   uint64_t seed)
+    : dependencies_(dependencies), random_(seed) {}
+
+StageCoordinator::~StageCoordinator() = default;
+
+void StageCoordinator::SetConfiguration(ActiveConfigurationPtr configuration) {
+  configuration_ = std::move(configuration);
+}
+
+const StagePoolDefinition* StageCoordinator::FindStagePool(
+    const PoolId& id) const {
+  const PoolDefinition* const pool =
+      configuration_ == nullptr ? nullptr : configuration_->FindPool(id);
+  return pool != nullptr && pool->stage ? &*pool->stage : nullptr;
+}
+
+std::unique_ptr<OpenStageTask> StageCoordinator::Submit(
+    StageTask task,
+    StageTaskListener* listener) {
+  const StageTaskId id = next_task_++;
+  const QueueKey key(task.pool, task.failure_domain);
+  AddTask(queues_[key].batch, id, Describe(task));
+  dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now());
+  Task& entry = tasks_[id];
+  entry.handles.resize(static_cast<size_t>(task.item_count));
+  entry.listener = listener;
+  entry.submitted = dependencies_.clock.Now();
+  entry.task = std::move(task);
+  ScheduleDispatch(key, Duration::zero());
+  return std::make_unique<Ticket>(this, id);
+}
+
+Duration StageCoordinator::PredictDelay(const PoolId& pool,
+                                        const FailureDomainId& failure_domain,
+                                        int item_count) const {
+  const StagePoolDefinition* const definition = FindStagePool(pool);
+  if (definition == nullptr) {
+    return Duration::zero();
+  }
+  const auto& serving = dependencies_.endpoints.Serving(pool);
+  const auto is_local = [&](const EndpointPtr& endpoint) {
+    return endpoint->registration.failure_domain == failure_domain;
+  };
+  const auto local = std::count_if(serving.begin(), serving.end(), is_local);
+  const int endpoint_count = static_cast<int>(
+      local > 0 ? local : static_cast<ptrdiff_t>(serving.size()));
+  const auto queue = queues_.find(QueueKey(pool, failure_domain));
+  static const BatchQueue kEmpty;
+  Duration delay =
+      PredictQueueDelay(queue == queues_.end() ? kEmpty : queue->second.batch,
+                        *definition, endpoint_count, item_count);
+  // A busy endpoint has half of a call in front of it on average.
+  const bool has_idle = std::any_of(
+      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
+        return (local == 0 || is_local(endpoint)) && endpoint->open_calls == 0;
+      });
+  if (!has_idle) {
+    delay += CallTime(*definition, definition->batch_size / 2) / 2;
+  }
+  return delay;
+}
+
+void StageCoordinator::ScheduleDispatch(const QueueKey& key, Duration delay) {
+  Queue& queue = queues_[key];
+  if (queue.dispatch_timer != nullptr) {
+    return;
+  }
+  queue.dispatch_timer = dependencies_.timers.After(delay, [this, key] {
+    queues_[key].dispatch_timer.reset();
+    Dispatch(key);
+  });
+}
+
+void StageCoordinator::Dispatch(const QueueKey& key) {
+  const StagePoolDefinition* const pool = FindStagePool(key.first);
+  if (pool == nullptr) {
+    return;
+  }
+  const TimePoint now = dependencies_.clock.Now();
+  for (const StageTaskId id : TakeHopeless(queues_[key].batch, *pool, now)) {
+    EndTask(id, StageItemOutcome::kLate);
+  }
+  Queue& queue = queues_[key];
+  while (!queue.batch.waiting.empty() && StartCall(key, queue, *pool)) {
+  }
+  if (!queue.batch.waiting.empty()) {
+    ScheduleDispatch(key, kRetryInterval);
+  }
+}
+
+EndpointPtr StageCoordinator::ChooseIdleEndpoint(
+    const QueueKey& key,
+    const StagePoolDefinition& pool) {
+  const TimePoint now = dependencies_.clock.Now();
+  const Duration longest_wait =
+      kCallTimeoutFactor * CallTime(pool, pool.batch_size);
+  const auto& serving = dependencies_.endpoints.Serving(key.first);
+  std::vector<EndpointPtr> local;
+  for (const EndpointPtr& endpoint : serving) {
+    if (endpoint->registration.failure_domain == key.second &&
+        IsTrusted(*endpoint, now, longest_wait)) {
+      local.push_back(endpoint);
+    }
+  }
+  const std::vector<EndpointPtr>& candidates = local.empty() ? serving : local;
+  std::vector<EndpointPtr> idle;
+  for (const EndpointPtr& endpoint : candidates) {
+    if (endpoint->open_calls < pool.concurrent_calls &&
+        endpoint->ejected_until <= now) {
+      idle.push_back(endpoint);
+    }
+  }
+  return ChooseEndpoint(idle, PlacementRequest(), longest_wait, now, random_);
+}
+
+bool StageCoordinator::StartCall(const QueueKey& key,
+                                 Queue& queue,
+                                 const StagePoolDefinition& pool) {
+  EndpointPtr endpoint = ChooseIdleEndpoint(key, pool);
+  if (endpoint == nullptr) {
+    return false;
+  }
+  const TimePoint now = dependencies_.clock.Now();
+  auto call = std::make_unique<Call>(this, key, endpoint, now);
+  call->parts_ = TakeBatch(queue.batch, pool, now);
+  std::vector<StageItem> items;
+  for (const BatchPart& part : call->parts_) {
+    const StageTask& task = tasks_.at(part.task).task;
+    for (int i = 0; i < part.item_count; ++i) {
+      items.push_back({.request = task.request,
+                       .stage = task.stage,
+                       .piece = static_cast<size_t>(part.first_item + i),
+                       .time_left = task.deadline - now,
+                       .key = task.key,
+                       .inputs = task.inputs});
+    }
+  }
+  const Duration timeout =
+      kCallTimeoutFactor * CallTime(pool, static_cast<int>(items.size())) +
+      kCallTimeoutMargin;
+  Call* const raw = call.get();
+  BeginCall(*endpoint, now);
+  call->open_ = dependencies_.caller.Start(endpoint->registration, items, raw);
+  call->timeout_ = dependencies_.timers.After(
+      timeout, [this, raw] { FinishCall(raw, StageAnswer()); });
+  calls_.emplace(raw, std::move(call));
+  return true;
+}
+
+void StageCoordinator::FinishCall(Call* call, StageAnswer answer) {
+  const auto found = calls_.find(call);
+  const std::unique_ptr<Call> owned = std::move(found->second);
+  calls_.erase(found);
+  const TimePoint now = dependencies_.clock.Now();
+  Endpoint& endpoint = *owned->endpoint_;
+  EndWaiting(endpoint, owned->started_);
+  const bool is_answered = answer.outcome == StageCallOutcome::kAnswered;
+  const bool is_refused = answer.outcome == StageCallOutcome::kRefused;
+  EndCall(endpoint,
+          is_answered  ? CallVerdict::kSuccess
+          : is_refused ? CallVerdict::kRefused
+                       : CallVerdict::kFailure,
+          now);
+  if (is_refused) {
+    endpoint.ejected_until = now + kRefusalPause;
+  }
+  if (answer.load) {
+    endpoint.reported_running = answer.load->running;
+    endpoint.reported_waiting = answer.load->waiting;
+    endpoint.reported_at = now;
+  }
+  if (!is_answered) {
+    dependencies_.events.Write(
+        "stage_call_failed",
+        {{"pool", owned->key_.first.value()},
+         {"endpoint", endpoint.registration.id.value()},
+         {"outcome", std::string(NameOf(answer.outcome))},
+         {"tasks", std::to_string(owned->parts_.size())},
+         {"ms",
+          std::to_string(std::lround(ToMilliseconds(now - owned->started_)))}});
+  }
+  std::vector<ResultHandle> unused;
+  size_t position = 0;
+  for (const BatchPart& part : owned->parts_) {
+    const size_t first = position;
+    position += static_cast<size_t>(part.item_count);
+    if (!is_answered) {
+      RepeatPart(owned->key_, part,
+                 answer.outcome != StageCallOutcome::kNotSent);
+      continue;
+    }
+    bool needs_repeat = false;
+    for (size_t i = 0; i < static_cast<size_t>(part.item_count); ++i) {
+      StageItemResult& result = answer.results[first + i];
+      const auto task = tasks_.find(part.task);
+      if (task == tasks_.end()) {
+        if (result.outcome == StageItemOutcome::kDone) {
+          unused.push_back(std::move(result.handle));
+        }
+        continue;
+      }
+      if (result.outcome == StageItemOutcome::kDone) {
+        ResultHandle& slot =
+            task->second.handles[static_cast<size_t>(part.first_item) + i];
+        task->second.done_items += slot.empty() ? 1 : 0;
+        slot = std::move(result.handle);
+      } else if (result.outcome == StageItemOutcome::kLate ||
+                 result.outcome == StageItemOutcome::kInputGone) {
+        EndTask(part.task, result.outcome);
+      } else {
+        needs_repeat = true;
+      }
+    }
+    if (needs_repeat) {
+      RepeatPart(owned->key_, part, /*counts=*/true);
+      continue;
+    }
+    const auto task = tasks_.find(part.task);
+    if (task != tasks_.end() &&
+        task->second.done_items == task->second.task.item_count) {
+      EndTask(part.task, StageItemOutcome::kDone);
+    }
+  }
+  if (!unused.empty()) {
+    dependencies_.caller.Release(unused);
+  }
+  Dispatch(owned->key_);
+}
+
+void StageCoordinator::RepeatPart(const QueueKey& key,
+                                  const BatchPart& part,
+                                  bool counts) {
+  const auto task = tasks_.find(part.task);
+  if (task == tasks_.end()) {
+    return;
+  }
+  const TimePoint now = dependencies_.clock.Now();
+  if (counts && !dependencies_.repeats.TakeRepeats(
+                    key.first, kRepeatWeight * part.item_count, now)) {
+    EndTask(part.task, StageItemOutcome::kFailed);
+    return;
+  }
+  task->second.repeated_items += part.item_count;
+  // Results of the part that did arrive are asked for again and replaced.
+  for (int i = 0; i < part.item_count; ++i) {
+    ResultHandle& slot =
+        task->second.handles[static_cast<size_t>(part.first_item + i)];
+    if (!slot.empty()) {
+      dependencies_.caller.Release({slot});
+      slot = ResultHandle();
+      --task->second.done_items;
+    }
+  }
+  ReturnPart(queues_[key].batch, part, Describe(task->second.task));
+}
+
+void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
+  const auto found = tasks_.find(id);
+  if (found == tasks_.end()) {
+    return;
+  }
+  Task task = std::move(found->second);
+  tasks_.erase(found);
+  RemoveTask(queues_[QueueKey(task.task.pool, task.task.failure_domain)].batch,
+             id);
+  StageTaskResult result;
+  result.outcome = outcome;
+  if (outcome == StageItemOutcome::kDone) {
+    result.handles = std::move(task.handles);
+  } else {
+    std::erase_if(task.handles,
+                  [](const ResultHandle& handle) { return handle.empty(); });
+    if (!task.handles.empty()) {
+      dependencies_.caller.Release(task.handles);
+    }
+  }
+  task.listener->OnStageTaskEnd(task.task.stage, std::move(result));
+}
+
+void StageCoordinator::Abandon(StageTaskId id) {
+  const auto found = tasks_.find(id);
+  if (found == tasks_.end()) {
+    return;
+  }
+  const QueueKey key(found->second.task.pool,
+                     found->second.task.failure_domain);
+  RemoveTask(queues_[key].batch, id);
+  std::vector<ResultHandle> handles = std::move(found->second.handles);
+  tasks_.erase(found);
+  std::erase_if(handles,
+                [](const ResultHandle& handle) { return handle.empty(); });
+  if (!handles.empty()) {
+    dependencies_.caller.Release(handles);
+  }
+  // A call whose tasks are all abandoned is cancelled.
+  for (auto call = calls_.begin(); call != calls_.end(); ++call) {
+    const auto& parts = call->second->parts_;
+    const bool is_unused = std::none_of(
+        parts.begin(), parts.end(),
+        [&](const BatchPart& part) { return tasks_.contains(part.task); });
+    if (is_unused) {
+      Endpoint& endpoint = *call->second->endpoint_;
+      EndWaiting(endpoint, call->second->started_);
+      EndCall(endpoint, CallVerdict::kCancelled, dependencies_.clock.Now());
+      const QueueKey cancelled = call->second->key_;
+      calls_.erase(call);
+      ScheduleDispatch(cancelled, Duration::zero());
+      break;
+    }
+  }
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -0,0 +1,95 @@
+#ifndef PERIDOTMILL_GATEWAY_STAGES_STAGE_COORDINATOR_H_
+#define PERIDOTMILL_GATEWAY_STAGES_STAGE_COORDINATOR_H_
+
+#include <map>
+#include <memory>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "peridotmill_core/maths/random.h"
+#include "peridotmill_core/timers/timer_queue.h"
+#include "peridotmill_gateway/configuration/active_configuration.h"
+#include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/registry/endpoint_registry.h"
+#include "peridotmill_gateway/repeats/repeat_budget.h"
+#include "peridotmill_gateway/stages/batch_queue.h"
+#include "peridotmill_gateway/stages/stage_task.h"
+
+namespace peridotmill {
+
+// Gathers stage tasks into batched calls to the endpoints of stage pools. Each
+// pool and failure domain has a queue of its own; an endpoint gets its next
+// call when the one before has ended, so that tasks gather while it works.
+class StageCoordinator final : public StageWorker {
+ public:
+  struct Dependencies {
+    const Clock& clock;
+    TimerQueue& timers;
+    StageCaller& caller;
+    EndpointRegistry& endpoints;
+    RepeatBudget& repeats;
+    EventSink& events;
+  };
+
+  StageCoordinator(const Dependencies& dependencies, uint64_t seed);
+  ~StageCoordinator() override;
+
+  void SetConfiguration(ActiveConfigurationPtr configuration);
+
+  std::unique_ptr<OpenStageTask> Submit(StageTask task,
+                                        StageTaskListener* listener) override;
+  Duration PredictDelay(const PoolId& pool,
+                        const FailureDomainId& failure_domain,
+                        int item_count) const override;
+
+  size_t task_count() const { return tasks_.size(); }
+
+ private:
+  class Call;
+  class Ticket;
+  using QueueKey = std::pair<PoolId, FailureDomainId>;
+
+  struct Task {
+    StageTask task;
+    StageTaskListener* listener = nullptr;
+    std::vector<ResultHandle> handles;
+    int done_items = 0;
+    // Items sent more than once.
+    int repeated_items = 0;
+    TimePoint submitted;
+  };
+
+  // One queue and what works on it.
+  struct Queue {
+    BatchQueue batch;
+    std::unique_ptr<Timer> dispatch_timer;
+  };
+
+  void ScheduleDispatch(const QueueKey& key, Duration delay);
+  void Dispatch(const QueueKey& key);
+  bool StartCall(const QueueKey& key,
+                 Queue& queue,
+                 const StagePoolDefinition& pool);
+  EndpointPtr ChooseIdleEndpoint(const QueueKey& key,
+                                 const StagePoolDefinition& pool);
+  void FinishCall(Call* call, StageAnswer answer);
+  // Puts a part's items back into their queue, or ends the task when the budget
+  // of repeats is spent.
+  void RepeatPart(const QueueKey& key, const BatchPart& part, bool counts);
+  void EndTask(StageTaskId id, StageItemOutcome outcome);
+  void Abandon(StageTaskId id);
+  const StagePoolDefinition* FindStagePool(const PoolId& id) const;
+
+  Dependencies dependencies_;
+  Random random_;
+  ActiveConfigurationPtr configuration_;
+  std::map<QueueKey, Queue> queues_;
+  std::map<StageTaskId, Task> tasks_;
+  std::map<Call*, std::unique_ptr<Call>> calls_;
+  StageTaskId next_task_ = 1;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_STAGES_STAGE_COORDINATOR_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -0,0 +1,64 @@
+#ifndef PERIDOTMILL_GATEWAY_STAGES_STAGE_TASK_H_
+#define PERIDOTMILL_GATEWAY_STAGES_STAGE_TASK_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotmill_gateway/calls/stage_call.h"
+
+namespace peridotmill {
+
+// All items of one stage of one request.
+struct StageTask {
+  RequestId request;
+  PoolId pool;
+  // Whose endpoints are to work on it.
+  FailureDomainId failure_domain;
+  size_t stage = 0;
+  int item_count = 0;
+  std::string key;
+  std::vector<ResultHandle> inputs;
+  // Latest end of the stage with which the request is still on time.
+  TimePoint due;
+  // Latest end of the stage with which the request is still of use.
+  TimePoint deadline;
+  int priority = 0;
+};
+
+struct StageTaskResult {
+  StageItemOutcome outcome = StageItemOutcome::kFailed;
+  // One for each item, if the task is done.
+  std::vector<ResultHandle> handles;
+};
+
+class StageTaskListener {
+ public:
+  virtual ~StageTaskListener() = default;
+  // The task's only callback, never within Submit. It may destroy the task.
+  virtual void OnStageTaskEnd(size_t stage, StageTaskResult result) = 0;
+};
+
+// A submitted task; destroying it gives up its result.
+class OpenStageTask {
+ public:
+  virtual ~OpenStageTask() = default;
+};
+
+// Works on stage tasks.
+class StageWorker {
+ public:
+  virtual ~StageWorker() = default;
+  virtual std::unique_ptr<OpenStageTask> Submit(
+      StageTask task,
+      StageTaskListener* listener) = 0;
+  // Predicted time until a task submitted now to this pool and failure domain
+  // is done.
+  virtual Duration PredictDelay(const PoolId& pool,
+                                const FailureDomainId& failure_domain,
+                                int item_count) const = 0;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_STAGES_STAGE_TASK_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -0,0 +1,77 @@
+#ifndef PERIDOTMILL_GATEWAY_STORE_PREFIX_FOLLOWER_H_
+#define PERIDOTMILL_GATEWAY_STORE_PREFIX_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotmill_core/maths/random.h"
+#include "peridotmill_core/timers/timer_queue.h"
+#include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/store/store_channel.h"
+
+namespace peridotmill {
+
+struct PrefixFollowerSettings {
+  std::string prefix;
+  // How long a watch waits for changes.
+  Duration watch_wait = std::chrono::seconds(20);
+};
+
+// What a follower reports. Callbacks come from the main loop.
+struct PrefixFollowerEvents {
+  // All entries as of one reading, which replace what was known.
+  // `was_unreachable` tells that the store had not answered before it.
+  std::function<void(const std::vector<StoreEntry>&, bool was_unreachable)>
+      on_snapshot;
+  std::function<void(const StoreChange&)> on_change;
+};
+
+// Keeps up with the keys of one prefix: reads them, then watches for changes,
+// and reads again when the history has gaps. The reads are linearizable.
+class PrefixFollower {
+ public:
+  PrefixFollower(PrefixFollowerSettings settings,
+                 PrefixFollowerEvents events,
+                 StoreChannel& store,
+                 TimerQueue& timers,
+                 EventSink& log,
+                 uint64_t seed);
+
+  void Start();
+  // Reads all keys again at the next opportunity.
+  void ReadAgain();
+
+  bool has_snapshot() const { return has_snapshot_; }
+  bool is_reachable() const { return failures_ == 0; }
+
+ private:
+  void Read(const std::string& after_key);
+  void OnPage(StorePage page);
+  void Watch();
+  void OnChanges(StoreChanges changes);
+  void RetryLater(std::function<void()> action);
+  void NoteSuccess();
+
+  PrefixFollowerSettings settings_;
+  PrefixFollowerEvents events_;
+  StoreChannel& store_;
+  TimerQueue& timers_;
+  EventSink& log_;
+  Random random_;
+  std::unique_ptr<OpenStoreCall> call_;
+  std::unique_ptr<Timer> retry_timer_;
+  std::vector<StoreEntry> entries_;
+  int64_t revision_ = 0;
+  int failures_ = 0;
+  bool has_snapshot_ = false;
+  // A whole reading has failed since the last snapshot.
+  bool was_unreachable_ = false;
+  bool is_read_wanted_ = false;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_STORE_PREFIX_FOLLOWER_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -0,0 +1,61 @@
+#include "peridotmill_gateway/streams/event_splitter.h"
+
+#include <algorithm>
+
+namespace peridotmill {
+namespace {
+
+// Position after the next event's empty line, or npos.
+size_t FindEventEnd(std::string_view text, size_t from) {
+  const size_t lf = text.find("\n\n", from);
+  const size_t crlf = text.find("\r\n\r\n", from);
+  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
+    return std::string_view::npos;
+  }
+  return crlf < lf ? crlf + 4 : lf + 2;
+}
+
+std::optional<std::string_view> FindEventId(std::string_view event) {
+  std::optional<std::string_view> id;
+  while (!event.empty()) {
+    const size_t end = std::min(event.find('\n'), event.size());
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(std::min(end + 1, event.size()));
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (line.starts_with("id:")) {
+      line.remove_prefix(3);
+      if (line.starts_with(' ')) {
+        line.remove_prefix(1);
+      }
+      id = line;
+    }
+  }
+  return id;
+}
+
+}  // namespace
+
+std::string EventSplitter::Add(std::string_view bytes) {
+  rest_.append(bytes);
+  size_t start = 0;
+  while (true) {
+    const size_t end = FindEventEnd(rest_, start);
+    if (end == std::string::npos) {
+      break;
+    }
+    const auto id =
+        FindEventId(std::string_view(rest_).substr(start, end - start));
+    if (id) {
+      last_event_id_ = *id;
+    }
+    ++event_count_;
+    start = end;
+  }
+  std::string whole = rest_.substr(0, start);
+  rest_.erase(0, start);
+  return whole;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_http/client/http_client.cc
@@ -0,0 +1,151 @@
+#include "peridotmill_http/client/http_client.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "peridotmill_http/sockets/delete_later.h"
+
+namespace peridotmill {
+namespace {
+
+// Time between checks for connections that were idle for too long.
+constexpr guint kSweepIntervalMs = 1000;
+// Idle connections kept to one server.
+constexpr size_t kMaxIdlePerServer = 16;
+
+}  // namespace
+
+// Owns the connection of a call until its end, and returns it to the client
+// when the answer left it usable.
+class HttpClientCall final : public OpenHttpCall, public HttpCallListener {
+ public:
+  HttpClientCall(std::unique_ptr<HttpClientConnection> connection,
+                 HttpCallListener* listener)
+      : connection_(std::move(connection)), listener_(listener) {}
+
+  ~HttpClientCall() override {
+    if (connection_ != nullptr) {
+      connection_->Cancel();
+      DeleteLater(std::move(connection_));
+    }
+  }
+
+  void Begin(HttpClient* client,
+             HttpCall call,
+             void (HttpClient::*keep)(std::unique_ptr<HttpClientConnection>)) {
+    client_ = client;
+    keep_ = keep;
+    connection_->Begin(std::move(call), this);
+  }
+
+ private:
+  bool OnCallHead(const HttpResponseHead& head) override {
+    return listener_->OnCallHead(head);
+  }
+  void OnCallBody(std::string_view bytes) override {
+    listener_->OnCallBody(bytes);
+  }
+  void OnCallEnd(HttpCallEnd end) override {
+    if (end == HttpCallEnd::kComplete) {
+      (client_->*keep_)(std::move(connection_));
+    }
+    // May destroy this call.
+    listener_->OnCallEnd(end);
+  }
+
+  std::unique_ptr<HttpClientConnection> connection_;
+  HttpCallListener* listener_;
+  HttpClient* client_ = nullptr;
+  void (HttpClient::*keep_)(std::unique_ptr<HttpClientConnection>) = nullptr;
+};
+
+HttpClient::HttpClient(const Clock& clock) : clock_(clock) {
+  sweep_source_ = g_timeout_add(kSweepIntervalMs, OnSweep, this);
+}
+
+HttpClient::~HttpClient() {
+  g_source_remove(sweep_source_);
+}
+
+std::unique_ptr<OpenHttpCall> HttpClient::Start(HttpCall call,
+                                                HttpCallListener* listener) {
+  auto connection = TakeIdle(call);
+  if (connection == nullptr) {
+    ++counters_.connections_opened;
+    connection = std::make_unique<HttpClientConnection>(this);
+  } else {
+    ++counters_.connections_reused;
+  }
+  auto open = std::make_unique<HttpClientCall>(std::move(connection), listener);
+  open->Begin(this, std::move(call), &HttpClient::Keep);
+  return open;
+}
+
+std::unique_ptr<HttpClientConnection> HttpClient::TakeIdle(
+    const HttpCall& call) {
+  const auto found = idle_.find(call.address);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const TimePoint now = clock_.Now();
+  auto& connections = found->second;
+  // The one used last is the least likely to have been closed meanwhile.
+  if (connections.empty() || connections.back()->idle_until() <= now ||
+      now - connections.back()->idle_since() > call.max_connection_idle) {
+    return nullptr;
+  }
+  auto connection = std::move(connections.back());
+  connections.pop_back();
+  return connection;
+}
+
+void HttpClient::Keep(std::unique_ptr<HttpClientConnection> connection) {
+  if (!connection->is_open() || connection->idle_until() <= clock_.Now()) {
+    DeleteLater(std::move(connection));
+    return;
+  }
+  auto& connections = idle_[connection->address()];
+  if (connections.size() >= kMaxIdlePerServer) {
+    DeleteLater(std::move(connection));
+    return;
+  }
+  connections.push_back(std::move(connection));
+}
+
+void HttpClient::Drop(HttpClientConnection* connection) {
+  const auto found = idle_.find(connection->address());
+  if (found == idle_.end()) {
+    return;
+  }
+  auto& connections = found->second;
+  const auto position =
+      std::find_if(connections.begin(), connections.end(),
+                   [&](const auto& kept) { return kept.get() == connection; });
+  if (position != connections.end()) {
+    DeleteLater(std::move(*position));
+    connections.erase(position);
+  }
+}
+
+gboolean HttpClient::OnSweep(gpointer data) {
+  auto* const self = static_cast<HttpClient*>(data);
+  const TimePoint now = self->clock_.Now();
+  for (auto entry = self->idle_.begin(); entry != self->idle_.end();) {
+    auto& connections = entry->second;
+    while (!connections.empty() && connections.front()->idle_until() <= now) {
+      connections.pop_front();
+    }
+    entry = connections.empty() ? self->idle_.erase(entry) : std::next(entry);
+  }
+  return G_SOURCE_CONTINUE;
+}
+
+size_t HttpClient::idle_connection_count() const {
+  size_t count = 0;
+  for (const auto& [address, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_http/server/http_exchange.cc
@@ -0,0 +1,48 @@
+#include "peridotmill_http/server/http_exchange.h"
+
+#include <cstdio>
+
+#include "peridotmill_http/server/http_server_connection.h"
+
+namespace peridotmill {
+
+void HttpExchange::SendHead(const HttpResponseHead& head) {
+  if (connection_ != nullptr) {
+    connection_->SendHead(head, is_chunked_);
+  }
+}
+
+void HttpExchange::SendBody(std::string_view bytes) {
+  if (connection_ == nullptr || bytes.empty()) {
+    return;
+  }
+  if (!is_chunked_) {
+    connection_->Send(bytes);
+    return;
+  }
+  char size_line[20];
+  const int length =
+      std::snprintf(size_line, sizeof(size_line), "%zx\r\n", bytes.size());
+  std::string chunk(size_line, static_cast<size_t>(length));
+  chunk += bytes;
+  chunk += "\r\n";
+  connection_->Send(chunk);
+}
+
+void HttpExchange::Finish() {
+  if (connection_ == nullptr) {
+    return;
+  }
+  if (is_chunked_) {
+    connection_->Send("0\r\n\r\n");
+  }
+  connection_->FinishAnswer();
+}
+
+void HttpExchange::Abort() {
+  if (connection_ != nullptr) {
+    connection_->AbortAnswer();
+  }
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_net/logging/event_log.cc
+++ b/modules/peridotmill_net/logging/event_log.cc
@@ -6,9 +6,10 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <cstdio>
 #include <memory>
 
+#include "peridotmill_core/logging/log_value.h"
+
 namespace peridotmill {
 namespace {
 
@@ -16,42 +17,6 @@
   return log4cplus::Logger::getRoot();
 }
 
-bool NeedsQuotes(std::string_view value) {
-  if (value.empty()) {
-    return true;
-  }
-  for (const char c : value) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (byte <= ' ' || byte == '"' || byte == '=' || byte == '\\' ||
-        byte >= 0x7f) {
-      return true;
-    }
-  }
-  return false;
-}
-
-void AppendValue(std::string_view value, std::string& line) {
-  if (!NeedsQuotes(value)) {
-    line += value;
-    return;
-  }
-  line += '"';
-  for (const char c : value) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (c == '"' || c == '\\') {
-      line += '\\';
-      line += c;
-    } else if (byte < ' ' || byte >= 0x7f) {
-      char escaped[8];
-      std::snprintf(escaped, sizeof(escaped), "\\x%02x", byte);
-      line += escaped;
-    } else {
-      line += c;
-    }
-  }
-  line += '"';
-}
-
 }  // namespace
 
 bool OpenEventLog(std::string_view level) {
@@ -78,12 +43,12 @@
 
 std::string FormatLogLine(std::string_view event, const LogFields& fields) {
   std::string line = "event=";
-  AppendValue(event, line);
+  AppendLogValue(event, line);
   for (const auto& [key, value] : fields) {
     line += ' ';
     line += key;
     line += '=';
-    AppendValue(value, line);
+    AppendLogValue(value, line);
   }
   return line;
 }
