Place streams by rendezvous on the shared parts of their prompts

Change: one endpoint in the rendezvous order of the shared parts is taken as their holder; reading again, moving results and load are weighed in tokens. Stages are worked on in the domain of the likely engine unless that costs time.

--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -12,24 +12,44 @@
 // A load report loses half of its weight in this time, about the time in which
 // a fleet's short requests are replaced by others.
 constexpr Duration kReportHalfLife = std::chrono::milliseconds(500);
-// Cost of another failure domain, in shares of an endpoint's slots.
-constexpr double kOtherDomainCost = 0.5;
-// Cost of each place further down the order of affinity, in shares of an
-// endpoint's slots: a second holder takes over when the first has this much
-// more load.
-constexpr double kAffinityRankCost = 0.15;
-// Places in the order of affinity that are told apart.
-constexpr double kMaxAffinityRank = 4;
+// Costs are counted in tokens that an engine reads.
+// Moving a megabyte between failure domains, from the ratio of the operators'
+// prices: 32 for a gigabyte against 0.078 for a thousand tokens.
+constexpr double kTokensPerMegabyte = 410;
+constexpr double kBytesPerMegabyte = 1e6;
+// A near endpoint is preferred by this much whatever is moved.
+constexpr double kOtherDomainTokens = 20;
+// All slots of an endpoint taken. A holder with half of its slots taken more
+// than the next one loses a prompt that shares 10,000 tokens.
+constexpr double kFullLoadTokens = 20'000;
+// Work that waits at an endpoint, for each share of its slots.
+constexpr double kWaitingTokens = 100'000;
 // Random part of the cost; breaks ties between nodes that see the same reports.
-constexpr double kJitter = 0.02;
+constexpr double kJitterTokens = 200;
 
 bool IsTried(const PlacementRequest& request, const EndpointId& id) {
   return std::find(request.tried.begin(), request.tried.end(), id) !=
          request.tried.end();
 }
 
-uint64_t AffinityScore(uint64_t affinity, const EndpointId& id) {
-  return Hash64(id.value(), affinity);
+// The first endpoint in the rendezvous order of an affinity.
+EndpointPtr FindHolder(const std::vector<EndpointPtr>& endpoints,
+                       uint64_t affinity) {
+  EndpointPtr holder;
+  uint64_t best = 0;
+  for (const EndpointPtr& endpoint : endpoints) {
+    const uint64_t score = Hash64(endpoint->registration.id.value(), affinity);
+    if (holder == nullptr || score > best) {
+      holder = endpoint;
+      best = score;
+    }
+  }
+  return holder;
+}
+
+double LoadCost(const Endpoint& endpoint, TimePoint now) {
+  const double load = EstimateLoad(endpoint, now);
+  return kFullLoadTokens * load + kWaitingTokens * std::max(0.0, load - 1);
 }
 
 }  // namespace
@@ -55,49 +75,35 @@
                            Duration longest_wait,
                            TimePoint now,
                            Random& random) {
-  struct Candidate {
-    EndpointPtr endpoint;
-    uint64_t affinity_score;
-    bool is_in_domain;
-  };
-  std::vector<Candidate> candidates;
-  std::vector<Candidate> untrusted;
+  std::vector<EndpointPtr> candidates;
+  std::vector<EndpointPtr> untrusted;
   for (const EndpointPtr& endpoint : serving) {
-    const EndpointId& id = endpoint->registration.id;
-    if (IsTried(request, id)) {
-      continue;
+    if (!IsTried(request, endpoint->registration.id)) {
+      (IsTrusted(*endpoint, now, longest_wait) ? candidates : untrusted)
+          .push_back(endpoint);
     }
-    const Candidate candidate = {
-        endpoint,
-        request.affinity == 0 ? 0 : AffinityScore(request.affinity, id),
-        request.preferred_domain.empty() ||
-            endpoint->registration.failure_domain == request.preferred_domain};
-    (IsTrusted(*endpoint, now, longest_wait) ? candidates : untrusted)
-        .push_back(candidate);
   }
   if (candidates.empty()) {
     candidates.swap(untrusted);
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              if (a.is_in_domain != b.is_in_domain) {
-                return a.is_in_domain;
-              }
-              return a.affinity_score > b.affinity_score;
-            });
+  const EndpointPtr holder = request.affinity == 0
+                                 ? nullptr
+                                 : FindHolder(candidates, request.affinity);
   EndpointPtr best;
   double best_cost = 0;
-  for (size_t rank = 0; rank < candidates.size(); ++rank) {
-    const Candidate& candidate = candidates[rank];
-    double cost = EstimateLoad(*candidate.endpoint, now) +
-                  kJitter * random.Unit() +
-                  (candidate.is_in_domain ? 0 : kOtherDomainCost);
-    if (request.affinity != 0) {
-      cost += kAffinityRankCost *
-              std::min(static_cast<double>(rank), kMaxAffinityRank);
+  for (const EndpointPtr& endpoint : candidates) {
+    double cost = LoadCost(*endpoint, now) + kJitterTokens * random.Unit();
+    if (!request.data_domain.empty() &&
+        endpoint->registration.failure_domain != request.data_domain) {
+      cost += kOtherDomainTokens + kTokensPerMegabyte *
+                                       static_cast<double>(request.data_bytes) /
+                                       kBytesPerMegabyte;
+    }
+    if (holder != nullptr && endpoint != holder) {
+      cost += static_cast<double>(request.shared_tokens);
     }
     if (best == nullptr || cost < best_cost) {
-      best = candidate.endpoint;
+      best = endpoint;
       best_cost = cost;
     }
   }
--- a/modules/peridotmill_gateway/placement/endpoint_placement.h
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -14,10 +14,14 @@
   // Endpoints that this request has tried.
   std::span<const EndpointId> tried;
   // Where the data that the request needs lies; empty when it does not matter.
-  FailureDomainId preferred_domain;
-  // Requests with the same affinity go to the same few endpoints while these
-  // have room, so that shared parts of prompts are read once. 0: none.
+  FailureDomainId data_domain;
+  // Size of that data; small requests prefer a near endpoint a little.
+  int64_t data_bytes = 0;
+  // Requests with the same affinity share the beginning of their prompts. 0:
+  // none.
   uint64_t affinity = 0;
+  // Tokens that an endpoint which has not read the shared parts reads again.
+  int64_t shared_tokens = 0;
 };
 
 // Load of an endpoint as a share of its slots: its own report, decayed, or the
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -44,6 +44,9 @@
 // Cost of crossing failure domains when a domain is chosen for a request's
 // stages, as time.
 constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(60);
+// Delay that is accepted to keep a megabyte of results in the failure domain of
+// its engine.
+constexpr double kDelayPerMegabyteMs = 40;
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -96,18 +99,61 @@
   progress_ = MakeStageProgress(request_.stage_item_counts);
   stage_tasks_.resize(route_->stages.size());
   work_domain_ = context_.failure_domain;
-  ChooseDomain();
+  ChooseWorkDomain();
   SubmitReadyStages();
 }
 
-bool GatewayRequest::ChooseDomain() {
+int64_t GatewayRequest::FinalResultBytes() const {
+  int64_t bytes = 0;
+  for (size_t i = 0; i < route_->stages.size(); ++i) {
+    if (IsFinalStage(route_->stages, i)) {
+      bytes += route_->stages[i].result_bytes * progress_.stages[i].item_count;
+    }
+  }
+  return bytes;
+}
+
+PlacementRequest GatewayRequest::DescribePlacement() const {
+  PlacementRequest placement;
+  placement.tried = history_.tried();
+  placement.data_domain = context_.failure_domain;
+  if (HasStages() && AreAllDone(progress_)) {
+    placement.data_domain = work_domain_;
+    placement.data_bytes = FinalResultBytes();
+  }
+  if (!request_.generation || request_.generation->parts.empty()) {
+    return placement;
+  }
+  const auto& parts = request_.generation->parts;
+  // The last part is the request's own and shared with no other.
+  const size_t shared = std::max<size_t>(1, parts.size() - 1);
+  uint64_t hash = Hash64(request_.generation->model);
+  for (size_t i = 0; i < shared; ++i) {
+    hash = Hash64(parts[i].id, hash);
+    placement.shared_tokens += parts[i].tokens;
+  }
+  placement.affinity = hash | 1;
+  return placement;
+}
+
+void GatewayRequest::ChooseWorkDomain() {
   const auto ready = ReadyStages(route_->stages, progress_);
   if (ready.empty()) {
-    return false;
+    return;
+  }
+  const EndpointPtr likely =
+      ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
+                     kEngineLongestWait, accepted_, gateway_->random_);
+  if (likely != nullptr) {
+    work_domain_ = likely->registration.failure_domain;
   }
   const size_t stage = ready.front();
   const PoolId& pool = route_->stages[stage].pool;
   const int items = progress_.stages[stage].item_count;
+  const Duration moving =
+      kOtherDomainDelay +
+      FromMilliseconds(kDelayPerMegabyteMs *
+                       static_cast<double>(FinalResultBytes()) / 1e6);
   FailureDomainId best = work_domain_;
   Duration best_delay =
       context_.stage_worker.PredictDelay(pool, work_domain_, items);
@@ -117,15 +163,13 @@
       continue;
     }
     const Duration delay =
-        context_.stage_worker.PredictDelay(pool, domain, items) +
-        kOtherDomainDelay;
+        context_.stage_worker.PredictDelay(pool, domain, items) + moving;
     if (delay < best_delay) {
       best = domain;
       best_delay = delay;
     }
   }
   work_domain_ = best;
-  return true;
 }
 
 TimePoint GatewayRequest::LatestEnd(size_t stage, TimePoint limit) const {
@@ -191,29 +235,10 @@
        kRetryAfter);
 }
 
-uint64_t GatewayRequest::PromptAffinity() const {
-  if (!request_.generation || request_.generation->parts.empty()) {
-    return 0;
-  }
-  const auto& parts = request_.generation->parts;
-  // The last part is the request's own and shared with no other.
-  const size_t shared = std::max<size_t>(1, parts.size() - 1);
-  uint64_t hash = Hash64(request_.generation->model);
-  for (size_t i = 0; i < shared; ++i) {
-    hash = Hash64(parts[i].id, hash);
-  }
-  return hash | 1;
-}
-
 void GatewayRequest::StartAttempt() {
   const TimePoint now = context_.clock.Now();
-  PlacementRequest placement;
-  placement.tried = history_.tried();
-  placement.affinity = PromptAffinity();
-  placement.preferred_domain =
-      HasStages() ? work_domain_ : context_.failure_domain;
   endpoint_ =
-      ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
+      ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
                      IsStream() ? kEngineLongestWait : kPlainLongestWait, now,
                      gateway_->random_);
   if (endpoint_ == nullptr) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -8,6 +8,7 @@
 
 #include "peridotmill_core/http/caller_channel.h"
 #include "peridotmill_gateway/calls/endpoint_call.h"
+#include "peridotmill_gateway/placement/endpoint_placement.h"
 #include "peridotmill_gateway/requests/attempt_history.h"
 #include "peridotmill_gateway/requests/gateway.h"
 #include "peridotmill_gateway/requests/refusal.h"
@@ -46,7 +47,9 @@
 
   // Stages.
   bool HasStages() const { return !route_->stages.empty(); }
-  bool ChooseDomain();
+  // Chooses where the stages are worked on: near the engine that is likely to
+  // serve the request, or elsewhere when that saves time.
+  void ChooseWorkDomain();
   void SubmitReadyStages();
   // Latest end of a stage with which the rest of the request ends by `limit`.
   TimePoint LatestEnd(size_t stage, TimePoint limit) const;
@@ -69,7 +72,9 @@
   // Tells the makers that the stage results are no longer needed.
   void ReleaseResults();
   Duration Elapsed() const;
-  uint64_t PromptAffinity() const;
+  PlacementRequest DescribePlacement() const;
+  // Size of the results that the engine takes.
+  int64_t FinalResultBytes() const;
 
   Gateway* gateway_;
   GatewayContext& context_;
--- a/modules/peridotmill_gateway/requests/stage_progress.cc
+++ b/modules/peridotmill_gateway/requests/stage_progress.cc
@@ -11,15 +11,16 @@
          definition.after.end();
 }
 
-bool IsFinal(const std::vector<StageDefinition>& definitions, size_t stage) {
+}  // namespace
+
+bool IsFinalStage(const std::vector<StageDefinition>& definitions,
+                  size_t stage) {
   return std::none_of(definitions.begin(), definitions.end(),
                       [&](const StageDefinition& definition) {
                         return Follows(definition, stage);
                       });
 }
 
-}  // namespace
-
 StageProgress MakeStageProgress(const std::vector<int>& item_counts) {
   StageProgress progress;
   for (const int count : item_counts) {
@@ -71,7 +72,7 @@
     const StageProgress& progress) {
   std::vector<ResultHandle> inputs;
   for (size_t i = 0; i < definitions.size(); ++i) {
-    if (IsFinal(definitions, i)) {
+    if (IsFinalStage(definitions, i)) {
       const auto& results = progress.stages[i].results;
       inputs.insert(inputs.end(), results.begin(), results.end());
     }
@@ -85,7 +86,8 @@
   std::vector<ResultHandle> spent;
   for (size_t i = 0; i < definitions.size(); ++i) {
     StageProgress::Stage& stage = progress.stages[i];
-    if (stage.is_released || stage.results.empty() || IsFinal(definitions, i)) {
+    if (stage.is_released || stage.results.empty() ||
+        IsFinalStage(definitions, i)) {
       continue;
     }
     bool is_needed = false;
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -37,6 +37,10 @@
     const StageProgress& progress,
     size_t stage);
 
+// Whether no other stage takes this one's results.
+bool IsFinalStage(const std::vector<StageDefinition>& definitions,
+                  size_t stage);
+
 // Results of the stages that no other stage follows: the engine's inputs.
 std::vector<ResultHandle> FinalResults(
     const std::vector<StageDefinition>& definitions,
