--- a/modules/peridotmill_gateway/store/prefix_follower.cc
+++ b/modules/peridotmill_gateway/store/prefix_follower.cc
@@ -87,13 +87,9 @@
     return;
   }
   if (changes.status != StoreCallStatus::kOk) {
-    // The first failure may be a watch that was cut: it is asked again at once,
-    // and by a whole reading only if that fails too.
-    if (failures_ == 0) {
-      RetryLater([this] { Watch(); });
-    } else {
-      RetryLater([this] { Start(); });
-    }
+    // A watch that was cut may have missed changes that the store no longer
+    // keeps, and would not tell before the next change.
+    RetryLater([this] { Start(); });
     return;
   }
   NoteSuccess();
