Account for the room of stage results at their makers

Change: a stage task owns its results until its ticket is destroyed; the coordinator counts the room they take and sends only what fits. Losing the link to a node frees the results of its tasks.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -87,7 +87,8 @@
                          {settings.peer_address, settings.failure_domain},
                          store_,
                          timers_,
-                         log),
+                         log,
+                         [this] { OnStoreSilent(); }),
       gateway_({clock, timers_, endpoint_adapter_, stage_adapter_, stages_,
                 endpoints_, repeats_, log, settings.failure_domain},
                SeedOf(settings, kGatewaySeed)),
@@ -184,6 +185,12 @@
   return {};
 }
 
+void GatewayProcess::OnStoreSilent() {
+  configuration_follower_.ReadAgain();
+  registration_follower_.ReadAgain();
+  node_follower_.ReadAgain();
+}
+
 void GatewayProcess::OnNodes(const std::vector<StoreEntry>& entries,
                              bool was_unreachable) {
   nodes_.Replace(entries, was_unreachable);
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -51,6 +51,8 @@
                        bool was_unreachable);
   void OnRegistrationChange(const StoreChange& change);
   void OnNodes(const std::vector<StoreEntry>& entries, bool was_unreachable);
+  // Watches of a store that does not answer may never return.
+  void OnStoreSilent();
   bool IsReady() const;
   void CheckSettingsFile();
   void ContinueStopping();
--- a/modules/peridotmill_gateway/configuration/gateway_config.h
+++ b/modules/peridotmill_gateway/configuration/gateway_config.h
@@ -84,6 +84,8 @@
   // Time for a call, and added for each item.
   Duration call_time = Duration::zero();
   Duration item_time = Duration::zero();
+  // Room for results at an endpoint; 0 means that it is not limited.
+  int64_t result_room_bytes = 0;
   // How long an endpoint keeps a result.
   Duration result_retention = std::chrono::seconds(4);
 };
--- a/modules/peridotmill_gateway/peers/node_registration.cc
+++ b/modules/peridotmill_gateway/peers/node_registration.cc
@@ -10,8 +10,10 @@
 // A dead node's registration stays for at most this long; links to it are lost
 // sooner.
 constexpr Duration kLeaseTime = std::chrono::seconds(6);
-// Three renewals fit into a lease.
-constexpr Duration kKeepInterval = std::chrono::seconds(2);
+// Outages of the store last for seconds; with its time limit a renewal in each
+// of these intervals shows one within two seconds. A renewal costs a tenth of
+// another call.
+constexpr Duration kKeepInterval = std::chrono::milliseconds(1200);
 constexpr Duration kRetryInterval = std::chrono::milliseconds(700);
 
 }  // namespace
@@ -20,12 +22,14 @@
                                    NodeRecord record,
                                    StoreChannel& store,
                                    TimerQueue& timers,
-                                   EventSink& log)
+                                   EventSink& log,
+                                   std::function<void()> on_store_silent)
     : node_(std::move(node)),
       record_(std::move(record)),
       store_(store),
       timers_(timers),
-      log_(log) {}
+      log_(log),
+      on_store_silent_(std::move(on_store_silent)) {}
 
 void NodeRegistration::Start() {
   Grant();
@@ -70,11 +74,15 @@
     if (lease.status == StoreCallStatus::kConflict) {
       log_.Write("node_registration_lapsed", {{"node", node_.value()}});
       Grant();
-    } else {
-      After(
-          lease.status == StoreCallStatus::kOk ? kKeepInterval : kRetryInterval,
-          &NodeRegistration::Keep);
+      return;
     }
+    const bool was_reachable = is_store_reachable_;
+    is_store_reachable_ = lease.status == StoreCallStatus::kOk;
+    if (was_reachable && !is_store_reachable_) {
+      on_store_silent_();
+    }
+    After(is_store_reachable_ ? kKeepInterval : kRetryInterval,
+          &NodeRegistration::Keep);
   });
 }
 
--- a/modules/peridotmill_gateway/peers/node_registration.h
+++ b/modules/peridotmill_gateway/peers/node_registration.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_GATEWAY_PEERS_NODE_REGISTRATION_H_
 #define PERIDOTMILL_GATEWAY_PEERS_NODE_REGISTRATION_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,7 +21,8 @@
                    NodeRecord record,
                    StoreChannel& store,
                    TimerQueue& timers,
-                   EventSink& log);
+                   EventSink& log,
+                   std::function<void()> on_store_silent);
 
   void Start();
   // Ends the registration; the other nodes give this one no further work.
@@ -37,7 +39,9 @@
   StoreChannel& store_;
   TimerQueue& timers_;
   EventSink& log_;
+  std::function<void()> on_store_silent_;
   int64_t lease_ = 0;
+  bool is_store_reachable_ = true;
   bool is_stopped_ = false;
   std::unique_ptr<OpenStoreCall> call_;
   std::unique_ptr<Timer> timer_;
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -109,7 +109,8 @@
     VT_INPUTS = 18,
     VT_DUE_IN_MS = 20,
     VT_DEADLINE_IN_MS = 22,
-    VT_PRIORITY = 24
+    VT_PRIORITY = 24,
+    VT_RESULT_BYTES = 26
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -144,6 +145,9 @@
   int8_t priority() const {
     return GetField<int8_t>(VT_PRIORITY, 0);
   }
+  int64_t result_bytes() const {
+    return GetField<int64_t>(VT_RESULT_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -163,6 +167,7 @@
            VerifyField<int32_t>(verifier, VT_DUE_IN_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_DEADLINE_IN_MS, 4) &&
            VerifyField<int8_t>(verifier, VT_PRIORITY, 1) &&
+           VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
            verifier.EndTable();
   }
 };
@@ -204,6 +209,9 @@
   void add_priority(int8_t priority) {
     fbb_.AddElement<int8_t>(SubmitTask::VT_PRIORITY, priority, 0);
   }
+  void add_result_bytes(int64_t result_bytes) {
+    fbb_.AddElement<int64_t>(SubmitTask::VT_RESULT_BYTES, result_bytes, 0);
+  }
   explicit SubmitTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -227,8 +235,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    int8_t priority = 0) {
+    int8_t priority = 0,
+    int64_t result_bytes = 0) {
   SubmitTaskBuilder builder_(_fbb);
+  builder_.add_result_bytes(result_bytes);
   builder_.add_task(task);
   builder_.add_deadline_in_ms(deadline_in_ms);
   builder_.add_due_in_ms(due_in_ms);
@@ -255,7 +265,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    int8_t priority = 0) {
+    int8_t priority = 0,
+    int64_t result_bytes = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
@@ -273,7 +284,8 @@
       inputs__,
       due_in_ms,
       deadline_in_ms,
-      priority);
+      priority,
+      result_bytes);
 }
 
 struct CancelTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -71,7 +71,8 @@
         static_cast<uint16_t>(task.item_count), key, inputs,
         RelativeMilliseconds(task.due, now),
         RelativeMilliseconds(task.deadline, now),
-        static_cast<int8_t>(std::clamp(task.priority, -128, 127)));
+        static_cast<int8_t>(std::clamp(task.priority, -128, 127)),
+        task.result_bytes);
     return Wrap(stagewire::Body::SubmitTask, body.Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
@@ -119,6 +120,7 @@
   message.task.deadline =
       now + std::chrono::milliseconds(wire.deadline_in_ms());
   message.task.priority = wire.priority();
+  message.task.result_bytes = wire.result_bytes();
   return message;
 }
 
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -149,7 +149,8 @@
 
 void StageRelay::OnAccepted(const TaskAcceptedMessage& message) {
   const auto found = tasks_.find(message.id);
-  if (found == tasks_.end() || found->second.local != nullptr) {
+  if (found == tasks_.end() || found->second.local != nullptr ||
+      found->second.is_ended) {
     return;
   }
   RemoteTask& entry = found->second;
@@ -162,17 +163,20 @@
 
 void StageRelay::OnEnded(TaskEndedMessage message) {
   const auto found = tasks_.find(message.id);
-  if (found == tasks_.end() || found->second.local != nullptr) {
+  if (found == tasks_.end() || found->second.local != nullptr ||
+      found->second.is_ended) {
     return;
   }
-  NoteReport(found->second.task, message.predicted_delay);
-  const RemoteTask entry = std::move(found->second);
-  tasks_.erase(found);
+  RemoteTask& entry = found->second;
+  NoteReport(entry.task, message.predicted_delay);
+  entry.timer.reset();
+  entry.is_ended = true;
   const bool is_whole = message.result.handles.size() ==
                         static_cast<size_t>(entry.task.item_count);
   if (message.result.outcome == StageItemOutcome::kDone && !is_whole) {
     message.result.outcome = StageItemOutcome::kFailed;
   }
+  // May destroy the ticket, and the entry with it.
   entry.listener->OnStageTaskEnd(entry.task.stage, std::move(message.result));
 }
 
@@ -187,7 +191,8 @@
   passed_over_until_[lost] = now + kPassOverTime;
   std::vector<RemoteTaskId> orphans;
   for (const auto& [id, entry] : tasks_) {
-    if (entry.local == nullptr && entry.coordinator == lost) {
+    if (entry.local == nullptr && !entry.is_ended &&
+        entry.coordinator == lost) {
       orphans.push_back(id);
     }
   }
@@ -206,8 +211,9 @@
       Assign(id);
       continue;
     }
-    const RemoteTask entry = std::move(found->second);
-    tasks_.erase(found);
+    RemoteTask& entry = found->second;
+    entry.timer.reset();
+    entry.is_ended = true;
     entry.listener->OnStageTaskEnd(entry.task.stage, StageTaskResult());
   }
 }
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -58,6 +58,8 @@
     StageTaskListener* listener = nullptr;
     NodeId coordinator;
     std::unique_ptr<OpenStageTask> local;
+    // The listener has been told; the coordinator keeps the results.
+    bool is_ended = false;
     // Runs until the coordinator accepts the task, then until it must be done.
     std::unique_ptr<Timer> timer;
   };
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -33,7 +33,6 @@
 
    private:
     void OnStageTaskEnd(size_t, StageTaskResult result) override {
-      // Destroys this object.
       session_->EndTask(id_, std::move(result), PredictDelay());
     }
 
@@ -65,8 +64,8 @@
   void OnLinkLost() override { service_->Release(this); }
 
   void EndTask(RemoteTaskId id, StageTaskResult result, Duration delay) {
+    // The task stays until its owner needs the results no longer.
     Send(TaskEndedMessage{id, std::move(result), delay});
-    tasks_.erase(id);
   }
 
   void Send(const StageMessage& message) {
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -27,6 +27,9 @@
   TimePoint ejected_until;
   // Start of each open call that has had no answer yet, oldest first.
   std::deque<TimePoint> unanswered_since;
+  // Room that results of this node's stage calls take, or will take when the
+  // calls in progress end.
+  int64_t result_bytes = 0;
   // The registration is gone; the object lives on while calls are open.
   bool is_removed = false;
 };
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kServerError = 500;
+constexpr int kConflict = 409;
 // Answers of plain services up to this size are checked as a whole before they
 // are passed on; larger ones are passed on as they arrive.
 constexpr size_t kMaxBufferedAnswer = 65536;
@@ -194,6 +195,7 @@
     task.due = LatestEnd(stage, accepted_ + route_->target_latency);
     task.deadline = LatestEnd(stage, deadline_);
     task.priority = priority_;
+    task.result_bytes = definition.result_bytes;
     progress_.stages[stage].state = StageProgress::State::kRunning;
     stage_tasks_[stage] = context_.stage_worker.Submit(std::move(task), this);
   }
@@ -203,31 +205,17 @@
 }
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
-  stage_tasks_[stage].reset();
   StageProgress::Stage& state = progress_.stages[stage];
   if (result.outcome == StageItemOutcome::kDone) {
     state.state = StageProgress::State::kDone;
     state.results = std::move(result.handles);
-    state.is_released = false;
-    const auto spent = TakeSpentResults(route_->stages, progress_);
-    if (!spent.empty()) {
-      context_.stage_caller.Release(spent);
+    for (const size_t spent : FindSpentStages(route_->stages, progress_)) {
+      stage_tasks_[spent].reset();
     }
     SubmitReadyStages();
     return;
   }
-  if (result.outcome == StageItemOutcome::kInputGone &&
-      lost_inputs_ < kMaxLostInputs) {
-    ++lost_inputs_;
-    // Everything that the stage depends on is produced again.
-    for (const size_t input : route_->stages[stage].after) {
-      progress_.stages[input].state = progress_.stages[input].item_count == 0
-                                          ? StageProgress::State::kDone
-                                          : StageProgress::State::kWaiting;
-      progress_.stages[input].results.clear();
-    }
-    state.state = StageProgress::State::kWaiting;
-    SubmitReadyStages();
+  if (result.outcome == StageItemOutcome::kInputGone && RepeatStages()) {
     return;
   }
   Fail(result.outcome == StageItemOutcome::kLate ? Reason::kDeadlineUnreachable
@@ -235,6 +223,21 @@
        kRetryAfter);
 }
 
+bool GatewayRequest::RepeatStages() {
+  if (lost_inputs_ >= kMaxLostInputs ||
+      !context_.repeats.TakeRepeats(route_->stages.front().pool, 1,
+                                    context_.clock.Now())) {
+    return false;
+  }
+  ++lost_inputs_;
+  for (auto& task : stage_tasks_) {
+    task.reset();
+  }
+  progress_ = MakeStageProgress(request_.stage_item_counts);
+  SubmitReadyStages();
+  return true;
+}
+
 void GatewayRequest::StartAttempt() {
   const TimePoint now = context_.clock.Now();
   endpoint_ =
@@ -322,8 +325,8 @@
     endpoint_->reported_at = now;
   }
   // The engine has fetched its inputs; only a resumed stream needs them again.
-  if (HasStages() && head.status < 300 && !route_->MayRunAgain()) {
-    ReleaseResults();
+  if (head.status < 300 && !route_->MayRunAgain()) {
+    stage_tasks_.clear();
   }
   if (IsStream()) {
     ArmSilenceTimer();
@@ -383,6 +386,14 @@
         has_answer_head_ ? Reason::kStreamBroken : Reason::kEndpointFailed);
     return;
   }
+  if (answer_.is_stated_not_run && answer_.status == kConflict && HasStages()) {
+    // Results that the engine needs are gone.
+    EndAttempt(CallVerdict::kRefused, AttemptOutcome::kRefused);
+    if (!RepeatStages()) {
+      Fail(Reason::kStageFailed, kRetryAfter);
+    }
+    return;
+  }
   if (answer_.is_stated_not_run) {
     HandleFailedAttempt(AttemptOutcome::kRefused, Reason::kEndpointRefused);
     return;
@@ -507,13 +518,6 @@
   End("cut", answer_.status, ToString(reason));
 }
 
-void GatewayRequest::ReleaseResults() {
-  const auto results = TakeAllResults(progress_);
-  if (!results.empty()) {
-    context_.stage_caller.Release(results);
-  }
-}
-
 Duration GatewayRequest::Elapsed() const {
   return context_.clock.Now() - accepted_;
 }
@@ -529,7 +533,6 @@
   silence_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
-  ReleaseResults();
   const TimePoint first =
       first_event_at_ == TimePoint() ? context_.clock.Now() : first_event_at_;
   context_.events.Write(
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -51,6 +51,8 @@
   // serve the request, or elsewhere when that saves time.
   void ChooseWorkDomain();
   void SubmitReadyStages();
+  // Produces all results again after some were lost.
+  bool RepeatStages();
   // Latest end of a stage with which the rest of the request ends by `limit`.
   TimePoint LatestEnd(size_t stage, TimePoint limit) const;
 
@@ -69,8 +71,6 @@
   void Fail(Reason reason, Duration retry_after);
   void Cut(Reason reason);
   void End(std::string_view outcome, int status, std::string_view reason);
-  // Tells the makers that the stage results are no longer needed.
-  void ReleaseResults();
   Duration Elapsed() const;
   PlacementRequest DescribePlacement() const;
   // Size of the results that the engine takes.
--- a/modules/peridotmill_gateway/requests/stage_progress.cc
+++ b/modules/peridotmill_gateway/requests/stage_progress.cc
@@ -80,13 +80,12 @@
   return inputs;
 }
 
-std::vector<ResultHandle> TakeSpentResults(
+std::vector<size_t> FindSpentStages(
     const std::vector<StageDefinition>& definitions,
-    StageProgress& progress) {
-  std::vector<ResultHandle> spent;
+    const StageProgress& progress) {
+  std::vector<size_t> spent;
   for (size_t i = 0; i < definitions.size(); ++i) {
-    StageProgress::Stage& stage = progress.stages[i];
-    if (stage.is_released || stage.results.empty() ||
+    if (progress.stages[i].state != StageProgress::State::kDone ||
         IsFinalStage(definitions, i)) {
       continue;
     }
@@ -97,24 +96,12 @@
                    progress.stages[j].state != StageProgress::State::kDone);
     }
     if (!is_needed) {
-      stage.is_released = true;
-      spent.insert(spent.end(), stage.results.begin(), stage.results.end());
+      spent.push_back(i);
     }
   }
   return spent;
 }
 
-std::vector<ResultHandle> TakeAllResults(StageProgress& progress) {
-  std::vector<ResultHandle> all;
-  for (StageProgress::Stage& stage : progress.stages) {
-    if (!stage.is_released) {
-      stage.is_released = true;
-      all.insert(all.end(), stage.results.begin(), stage.results.end());
-    }
-  }
-  return all;
-}
-
 int RemainingDepth(const std::vector<StageDefinition>& definitions,
                    const StageProgress& progress,
                    size_t stage) {
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -16,7 +16,6 @@
     State state = State::kWaiting;
     int item_count = 0;
     std::vector<ResultHandle> results;
-    bool is_released = false;
   };
   std::vector<Stage> stages;
 };
@@ -46,13 +45,11 @@
     const std::vector<StageDefinition>& definitions,
     const StageProgress& progress);
 
-// Takes the results that no stage still needs and that are not final.
-std::vector<ResultHandle> TakeSpentResults(
+// Stages that are done and whose results neither a stage nor the engine needs
+// any more.
+std::vector<size_t> FindSpentStages(
     const std::vector<StageDefinition>& definitions,
-    StageProgress& progress);
-
-// Takes all results that have not been taken yet.
-std::vector<ResultHandle> TakeAllResults(StageProgress& progress);
+    const StageProgress& progress);
 
 // Largest number of stages in a row that still have to run from `stage` on,
 // including itself.
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -44,6 +44,7 @@
 
 std::vector<BatchPart> TakeBatch(BatchQueue& queue,
                                  const StagePoolDefinition& pool,
+                                 int64_t room_bytes,
                                  TimePoint now) {
   struct Entry {
     bool is_late;
@@ -71,10 +72,18 @@
     if (items > room && items <= pool.batch_size) {
       continue;
     }
-    const int taken = std::min(items, room);
+    int taken = std::min(items, room);
+    if (entry.task->result_bytes > 0) {
+      const int64_t fitting = room_bytes / entry.task->result_bytes;
+      if (items <= pool.batch_size && fitting < items) {
+        continue;
+      }
+      taken = static_cast<int>(std::min<int64_t>(taken, fitting));
+    }
     if (taken == 0) {
-      break;
+      continue;
     }
+    room_bytes -= taken * entry.task->result_bytes;
     batch.push_back({entry.id, entry.task->next_item, taken});
     entry.task->next_item += taken;
     queue.waiting_items -= taken;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
+#include <optional>
 #include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
@@ -28,6 +30,7 @@
   waiting.deadline = task.deadline;
   waiting.priority = task.priority;
   waiting.item_count = task.item_count;
+  waiting.result_bytes = task.result_bytes;
   return waiting;
 }
 
@@ -68,6 +71,8 @@
   EndpointPtr endpoint_;
   TimePoint started_;
   std::vector<BatchPart> parts_;
+  // Room that the call's results will take.
+  int64_t result_bytes_ = 0;
   std::unique_ptr<OpenStageCall> open_;
   std::unique_ptr<Timer> timeout_;
 };
@@ -108,9 +113,8 @@
   dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now(),
                                  kCoordinatingShare);
   Task& entry = tasks_[id];
-  entry.handles.resize(static_cast<size_t>(task.item_count));
+  entry.results.resize(static_cast<size_t>(task.item_count));
   entry.listener = listener;
-  entry.submitted = dependencies_.clock.Now();
   entry.task = std::move(task);
   ScheduleDispatch(key, Duration::zero());
   return std::make_unique<Ticket>(this, id);
@@ -196,7 +200,22 @@
       idle.push_back(endpoint);
     }
   }
-  return ChooseEndpoint(idle, PlacementRequest(), longest_wait, now, random_);
+  // The one with the most room takes the fullest call.
+  EndpointPtr best;
+  for (const EndpointPtr& endpoint : idle) {
+    if (best == nullptr || endpoint->result_bytes < best->result_bytes) {
+      best = endpoint;
+    }
+  }
+  return best;
+}
+
+int64_t StageCoordinator::FreeRoom(const Endpoint& endpoint,
+                                   const StagePoolDefinition& pool) const {
+  if (pool.result_room_bytes == 0) {
+    return std::numeric_limits<int64_t>::max();
+  }
+  return pool.result_room_bytes - endpoint.result_bytes;
 }
 
 bool StageCoordinator::StartCall(const QueueKey& key,
@@ -208,10 +227,14 @@
   }
   const TimePoint now = dependencies_.clock.Now();
   auto call = std::make_unique<Call>(this, key, endpoint, now);
-  call->parts_ = TakeBatch(queue.batch, pool, now);
+  call->parts_ = TakeBatch(queue.batch, pool, FreeRoom(*endpoint, pool), now);
+  if (call->parts_.empty()) {
+    return false;
+  }
   std::vector<StageItem> items;
   for (const BatchPart& part : call->parts_) {
     const StageTask& task = tasks_.at(part.task).task;
+    call->result_bytes_ += part.item_count * task.result_bytes;
     for (int i = 0; i < part.item_count; ++i) {
       items.push_back({.request = task.request,
                        .stage = task.stage,
@@ -225,6 +248,7 @@
       kCallTimeoutFactor * CallTime(pool, static_cast<int>(items.size())) +
       kCallTimeoutMargin;
   Call* const raw = call.get();
+  endpoint->result_bytes += call->result_bytes_;
   BeginCall(*endpoint, now);
   call->open_ = dependencies_.caller.Start(endpoint->registration, items, raw);
   call->timeout_ = dependencies_.timers.After(
@@ -237,34 +261,8 @@
   const auto found = calls_.find(call);
   const std::unique_ptr<Call> owned = std::move(found->second);
   calls_.erase(found);
-  const TimePoint now = dependencies_.clock.Now();
-  Endpoint& endpoint = *owned->endpoint_;
-  EndWaiting(endpoint, owned->started_);
+  CloseCall(*owned, answer);
   const bool is_answered = answer.outcome == StageCallOutcome::kAnswered;
-  const bool is_refused = answer.outcome == StageCallOutcome::kRefused;
-  EndCall(endpoint,
-          is_answered  ? CallVerdict::kSuccess
-          : is_refused ? CallVerdict::kRefused
-                       : CallVerdict::kFailure,
-          now);
-  if (is_refused) {
-    endpoint.ejected_until = now + kRefusalPause;
-  }
-  if (answer.load) {
-    endpoint.reported_running = answer.load->running;
-    endpoint.reported_waiting = answer.load->waiting;
-    endpoint.reported_at = now;
-  }
-  if (!is_answered) {
-    dependencies_.events.Write(
-        "stage_call_failed",
-        {{"pool", owned->key_.first.value()},
-         {"endpoint", endpoint.registration.id.value()},
-         {"outcome", std::string(NameOf(answer.outcome))},
-         {"tasks", std::to_string(owned->parts_.size())},
-         {"ms",
-          std::to_string(std::lround(ToMilliseconds(now - owned->started_)))}});
-  }
   std::vector<ResultHandle> unused;
   size_t position = 0;
   for (const BatchPart& part : owned->parts_) {
@@ -275,35 +273,40 @@
                  answer.outcome != StageCallOutcome::kNotSent);
       continue;
     }
+    const bool is_wanted = tasks_.contains(part.task);
     bool needs_repeat = false;
+    std::optional<StageItemOutcome> failure;
     for (size_t i = 0; i < static_cast<size_t>(part.item_count); ++i) {
       StageItemResult& result = answer.results[first + i];
-      const auto task = tasks_.find(part.task);
-      if (task == tasks_.end()) {
-        if (result.outcome == StageItemOutcome::kDone) {
+      if (result.outcome == StageItemOutcome::kDone) {
+        if (is_wanted) {
+          KeepResult(tasks_.at(part.task),
+                     static_cast<size_t>(part.first_item) + i, owned->endpoint_,
+                     std::move(result.handle));
+        } else {
           unused.push_back(std::move(result.handle));
         }
-        continue;
-      }
-      if (result.outcome == StageItemOutcome::kDone) {
-        ResultHandle& slot =
-            task->second.handles[static_cast<size_t>(part.first_item) + i];
-        task->second.done_items += slot.empty() ? 1 : 0;
-        slot = std::move(result.handle);
       } else if (result.outcome == StageItemOutcome::kLate ||
                  result.outcome == StageItemOutcome::kInputGone) {
-        EndTask(part.task, result.outcome);
+        failure = result.outcome;
       } else {
         needs_repeat = true;
+        if (result.outcome == StageItemOutcome::kNoRoom) {
+          // Room that this node does not know of is taken.
+          owned->endpoint_->ejected_until =
+              dependencies_.clock.Now() + kRefusalPause;
+        }
       }
     }
-    if (needs_repeat) {
-      RepeatPart(owned->key_, part, /*counts=*/true);
+    if (!is_wanted) {
       continue;
     }
-    const auto task = tasks_.find(part.task);
-    if (task != tasks_.end() &&
-        task->second.done_items == task->second.task.item_count) {
+    if (failure) {
+      EndTask(part.task, *failure);
+    } else if (needs_repeat) {
+      RepeatPart(owned->key_, part, /*counts=*/true);
+    } else if (tasks_.at(part.task).done_items ==
+               tasks_.at(part.task).task.item_count) {
       EndTask(part.task, StageItemOutcome::kDone);
     }
   }
@@ -313,6 +316,64 @@
   Dispatch(owned->key_);
 }
 
+void StageCoordinator::CloseCall(Call& call, const StageAnswer& answer) {
+  const TimePoint now = dependencies_.clock.Now();
+  Endpoint& endpoint = *call.endpoint_;
+  const bool is_answered = answer.outcome == StageCallOutcome::kAnswered;
+  const bool is_refused = answer.outcome == StageCallOutcome::kRefused;
+  endpoint.result_bytes -= call.result_bytes_;
+  EndWaiting(endpoint, call.started_);
+  EndCall(endpoint,
+          is_answered  ? CallVerdict::kSuccess
+          : is_refused ? CallVerdict::kRefused
+                       : CallVerdict::kFailure,
+          now);
+  if (is_refused) {
+    endpoint.ejected_until = now + kRefusalPause;
+  }
+  if (answer.load) {
+    endpoint.reported_running = answer.load->running;
+    endpoint.reported_waiting = answer.load->waiting;
+    endpoint.reported_at = now;
+  }
+  if (!is_answered) {
+    dependencies_.events.Write(
+        "stage_call_failed",
+        {{"pool", call.key_.first.value()},
+         {"endpoint", endpoint.registration.id.value()},
+         {"outcome", std::string(NameOf(answer.outcome))},
+         {"tasks", std::to_string(call.parts_.size())},
+         {"ms",
+          std::to_string(std::lround(ToMilliseconds(now - call.started_)))}});
+  }
+}
+
+void StageCoordinator::KeepResult(Task& task,
+                                  size_t item,
+                                  const EndpointPtr& maker,
+                                  ResultHandle handle) {
+  MadeResult& result = task.results[item];
+  if (result.maker != nullptr) {
+    // The item was made twice; the newer result takes the place of the older.
+    DropResult(task, item);
+  }
+  result.handle = std::move(handle);
+  result.maker = maker;
+  maker->result_bytes += task.task.result_bytes;
+  ++task.done_items;
+}
+
+void StageCoordinator::DropResult(Task& task, size_t item) {
+  MadeResult& result = task.results[item];
+  if (result.maker == nullptr) {
+    return;
+  }
+  result.maker->result_bytes -= task.task.result_bytes;
+  dependencies_.caller.Release({result.handle});
+  result = MadeResult();
+  --task.done_items;
+}
+
 void StageCoordinator::RepeatPart(const QueueKey& key,
                                   const BatchPart& part,
                                   bool counts) {
@@ -326,40 +387,30 @@
     EndTask(part.task, StageItemOutcome::kFailed);
     return;
   }
-  task->second.repeated_items += part.item_count;
   // Results of the part that did arrive are asked for again and replaced.
   for (int i = 0; i < part.item_count; ++i) {
-    ResultHandle& slot =
-        task->second.handles[static_cast<size_t>(part.first_item + i)];
-    if (!slot.empty()) {
-      dependencies_.caller.Release({slot});
-      slot = ResultHandle();
-      --task->second.done_items;
-    }
+    DropResult(task->second, static_cast<size_t>(part.first_item + i));
   }
   ReturnPart(queues_[key].batch, part, Describe(task->second.task));
 }
 
 void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
   const auto found = tasks_.find(id);
-  if (found == tasks_.end()) {
+  if (found == tasks_.end() || found->second.is_ended) {
     return;
   }
-  Task task = std::move(found->second);
-  tasks_.erase(found);
+  Task& task = found->second;
+  task.is_ended = true;
   RemoveTask(queues_[QueueKey(task.task.pool, task.task.failure_domain)].batch,
              id);
   StageTaskResult result;
   result.outcome = outcome;
   if (outcome == StageItemOutcome::kDone) {
-    result.handles = std::move(task.handles);
-  } else {
-    std::erase_if(task.handles,
-                  [](const ResultHandle& handle) { return handle.empty(); });
-    if (!task.handles.empty()) {
-      dependencies_.caller.Release(task.handles);
+    for (const MadeResult& made : task.results) {
+      result.handles.push_back(made.handle);
     }
   }
+  // May destroy the ticket, and the task with it.
   task.listener->OnStageTaskEnd(task.task.stage, std::move(result));
 }
 
@@ -368,17 +419,24 @@
   if (found == tasks_.end()) {
     return;
   }
-  const QueueKey key(found->second.task.pool,
-                     found->second.task.failure_domain);
+  Task& task = found->second;
+  const bool was_ended = task.is_ended;
+  const QueueKey key(task.task.pool, task.task.failure_domain);
   RemoveTask(queues_[key].batch, id);
-  std::vector<ResultHandle> handles = std::move(found->second.handles);
+  for (size_t i = 0; i < task.results.size(); ++i) {
+    DropResult(task, i);
+  }
   tasks_.erase(found);
-  std::erase_if(handles,
-                [](const ResultHandle& handle) { return handle.empty(); });
-  if (!handles.empty()) {
-    dependencies_.caller.Release(handles);
+  // Room has become free, or a call has lost its last task.
+  if (!queues_[key].batch.waiting.empty()) {
+    ScheduleDispatch(key, Duration::zero());
+  }
+  if (!was_ended) {
+    CancelUnusedCall();
   }
-  // A call whose tasks are all abandoned is cancelled.
+}
+
+void StageCoordinator::CancelUnusedCall() {
   for (auto call = calls_.begin(); call != calls_.end(); ++call) {
     const auto& parts = call->second->parts_;
     const bool is_unused = std::none_of(
@@ -386,12 +444,13 @@
         [&](const BatchPart& part) { return tasks_.contains(part.task); });
     if (is_unused) {
       Endpoint& endpoint = *call->second->endpoint_;
+      endpoint.result_bytes -= call->second->result_bytes_;
       EndWaiting(endpoint, call->second->started_);
       EndCall(endpoint, CallVerdict::kCancelled, dependencies_.clock.Now());
       const QueueKey cancelled = call->second->key_;
       calls_.erase(call);
       ScheduleDispatch(cancelled, Duration::zero());
-      break;
+      return;
     }
   }
 }
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -50,14 +50,20 @@
   class Ticket;
   using QueueKey = std::pair<PoolId, FailureDomainId>;
 
+  // A result, and the endpoint whose room it takes.
+  struct MadeResult {
+    ResultHandle handle;
+    EndpointPtr maker;
+  };
+
   struct Task {
     StageTask task;
     StageTaskListener* listener = nullptr;
-    std::vector<ResultHandle> handles;
+    // One for each item; without a maker until the item is done.
+    std::vector<MadeResult> results;
     int done_items = 0;
-    // Items sent more than once.
-    int repeated_items = 0;
-    TimePoint submitted;
+    // The listener has been told; the results are kept for the ticket's owner.
+    bool is_ended = false;
   };
 
   // One queue and what works on it.
@@ -74,11 +80,24 @@
   EndpointPtr ChooseIdleEndpoint(const QueueKey& key,
                                  const StagePoolDefinition& pool);
   void FinishCall(Call* call, StageAnswer answer);
+  // Notes at the endpoint that a call has ended.
+  void CloseCall(Call& call, const StageAnswer& answer);
+  void KeepResult(Task& task,
+                  size_t item,
+                  const EndpointPtr& maker,
+                  ResultHandle handle);
+  // Frees the room of an item's result, if there is one, and tells its maker.
+  void DropResult(Task& task, size_t item);
   // Puts a part's items back into their queue, or ends the task when the budget
   // of repeats is spent.
   void RepeatPart(const QueueKey& key, const BatchPart& part, bool counts);
   void EndTask(StageTaskId id, StageItemOutcome outcome);
+  // Room for further results at an endpoint.
+  int64_t FreeRoom(const Endpoint& endpoint,
+                   const StagePoolDefinition& pool) const;
   void Abandon(StageTaskId id);
+  // Cancels a call none of whose tasks is wanted any more.
+  void CancelUnusedCall();
   const StagePoolDefinition* FindStagePool(const PoolId& id) const;
 
   Dependencies dependencies_;
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -24,6 +24,8 @@
   // Latest end of the stage with which the request is still of use.
   TimePoint deadline;
   int priority = 0;
+  // Room that one result takes at its maker.
+  int64_t result_bytes = 0;
 };
 
 struct StageTaskResult {
@@ -39,7 +41,8 @@
   virtual void OnStageTaskEnd(size_t stage, StageTaskResult result) = 0;
 };
 
-// A submitted task; destroying it gives up its result.
+// A submitted task and its results; destroying it gives both up, and the makers
+// are told that they need not keep the results.
 class OpenStageTask {
  public:
   virtual ~OpenStageTask() = default;
--- a/modules/peridotmill_gateway/store/prefix_follower.h
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -16,8 +16,9 @@
 
 struct PrefixFollowerSettings {
   std::string prefix;
-  // How long a watch waits for changes.
-  Duration watch_wait = std::chrono::seconds(20);
+  // How long a watch waits for changes; bounds the time for which one that the
+  // store has forgotten goes unnoticed.
+  Duration watch_wait = std::chrono::seconds(10);
 };
 
 // What a follower reports. Callbacks come from the main loop.
