Coordinate each stage pool with one queue for all failure domains

Cause: a queue for each pool and domain fed one or two endpoints; tasks waited in one domain while endpoints of another were idle, and calls of geo-record carried 6 of 8. Change: one coordinator a pool; the last task of a call is split; tasks that prefer another domain give way a little; a node that does not answer is left out for a time that doubles.

--- a/modules/peridotmill_gateway/peers/node_directory.cc
+++ b/modules/peridotmill_gateway/peers/node_directory.cc
@@ -1,8 +1,9 @@
 #include "peridotmill_gateway/peers/node_directory.h"
 
 #include <algorithm>
+#include <functional>
 #include <string>
-#include <tuple>
+#include <utility>
 
 #include "peridotmill_core/hashing/hashing.h"
 
@@ -42,35 +43,23 @@
   }
 }
 
-std::vector<NodeId> NodeDirectory::CoordinatorOrder(
-    const PoolId& pool,
-    const FailureDomainId& domain,
-    const NodeId& self,
-    const FailureDomainId& self_domain) const {
-  struct Entry {
-    bool is_elsewhere;
-    uint64_t score;
-    NodeId node;
+std::vector<NodeId> NodeDirectory::CoordinatorOrder(const PoolId& pool,
+                                                    const NodeId& self) const {
+  std::vector<std::pair<uint64_t, NodeId>> order;
+  const auto add = [&](const NodeId& node) {
+    order.emplace_back(RendezvousScore(pool.value(), node.value()), node);
   };
-  const std::string key = pool.value() + '/' + domain.value();
-  std::vector<Entry> order;
-  const auto add = [&](const NodeId& node, const FailureDomainId& at) {
-    order.push_back({at != domain, RendezvousScore(key, node.value()), node});
-  };
-  add(self, self_domain);
+  add(self);
   for (const auto& [node, record] : nodes_) {
     if (node != self) {
-      add(node, record.failure_domain);
+      add(node);
     }
   }
-  std::sort(order.begin(), order.end(), [](const Entry& a, const Entry& b) {
-    return std::tie(a.is_elsewhere, b.score, a.node) <
-           std::tie(b.is_elsewhere, a.score, b.node);
-  });
+  std::sort(order.begin(), order.end(), std::greater<>());
   std::vector<NodeId> nodes;
   nodes.reserve(order.size());
-  for (Entry& entry : order) {
-    nodes.push_back(std::move(entry.node));
+  for (auto& [score, node] : order) {
+    nodes.push_back(std::move(node));
   }
   return nodes;
 }
--- a/modules/peridotmill_gateway/peers/node_directory.h
+++ b/modules/peridotmill_gateway/peers/node_directory.h
@@ -22,14 +22,10 @@
   void Replace(const std::vector<StoreEntry>& entries, bool was_unreachable);
   void Apply(const StoreChange& change);
 
-  // Order in which nodes are asked to coordinate a pool in a failure domain:
-  // nodes of that domain first, by rendezvous hash, so that all nodes agree
-  // without talking.
-  std::vector<NodeId> CoordinatorOrder(
-      const PoolId& pool,
-      const FailureDomainId& domain,
-      const NodeId& self,
-      const FailureDomainId& self_domain) const;
+  // Order in which nodes are asked to coordinate a pool, by rendezvous hash, so
+  // that all nodes agree without talking.
+  std::vector<NodeId> CoordinatorOrder(const PoolId& pool,
+                                       const NodeId& self) const;
 
   const NodeRecord* Find(const NodeId& node) const;
   size_t size() const { return nodes_.size(); }
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -102,7 +102,7 @@
     VT_TASK = 4,
     VT_REQUEST = 6,
     VT_POOL = 8,
-    VT_FAILURE_DOMAIN = 10,
+    VT_PREFERRED_DOMAIN = 10,
     VT_STAGE = 12,
     VT_ITEM_COUNT = 14,
     VT_KEY = 16,
@@ -121,8 +121,8 @@
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
   }
-  const flatbuffers::String *failure_domain() const {
-    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  const flatbuffers::String *preferred_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_PREFERRED_DOMAIN);
   }
   uint16_t stage() const {
     return GetField<uint16_t>(VT_STAGE, 0);
@@ -155,8 +155,8 @@
            verifier.VerifyString(request()) &&
            VerifyOffset(verifier, VT_POOL) &&
            verifier.VerifyString(pool()) &&
-           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
-           verifier.VerifyString(failure_domain()) &&
+           VerifyOffset(verifier, VT_PREFERRED_DOMAIN) &&
+           verifier.VerifyString(preferred_domain()) &&
            VerifyField<uint16_t>(verifier, VT_STAGE, 2) &&
            VerifyField<uint16_t>(verifier, VT_ITEM_COUNT, 2) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -185,8 +185,8 @@
   void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
     fbb_.AddOffset(SubmitTask::VT_POOL, pool);
   }
-  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
-    fbb_.AddOffset(SubmitTask::VT_FAILURE_DOMAIN, failure_domain);
+  void add_preferred_domain(flatbuffers::Offset<flatbuffers::String> preferred_domain) {
+    fbb_.AddOffset(SubmitTask::VT_PREFERRED_DOMAIN, preferred_domain);
   }
   void add_stage(uint16_t stage) {
     fbb_.AddElement<uint16_t>(SubmitTask::VT_STAGE, stage, 0);
@@ -228,7 +228,7 @@
     uint64_t task = 0,
     flatbuffers::Offset<flatbuffers::String> request = 0,
     flatbuffers::Offset<flatbuffers::String> pool = 0,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    flatbuffers::Offset<flatbuffers::String> preferred_domain = 0,
     uint16_t stage = 0,
     uint16_t item_count = 0,
     flatbuffers::Offset<flatbuffers::String> key = 0,
@@ -244,7 +244,7 @@
   builder_.add_due_in_ms(due_in_ms);
   builder_.add_inputs(inputs);
   builder_.add_key(key);
-  builder_.add_failure_domain(failure_domain);
+  builder_.add_preferred_domain(preferred_domain);
   builder_.add_pool(pool);
   builder_.add_request(request);
   builder_.add_item_count(item_count);
@@ -258,7 +258,7 @@
     uint64_t task = 0,
     const char *request = nullptr,
     const char *pool = nullptr,
-    const char *failure_domain = nullptr,
+    const char *preferred_domain = nullptr,
     uint16_t stage = 0,
     uint16_t item_count = 0,
     const char *key = nullptr,
@@ -269,7 +269,7 @@
     int64_t result_bytes = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
-  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto preferred_domain__ = preferred_domain ? _fbb.CreateString(preferred_domain) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
   return peridotmill::stagewire::CreateSubmitTask(
@@ -277,7 +277,7 @@
       task,
       request__,
       pool__,
-      failure_domain__,
+      preferred_domain__,
       stage,
       item_count,
       key__,
@@ -386,7 +386,8 @@
     VT_TASK = 4,
     VT_OUTCOME = 6,
     VT_HANDLES = 8,
-    VT_PREDICTED_DELAY_MS = 10
+    VT_PREDICTED_DELAY_MS = 10,
+    VT_MAKER_DOMAIN = 12
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -400,6 +401,9 @@
   uint32_t predicted_delay_ms() const {
     return GetField<uint32_t>(VT_PREDICTED_DELAY_MS, 0);
   }
+  const flatbuffers::String *maker_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_MAKER_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -408,6 +412,8 @@
            verifier.VerifyVector(handles()) &&
            verifier.VerifyVectorOfStrings(handles()) &&
            VerifyField<uint32_t>(verifier, VT_PREDICTED_DELAY_MS, 4) &&
+           VerifyOffset(verifier, VT_MAKER_DOMAIN) &&
+           verifier.VerifyString(maker_domain()) &&
            verifier.EndTable();
   }
 };
@@ -428,6 +434,9 @@
   void add_predicted_delay_ms(uint32_t predicted_delay_ms) {
     fbb_.AddElement<uint32_t>(TaskEnded::VT_PREDICTED_DELAY_MS, predicted_delay_ms, 0);
   }
+  void add_maker_domain(flatbuffers::Offset<flatbuffers::String> maker_domain) {
+    fbb_.AddOffset(TaskEnded::VT_MAKER_DOMAIN, maker_domain);
+  }
   explicit TaskEndedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -444,9 +453,11 @@
     uint64_t task = 0,
     uint8_t outcome = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> handles = 0,
-    uint32_t predicted_delay_ms = 0) {
+    uint32_t predicted_delay_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> maker_domain = 0) {
   TaskEndedBuilder builder_(_fbb);
   builder_.add_task(task);
+  builder_.add_maker_domain(maker_domain);
   builder_.add_predicted_delay_ms(predicted_delay_ms);
   builder_.add_handles(handles);
   builder_.add_outcome(outcome);
@@ -458,14 +469,17 @@
     uint64_t task = 0,
     uint8_t outcome = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *handles = nullptr,
-    uint32_t predicted_delay_ms = 0) {
+    uint32_t predicted_delay_ms = 0,
+    const char *maker_domain = nullptr) {
   auto handles__ = handles ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*handles) : 0;
+  auto maker_domain__ = maker_domain ? _fbb.CreateString(maker_domain) : 0;
   return peridotmill::stagewire::CreateTaskEnded(
       _fbb,
       task,
       outcome,
       handles__,
-      predicted_delay_ms);
+      predicted_delay_ms,
+      maker_domain__);
 }
 
 struct NodeRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -62,7 +62,7 @@
     const StageTask& task = message.task;
     const auto request = builder.CreateString(task.request.value());
     const auto pool = builder.CreateString(task.pool.value());
-    const auto domain = builder.CreateString(task.failure_domain.value());
+    const auto domain = builder.CreateString(task.preferred_domain.value());
     const auto key = builder.CreateString(task.key);
     const auto inputs = AddHandles(builder, task.inputs);
     const auto body = stagewire::CreateSubmitTask(
@@ -91,11 +91,13 @@
   flatbuffers::Offset<stagewire::Message> operator()(
       const TaskEndedMessage& message) {
     const auto handles = AddHandles(builder, message.result.handles);
+    const auto domain =
+        builder.CreateString(message.result.maker_domain.value());
     return Wrap(
         stagewire::Body::TaskEnded,
         stagewire::CreateTaskEnded(
             builder, message.id, static_cast<uint8_t>(message.result.outcome),
-            handles, DelayMilliseconds(message.predicted_delay))
+            handles, DelayMilliseconds(message.predicted_delay), domain)
             .Union());
   }
 
@@ -111,7 +113,8 @@
   message.id = wire.task();
   message.task.request = RequestId(TextOf(wire.request()));
   message.task.pool = PoolId(TextOf(wire.pool()));
-  message.task.failure_domain = FailureDomainId(TextOf(wire.failure_domain()));
+  message.task.preferred_domain =
+      FailureDomainId(TextOf(wire.preferred_domain()));
   message.task.stage = wire.stage();
   message.task.item_count = wire.item_count();
   message.task.key = TextOf(wire.key());
@@ -131,6 +134,7 @@
   // A newer version's outcome reads as a failure.
   message.result.outcome = std::min(outcome, StageItemOutcome::kFailed);
   message.result.handles = HandlesOf(wire.handles());
+  message.result.maker_domain = FailureDomainId(TextOf(wire.maker_domain()));
   message.predicted_delay = DelayOf(wire.predicted_delay_ms());
   return message;
 }
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -15,8 +15,10 @@
 // more, before its coordinator is passed over.
 constexpr int kEndTimeoutFactor = 2;
 constexpr Duration kEndTimeoutMargin = std::chrono::milliseconds(1500);
-// For how long a node that did not answer gets no further task.
-constexpr Duration kPassOverTime = std::chrono::milliseconds(1500);
+// For how long a node that did not answer gets no further task; doubled with
+// each further failure, up to three times, the length of a partition.
+constexpr Duration kFirstExclusion = std::chrono::milliseconds(1000);
+constexpr int kMaxDoublings = 3;
 
 }  // namespace
 
@@ -60,13 +62,12 @@
 
 StageRelay::~StageRelay() = default;
 
-NodeId StageRelay::ChooseCoordinator(const StageTask& task) const {
+NodeId StageRelay::ChooseCoordinator(const PoolId& pool) const {
   const TimePoint now = dependencies_.clock.Now();
-  for (const NodeId& node : dependencies_.nodes.CoordinatorOrder(
-           task.pool, task.failure_domain, dependencies_.self,
-           dependencies_.failure_domain)) {
-    const auto passed_over = passed_over_until_.find(node);
-    if (passed_over == passed_over_until_.end() || passed_over->second <= now) {
+  for (const NodeId& node :
+       dependencies_.nodes.CoordinatorOrder(pool, dependencies_.self)) {
+    const auto exclusion = exclusions_.find(node);
+    if (exclusion == exclusions_.end() || exclusion->second.until <= now) {
       return node;
     }
   }
@@ -75,7 +76,7 @@
 
 std::unique_ptr<OpenStageTask> StageRelay::Submit(StageTask task,
                                                   StageTaskListener* listener) {
-  if (ChooseCoordinator(task) == dependencies_.self) {
+  if (ChooseCoordinator(task.pool) == dependencies_.self) {
     return dependencies_.local.Submit(std::move(task), listener);
   }
   const RemoteTaskId id = next_id_++;
@@ -90,7 +91,7 @@
 
 void StageRelay::Assign(RemoteTaskId id) {
   RemoteTask& entry = tasks_.at(id);
-  entry.coordinator = ChooseCoordinator(entry.task);
+  entry.coordinator = ChooseCoordinator(entry.task.pool);
   const NodeRecord* const record = dependencies_.nodes.Find(entry.coordinator);
   if (entry.coordinator == dependencies_.self || record == nullptr) {
     entry.coordinator = dependencies_.self;
@@ -108,18 +109,12 @@
       kAcceptTimeout, [this, node] { DropLink(node, "not accepted in time"); });
 }
 
-Duration StageRelay::PredictDelay(const PoolId& pool,
-                                  const FailureDomainId& failure_domain,
-                                  int item_count) const {
-  StageTask task;
-  task.pool = pool;
-  task.failure_domain = failure_domain;
-  const Duration local =
-      dependencies_.local.PredictDelay(pool, failure_domain, item_count);
-  if (ChooseCoordinator(task) == dependencies_.self) {
+Duration StageRelay::PredictDelay(const PoolId& pool, int item_count) const {
+  const Duration local = dependencies_.local.PredictDelay(pool, item_count);
+  if (ChooseCoordinator(pool) == dependencies_.self) {
     return local;
   }
-  const auto report = reports_.find(QueueKey(pool, failure_domain));
+  const auto report = reports_.find(pool);
   if (report == reports_.end()) {
     return local;
   }
@@ -143,8 +138,7 @@
 }
 
 void StageRelay::NoteReport(const StageTask& task, Duration delay) {
-  reports_[QueueKey(task.pool, task.failure_domain)] = {
-      delay, dependencies_.clock.Now()};
+  reports_[task.pool] = {delay, dependencies_.clock.Now()};
 }
 
 void StageRelay::OnAccepted(const TaskAcceptedMessage& message) {
@@ -155,6 +149,7 @@
   }
   RemoteTask& entry = found->second;
   NoteReport(entry.task, message.predicted_delay);
+  exclusions_.erase(entry.coordinator);
   const NodeId node = entry.coordinator;
   entry.timer = dependencies_.timers.After(
       kEndTimeoutFactor * message.predicted_delay + kEndTimeoutMargin,
@@ -188,7 +183,11 @@
   }
   links_.erase(link);
   const TimePoint now = dependencies_.clock.Now();
-  passed_over_until_[lost] = now + kPassOverTime;
+  Exclusion& exclusion = exclusions_[lost];
+  exclusion.until =
+      now + kFirstExclusion *
+                (1 << std::min(exclusion.failures_in_row, kMaxDoublings));
+  ++exclusion.failures_in_row;
   std::vector<RemoteTaskId> orphans;
   for (const auto& [id, entry] : tasks_) {
     if (entry.local == nullptr && !entry.is_ended &&
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -16,8 +16,8 @@
 
 namespace peridotmill {
 
-// Hands stage tasks to the node that coordinates their pool and failure domain,
-// so that the tasks of all nodes share calls. Nobody elects that node: all
+// Hands stage tasks to the node that coordinates their pool, so that the
+// tasks of all nodes share calls. Nobody elects that node: all
 // nodes compute the same order of candidates, and one that does not answer is
 // passed over. Two coordinators at a time cost shared calls, not correctness.
 class StageRelay final : public StageWorker {
@@ -32,7 +32,6 @@
     RepeatBudget& repeats;
     EventSink& events;
     NodeId self;
-    FailureDomainId failure_domain;
   };
 
   explicit StageRelay(const Dependencies& dependencies);
@@ -40,9 +39,7 @@
 
   std::unique_ptr<OpenStageTask> Submit(StageTask task,
                                         StageTaskListener* listener) override;
-  Duration PredictDelay(const PoolId& pool,
-                        const FailureDomainId& failure_domain,
-                        int item_count) const override;
+  Duration PredictDelay(const PoolId& pool, int item_count) const override;
 
   size_t link_count() const { return links_.size(); }
   uint64_t reassigned_count() const { return reassigned_; }
@@ -50,7 +47,6 @@
  private:
   class Link;
   class Ticket;
-  using QueueKey = std::pair<PoolId, FailureDomainId>;
 
   // A task that another node works on, or that fell back to this one.
   struct RemoteTask {
@@ -64,13 +60,19 @@
     std::unique_ptr<Timer> timer;
   };
 
+  // A node that did not answer.
+  struct Exclusion {
+    TimePoint until;
+    int failures_in_row = 0;
+  };
+
   // What a coordinator said last of its queue.
   struct Report {
     Duration delay = Duration::zero();
     TimePoint received;
   };
 
-  NodeId ChooseCoordinator(const StageTask& task) const;
+  NodeId ChooseCoordinator(const PoolId& pool) const;
   void Assign(RemoteTaskId id);
   void OnFrame(const NodeId& node, std::string_view frame);
   void OnAccepted(const TaskAcceptedMessage& message);
@@ -83,8 +85,8 @@
   Dependencies dependencies_;
   std::map<NodeId, std::unique_ptr<Link>> links_;
   std::map<RemoteTaskId, RemoteTask> tasks_;
-  std::map<NodeId, TimePoint> passed_over_until_;
-  std::map<QueueKey, Report> reports_;
+  std::map<NodeId, Exclusion> exclusions_;
+  std::map<PoolId, Report> reports_;
   RemoteTaskId next_id_ = 1;
   uint64_t reassigned_ = 0;
 };
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -22,13 +22,11 @@
         : session_(session), id_(id) {}
     void Start(StageTask task) {
       pool_ = task.pool;
-      domain_ = task.failure_domain;
       item_count_ = task.item_count;
       ticket_ = session_->service_->worker_.Submit(std::move(task), this);
     }
     Duration PredictDelay() const {
-      return session_->service_->worker_.PredictDelay(pool_, domain_,
-                                                      item_count_);
+      return session_->service_->worker_.PredictDelay(pool_, item_count_);
     }
 
    private:
@@ -39,7 +37,6 @@
     Session* session_;
     RemoteTaskId id_;
     PoolId pool_;
-    FailureDomainId domain_;
     int item_count_ = 0;
     std::unique_ptr<OpenStageTask> ticket_;
   };
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -42,12 +42,6 @@
 constexpr Duration kEngineLongestWait = std::chrono::milliseconds(1500);
 // Callers whose request found no free endpoint come back after about one call.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
-// Cost of crossing failure domains when a domain is chosen for a request's
-// stages, as time.
-constexpr Duration kOtherDomainDelay = std::chrono::milliseconds(60);
-// Delay that is accepted to keep a megabyte of results in the failure domain of
-// its engine.
-constexpr double kDelayPerMegabyteMs = 40;
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -99,28 +93,24 @@
   }
   progress_ = MakeStageProgress(request_.stage_item_counts);
   stage_tasks_.resize(route_->stages.size());
-  work_domain_ = context_.failure_domain;
   ChooseWorkDomain();
   SubmitReadyStages();
 }
 
-int64_t GatewayRequest::FinalResultBytes() const {
-  int64_t bytes = 0;
-  for (size_t i = 0; i < route_->stages.size(); ++i) {
-    if (IsFinalStage(route_->stages, i)) {
-      bytes += route_->stages[i].result_bytes * progress_.stages[i].item_count;
-    }
-  }
-  return bytes;
-}
-
 PlacementRequest GatewayRequest::DescribePlacement() const {
   PlacementRequest placement;
   placement.tried = history_.tried();
   placement.data_domain = context_.failure_domain;
   if (HasStages() && AreAllDone(progress_)) {
-    placement.data_domain = work_domain_;
-    placement.data_bytes = FinalResultBytes();
+    // The largest results count; the others are small beside them.
+    for (size_t i = 0; i < route_->stages.size(); ++i) {
+      const int64_t bytes =
+          route_->stages[i].result_bytes * progress_.stages[i].item_count;
+      if (IsFinalStage(route_->stages, i) && bytes > placement.data_bytes) {
+        placement.data_bytes = bytes;
+        placement.data_domain = progress_.stages[i].maker_domain;
+      }
+    }
   }
   if (!request_.generation || request_.generation->parts.empty()) {
     return placement;
@@ -138,39 +128,11 @@
 }
 
 void GatewayRequest::ChooseWorkDomain() {
-  const auto ready = ReadyStages(route_->stages, progress_);
-  if (ready.empty()) {
-    return;
-  }
   const EndpointPtr likely =
       ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
                      kEngineLongestWait, accepted_, gateway_->random_);
-  if (likely != nullptr) {
-    work_domain_ = likely->registration.failure_domain;
-  }
-  const size_t stage = ready.front();
-  const PoolId& pool = route_->stages[stage].pool;
-  const int items = progress_.stages[stage].item_count;
-  const Duration moving =
-      kOtherDomainDelay +
-      FromMilliseconds(kDelayPerMegabyteMs *
-                       static_cast<double>(FinalResultBytes()) / 1e6);
-  FailureDomainId best = work_domain_;
-  Duration best_delay =
-      context_.stage_worker.PredictDelay(pool, work_domain_, items);
-  for (const EndpointPtr& endpoint : context_.endpoints.Serving(pool)) {
-    const FailureDomainId& domain = endpoint->registration.failure_domain;
-    if (domain == work_domain_) {
-      continue;
-    }
-    const Duration delay =
-        context_.stage_worker.PredictDelay(pool, domain, items) + moving;
-    if (delay < best_delay) {
-      best = domain;
-      best_delay = delay;
-    }
-  }
-  work_domain_ = best;
+  work_domain_ = likely == nullptr ? context_.failure_domain
+                                   : likely->registration.failure_domain;
 }
 
 TimePoint GatewayRequest::LatestEnd(size_t stage, TimePoint limit) const {
@@ -184,7 +146,7 @@
     StageTask task;
     task.request = request_.id;
     task.pool = definition.pool;
-    task.failure_domain = work_domain_;
+    task.preferred_domain = work_domain_;
     task.stage = stage;
     task.item_count = progress_.stages[stage].item_count;
     if (definition.after.empty()) {
@@ -209,6 +171,7 @@
   if (result.outcome == StageItemOutcome::kDone) {
     state.state = StageProgress::State::kDone;
     state.results = std::move(result.handles);
+    state.maker_domain = std::move(result.maker_domain);
     for (const size_t spent : FindSpentStages(route_->stages, progress_)) {
       stage_tasks_[spent].reset();
     }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -47,8 +47,8 @@
 
   // Stages.
   bool HasStages() const { return !route_->stages.empty(); }
-  // Chooses where the stages are worked on: near the engine that is likely to
-  // serve the request, or elsewhere when that saves time.
+  // Prefers the failure domain of the engine that is likely to serve the
+  // request for its stages.
   void ChooseWorkDomain();
   void SubmitReadyStages();
   // Produces all results again after some were lost.
@@ -73,8 +73,6 @@
   void End(std::string_view outcome, int status, std::string_view reason);
   Duration Elapsed() const;
   PlacementRequest DescribePlacement() const;
-  // Size of the results that the engine takes.
-  int64_t FinalResultBytes() const;
 
   Gateway* gateway_;
   GatewayContext& context_;
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -16,6 +16,7 @@
     State state = State::kWaiting;
     int item_count = 0;
     std::vector<ResultHandle> results;
+    FailureDomainId maker_domain;
   };
   std::vector<Stage> stages;
 };
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -3,15 +3,29 @@
 #include <algorithm>
 #include <tuple>
 
+#include "peridotmill_core/time/milliseconds.h"
+
 namespace peridotmill {
 namespace {
 
 // How much earlier a task counts as due for each step of priority: about one
 // call, so that urgent requests win a place without starving the others.
 constexpr Duration kPriorityStep = std::chrono::milliseconds(150);
+// How much later a task counts as due at an endpoint outside the failure domain
+// that it prefers, and for each megabyte that would be moved.
+constexpr Duration kOtherDomainStep = std::chrono::milliseconds(30);
+constexpr double kStepPerMegabyteMs = 40;
 
-TimePoint OrderingTime(const WaitingTask& task) {
-  return task.due + task.priority * kPriorityStep;
+TimePoint OrderingTime(const WaitingTask& task, const BatchTarget& target) {
+  TimePoint time = task.due + task.priority * kPriorityStep;
+  if (task.preferred_domain != target.failure_domain) {
+    constexpr double kBytesPerMegabyte = 1e6;
+    const double bytes =
+        static_cast<double>(task.result_bytes) * task.item_count;
+    time += kOtherDomainStep +
+            FromMilliseconds(kStepPerMegabyteMs * bytes / kBytesPerMegabyte);
+  }
+  return time;
 }
 
 }  // namespace
@@ -44,7 +58,7 @@
 
 std::vector<BatchPart> TakeBatch(BatchQueue& queue,
                                  const StagePoolDefinition& pool,
-                                 int64_t room_bytes,
+                                 const BatchTarget& target,
                                  TimePoint now) {
   struct Entry {
     bool is_late;
@@ -57,7 +71,7 @@
   for (auto& [id, task] : queue.waiting) {
     const int items = task.item_count - task.next_item;
     const bool is_late = now + CallTime(pool, items) > task.due;
-    order.push_back({is_late, OrderingTime(task), id, &task});
+    order.push_back({is_late, OrderingTime(task, target), id, &task});
   }
   std::sort(order.begin(), order.end(), [](const Entry& a, const Entry& b) {
     return std::tie(a.is_late, a.order, a.id) <
@@ -65,20 +79,14 @@
   });
   std::vector<BatchPart> batch;
   int room = pool.batch_size;
+  int64_t room_bytes = target.room_bytes;
   std::vector<StageTaskId> emptied;
   for (const Entry& entry : order) {
     const int items = entry.task->item_count - entry.task->next_item;
-    // A task is split only if it exceeds a whole call.
-    if (items > room && items <= pool.batch_size) {
-      continue;
-    }
     int taken = std::min(items, room);
     if (entry.task->result_bytes > 0) {
-      const int64_t fitting = room_bytes / entry.task->result_bytes;
-      if (items <= pool.batch_size && fitting < items) {
-        continue;
-      }
-      taken = static_cast<int>(std::min<int64_t>(taken, fitting));
+      taken = static_cast<int>(
+          std::min<int64_t>(taken, room_bytes / entry.task->result_bytes));
     }
     if (taken == 0) {
       continue;
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -29,6 +29,7 @@
   int item_count = 0;
   // Room that each item's result takes.
   int64_t result_bytes = 0;
+  FailureDomainId preferred_domain;
 };
 
 // Tasks that wait for a call to the endpoints of one pool.
@@ -47,13 +48,20 @@
 // Time that an endpoint works on a call with this many items.
 Duration CallTime(const StagePoolDefinition& pool, int item_count);
 
-// Takes the next call's items, whose results take up to `room_bytes`. Answers
+// The endpoint that a call goes to.
+struct BatchTarget {
+  // Room for results.
+  int64_t room_bytes = 0;
+  FailureDomainId failure_domain;
+};
+
+// Takes the next call's items. Answers
 // bursts above the pool's capacity: tasks that can still be on time go first,
 // the most urgent one leading, so that the excess gathers in tasks that are
 // late already, which take what is left.
 std::vector<BatchPart> TakeBatch(BatchQueue& queue,
                                  const StagePoolDefinition& pool,
-                                 int64_t room_bytes,
+                                 const BatchTarget& target,
                                  TimePoint now);
 
 // Takes out the tasks that cannot end before their deadline any more.
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -31,6 +31,7 @@
   waiting.priority = task.priority;
   waiting.item_count = task.item_count;
   waiting.result_bytes = task.result_bytes;
+  waiting.preferred_domain = task.preferred_domain;
   return waiting;
 }
 
@@ -54,11 +55,11 @@
 class StageCoordinator::Call final : public StageCallListener {
  public:
   Call(StageCoordinator* owner,
-       QueueKey key,
+       PoolId pool,
        EndpointPtr endpoint,
        TimePoint started)
       : owner_(owner),
-        key_(std::move(key)),
+        pool_(std::move(pool)),
         endpoint_(std::move(endpoint)),
         started_(started) {}
 
@@ -67,7 +68,7 @@
   }
 
   StageCoordinator* owner_;
-  QueueKey key_;
+  PoolId pool_;
   EndpointPtr endpoint_;
   TimePoint started_;
   std::vector<BatchPart> parts_;
@@ -108,95 +109,79 @@
     StageTask task,
     StageTaskListener* listener) {
   const StageTaskId id = next_task_++;
-  const QueueKey key(task.pool, task.failure_domain);
-  AddTask(queues_[key].batch, id, Describe(task));
+  const PoolId pool = task.pool;
+  AddTask(queues_[pool].batch, id, Describe(task));
   dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now(),
                                  kCoordinatingShare);
   Task& entry = tasks_[id];
   entry.results.resize(static_cast<size_t>(task.item_count));
   entry.listener = listener;
   entry.task = std::move(task);
-  ScheduleDispatch(key, Duration::zero());
+  ScheduleDispatch(pool, Duration::zero());
   return std::make_unique<Ticket>(this, id);
 }
 
 Duration StageCoordinator::PredictDelay(const PoolId& pool,
-                                        const FailureDomainId& failure_domain,
                                         int item_count) const {
   const StagePoolDefinition* const definition = FindStagePool(pool);
   if (definition == nullptr) {
     return Duration::zero();
   }
   const auto& serving = dependencies_.endpoints.Serving(pool);
-  const auto is_local = [&](const EndpointPtr& endpoint) {
-    return endpoint->registration.failure_domain == failure_domain;
-  };
-  const auto local = std::count_if(serving.begin(), serving.end(), is_local);
-  const int endpoint_count = static_cast<int>(
-      local > 0 ? local : static_cast<ptrdiff_t>(serving.size()));
-  const auto queue = queues_.find(QueueKey(pool, failure_domain));
+  const auto queue = queues_.find(pool);
   static const BatchQueue kEmpty;
-  Duration delay =
-      PredictQueueDelay(queue == queues_.end() ? kEmpty : queue->second.batch,
-                        *definition, endpoint_count, item_count);
-  // A busy endpoint has half of a call in front of it on average.
+  Duration delay = PredictQueueDelay(
+      queue == queues_.end() ? kEmpty : queue->second.batch, *definition,
+      static_cast<int>(serving.size()), item_count);
+  // The next endpoint to be free has half of a call in front of it on average.
   const bool has_idle = std::any_of(
-      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
-        return (local == 0 || is_local(endpoint)) && endpoint->open_calls == 0;
-      });
+      serving.begin(), serving.end(),
+      [&](const EndpointPtr& endpoint) { return endpoint->open_calls == 0; });
   if (!has_idle) {
-    delay += CallTime(*definition, definition->batch_size / 2) / 2;
+    delay += CallTime(*definition, definition->batch_size / 2) /
+             static_cast<int>(serving.size() + 1);
   }
   return delay;
 }
 
-void StageCoordinator::ScheduleDispatch(const QueueKey& key, Duration delay) {
-  Queue& queue = queues_[key];
+void StageCoordinator::ScheduleDispatch(const PoolId& id, Duration delay) {
+  Queue& queue = queues_[id];
   if (queue.dispatch_timer != nullptr) {
     return;
   }
-  queue.dispatch_timer = dependencies_.timers.After(delay, [this, key] {
-    queues_[key].dispatch_timer.reset();
-    Dispatch(key);
+  queue.dispatch_timer = dependencies_.timers.After(delay, [this, id] {
+    queues_[id].dispatch_timer.reset();
+    Dispatch(id);
   });
 }
 
-void StageCoordinator::Dispatch(const QueueKey& key) {
-  const StagePoolDefinition* const pool = FindStagePool(key.first);
+void StageCoordinator::Dispatch(const PoolId& id) {
+  const StagePoolDefinition* const pool = FindStagePool(id);
   if (pool == nullptr) {
     return;
   }
   const TimePoint now = dependencies_.clock.Now();
-  for (const StageTaskId id : TakeHopeless(queues_[key].batch, *pool, now)) {
-    EndTask(id, StageItemOutcome::kLate);
+  for (const StageTaskId task : TakeHopeless(queues_[id].batch, *pool, now)) {
+    EndTask(task, StageItemOutcome::kLate);
   }
-  Queue& queue = queues_[key];
-  while (!queue.batch.waiting.empty() && StartCall(key, queue, *pool)) {
+  Queue& queue = queues_[id];
+  while (!queue.batch.waiting.empty() && StartCall(id, queue, *pool)) {
   }
   if (!queue.batch.waiting.empty()) {
-    ScheduleDispatch(key, kRetryInterval);
+    ScheduleDispatch(id, kRetryInterval);
   }
 }
 
 EndpointPtr StageCoordinator::ChooseIdleEndpoint(
-    const QueueKey& key,
+    const PoolId& id,
     const StagePoolDefinition& pool) {
   const TimePoint now = dependencies_.clock.Now();
   const Duration longest_wait =
       kCallTimeoutFactor * CallTime(pool, pool.batch_size);
-  const auto& serving = dependencies_.endpoints.Serving(key.first);
-  std::vector<EndpointPtr> local;
-  for (const EndpointPtr& endpoint : serving) {
-    if (endpoint->registration.failure_domain == key.second &&
-        IsTrusted(*endpoint, now, longest_wait)) {
-      local.push_back(endpoint);
-    }
-  }
-  const std::vector<EndpointPtr>& candidates = local.empty() ? serving : local;
   std::vector<EndpointPtr> idle;
-  for (const EndpointPtr& endpoint : candidates) {
+  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
     if (endpoint->open_calls < pool.concurrent_calls &&
-        endpoint->ejected_until <= now) {
+        IsTrusted(*endpoint, now, longest_wait)) {
       idle.push_back(endpoint);
     }
   }
@@ -218,16 +203,18 @@
   return pool.result_room_bytes - endpoint.result_bytes;
 }
 
-bool StageCoordinator::StartCall(const QueueKey& key,
+bool StageCoordinator::StartCall(const PoolId& id,
                                  Queue& queue,
                                  const StagePoolDefinition& pool) {
-  EndpointPtr endpoint = ChooseIdleEndpoint(key, pool);
+  EndpointPtr endpoint = ChooseIdleEndpoint(id, pool);
   if (endpoint == nullptr) {
     return false;
   }
   const TimePoint now = dependencies_.clock.Now();
-  auto call = std::make_unique<Call>(this, key, endpoint, now);
-  call->parts_ = TakeBatch(queue.batch, pool, FreeRoom(*endpoint, pool), now);
+  auto call = std::make_unique<Call>(this, id, endpoint, now);
+  call->parts_ = TakeBatch(
+      queue.batch, pool,
+      {FreeRoom(*endpoint, pool), endpoint->registration.failure_domain}, now);
   if (call->parts_.empty()) {
     return false;
   }
@@ -269,7 +256,7 @@
     const size_t first = position;
     position += static_cast<size_t>(part.item_count);
     if (!is_answered) {
-      RepeatPart(owned->key_, part,
+      RepeatPart(owned->pool_, part,
                  answer.outcome != StageCallOutcome::kNotSent);
       continue;
     }
@@ -304,7 +291,7 @@
     if (failure) {
       EndTask(part.task, *failure);
     } else if (needs_repeat) {
-      RepeatPart(owned->key_, part, /*counts=*/true);
+      RepeatPart(owned->pool_, part, /*counts=*/true);
     } else if (tasks_.at(part.task).done_items ==
                tasks_.at(part.task).task.item_count) {
       EndTask(part.task, StageItemOutcome::kDone);
@@ -313,7 +300,7 @@
   if (!unused.empty()) {
     dependencies_.caller.Release(unused);
   }
-  Dispatch(owned->key_);
+  Dispatch(owned->pool_);
 }
 
 void StageCoordinator::CloseCall(Call& call, const StageAnswer& answer) {
@@ -339,7 +326,7 @@
   if (!is_answered) {
     dependencies_.events.Write(
         "stage_call_failed",
-        {{"pool", call.key_.first.value()},
+        {{"pool", call.pool_.value()},
          {"endpoint", endpoint.registration.id.value()},
          {"outcome", std::string(NameOf(answer.outcome))},
          {"tasks", std::to_string(call.parts_.size())},
@@ -374,7 +361,7 @@
   --task.done_items;
 }
 
-void StageCoordinator::RepeatPart(const QueueKey& key,
+void StageCoordinator::RepeatPart(const PoolId& id,
                                   const BatchPart& part,
                                   bool counts) {
   const auto task = tasks_.find(part.task);
@@ -383,7 +370,7 @@
   }
   const TimePoint now = dependencies_.clock.Now();
   if (counts && !dependencies_.repeats.TakeRepeats(
-                    key.first, kRepeatWeight * part.item_count, now)) {
+                    id, kRepeatWeight * part.item_count, now)) {
     EndTask(part.task, StageItemOutcome::kFailed);
     return;
   }
@@ -391,7 +378,7 @@
   for (int i = 0; i < part.item_count; ++i) {
     DropResult(task->second, static_cast<size_t>(part.first_item + i));
   }
-  ReturnPart(queues_[key].batch, part, Describe(task->second.task));
+  ReturnPart(queues_[id].batch, part, Describe(task->second.task));
 }
 
 void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
@@ -401,14 +388,15 @@
   }
   Task& task = found->second;
   task.is_ended = true;
-  RemoveTask(queues_[QueueKey(task.task.pool, task.task.failure_domain)].batch,
-             id);
+  RemoveTask(queues_[task.task.pool].batch, id);
   StageTaskResult result;
   result.outcome = outcome;
   if (outcome == StageItemOutcome::kDone) {
     for (const MadeResult& made : task.results) {
       result.handles.push_back(made.handle);
     }
+    result.maker_domain =
+        task.results.front().maker->registration.failure_domain;
   }
   // May destroy the ticket, and the task with it.
   task.listener->OnStageTaskEnd(task.task.stage, std::move(result));
@@ -421,15 +409,15 @@
   }
   Task& task = found->second;
   const bool was_ended = task.is_ended;
-  const QueueKey key(task.task.pool, task.task.failure_domain);
-  RemoveTask(queues_[key].batch, id);
+  const PoolId pool = task.task.pool;
+  RemoveTask(queues_[pool].batch, id);
   for (size_t i = 0; i < task.results.size(); ++i) {
     DropResult(task, i);
   }
   tasks_.erase(found);
   // Room has become free, or a call has lost its last task.
-  if (!queues_[key].batch.waiting.empty()) {
-    ScheduleDispatch(key, Duration::zero());
+  if (!queues_[pool].batch.waiting.empty()) {
+    ScheduleDispatch(pool, Duration::zero());
   }
   if (!was_ended) {
     CancelUnusedCall();
@@ -447,7 +435,7 @@
       endpoint.result_bytes -= call->second->result_bytes_;
       EndWaiting(endpoint, call->second->started_);
       EndCall(endpoint, CallVerdict::kCancelled, dependencies_.clock.Now());
-      const QueueKey cancelled = call->second->key_;
+      const PoolId cancelled = call->second->pool_;
       calls_.erase(call);
       ScheduleDispatch(cancelled, Duration::zero());
       return;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -39,16 +39,13 @@
 
   std::unique_ptr<OpenStageTask> Submit(StageTask task,
                                         StageTaskListener* listener) override;
-  Duration PredictDelay(const PoolId& pool,
-                        const FailureDomainId& failure_domain,
-                        int item_count) const override;
+  Duration PredictDelay(const PoolId& pool, int item_count) const override;
 
   size_t task_count() const { return tasks_.size(); }
 
  private:
   class Call;
   class Ticket;
-  using QueueKey = std::pair<PoolId, FailureDomainId>;
 
   // A result, and the endpoint whose room it takes.
   struct MadeResult {
@@ -72,12 +69,12 @@
     std::unique_ptr<Timer> dispatch_timer;
   };
 
-  void ScheduleDispatch(const QueueKey& key, Duration delay);
-  void Dispatch(const QueueKey& key);
-  bool StartCall(const QueueKey& key,
+  void ScheduleDispatch(const PoolId& id, Duration delay);
+  void Dispatch(const PoolId& id);
+  bool StartCall(const PoolId& id,
                  Queue& queue,
                  const StagePoolDefinition& pool);
-  EndpointPtr ChooseIdleEndpoint(const QueueKey& key,
+  EndpointPtr ChooseIdleEndpoint(const PoolId& id,
                                  const StagePoolDefinition& pool);
   void FinishCall(Call* call, StageAnswer answer);
   // Notes at the endpoint that a call has ended.
@@ -90,7 +87,7 @@
   void DropResult(Task& task, size_t item);
   // Puts a part's items back into their queue, or ends the task when the budget
   // of repeats is spent.
-  void RepeatPart(const QueueKey& key, const BatchPart& part, bool counts);
+  void RepeatPart(const PoolId& id, const BatchPart& part, bool counts);
   void EndTask(StageTaskId id, StageItemOutcome outcome);
   // Room for further results at an endpoint.
   int64_t FreeRoom(const Endpoint& endpoint,
@@ -103,7 +100,7 @@
   Dependencies dependencies_;
   Random random_;
   ActiveConfigurationPtr configuration_;
-  std::map<QueueKey, Queue> queues_;
+  std::map<PoolId, Queue> queues_;
   std::map<StageTaskId, Task> tasks_;
   std::map<Call*, std::unique_ptr<Call>> calls_;
   StageTaskId next_task_ = 1;
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -13,8 +13,8 @@
 struct StageTask {
   RequestId request;
   PoolId pool;
-  // Whose endpoints are to work on it.
-  FailureDomainId failure_domain;
+  // Where its results are likely to be used.
+  FailureDomainId preferred_domain;
   size_t stage = 0;
   int item_count = 0;
   std::string key;
@@ -32,6 +32,8 @@
   StageItemOutcome outcome = StageItemOutcome::kFailed;
   // One for each item, if the task is done.
   std::vector<ResultHandle> handles;
+  // Where the results lie, as far as they lie together.
+  FailureDomainId maker_domain;
 };
 
 class StageTaskListener {
@@ -55,11 +57,8 @@
   virtual std::unique_ptr<OpenStageTask> Submit(
       StageTask task,
       StageTaskListener* listener) = 0;
-  // Predicted time until a task submitted now to this pool and failure domain
-  // is done.
-  virtual Duration PredictDelay(const PoolId& pool,
-                                const FailureDomainId& failure_domain,
-                                int item_count) const = 0;
+  // Predicted time until a task submitted now to this pool is done.
+  virtual Duration PredictDelay(const PoolId& pool, int item_count) const = 0;
 };
 
 }  // namespace peridotmill
