Keep stage results in the failure domain of their use

Change: a task names the domain of its inputs or of its engine; it waits for an endpoint there while it has time for one more call. Each stage call is logged.

--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -110,7 +110,8 @@
     VT_DUE_IN_MS = 20,
     VT_DEADLINE_IN_MS = 22,
     VT_PRIORITY = 24,
-    VT_RESULT_BYTES = 26
+    VT_RESULT_BYTES = 26,
+    VT_MOVED_BYTES = 28
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -148,6 +149,9 @@
   int64_t result_bytes() const {
     return GetField<int64_t>(VT_RESULT_BYTES, 0);
   }
+  int64_t moved_bytes() const {
+    return GetField<int64_t>(VT_MOVED_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -168,6 +172,7 @@
            VerifyField<int32_t>(verifier, VT_DEADLINE_IN_MS, 4) &&
            VerifyField<int8_t>(verifier, VT_PRIORITY, 1) &&
            VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
+           VerifyField<int64_t>(verifier, VT_MOVED_BYTES, 8) &&
            verifier.EndTable();
   }
 };
@@ -212,6 +217,9 @@
   void add_result_bytes(int64_t result_bytes) {
     fbb_.AddElement<int64_t>(SubmitTask::VT_RESULT_BYTES, result_bytes, 0);
   }
+  void add_moved_bytes(int64_t moved_bytes) {
+    fbb_.AddElement<int64_t>(SubmitTask::VT_MOVED_BYTES, moved_bytes, 0);
+  }
   explicit SubmitTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -236,8 +244,10 @@
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
     int8_t priority = 0,
-    int64_t result_bytes = 0) {
+    int64_t result_bytes = 0,
+    int64_t moved_bytes = 0) {
   SubmitTaskBuilder builder_(_fbb);
+  builder_.add_moved_bytes(moved_bytes);
   builder_.add_result_bytes(result_bytes);
   builder_.add_task(task);
   builder_.add_deadline_in_ms(deadline_in_ms);
@@ -266,7 +276,8 @@
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
     int8_t priority = 0,
-    int64_t result_bytes = 0) {
+    int64_t result_bytes = 0,
+    int64_t moved_bytes = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto preferred_domain__ = preferred_domain ? _fbb.CreateString(preferred_domain) : 0;
@@ -285,7 +296,8 @@
       due_in_ms,
       deadline_in_ms,
       priority,
-      result_bytes);
+      result_bytes,
+      moved_bytes);
 }
 
 struct CancelTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -72,7 +72,7 @@
         RelativeMilliseconds(task.due, now),
         RelativeMilliseconds(task.deadline, now),
         static_cast<int8_t>(std::clamp(task.priority, -128, 127)),
-        task.result_bytes);
+        task.result_bytes, task.moved_bytes);
     return Wrap(stagewire::Body::SubmitTask, body.Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
@@ -124,6 +124,7 @@
       now + std::chrono::milliseconds(wire.deadline_in_ms());
   message.task.priority = wire.priority();
   message.task.result_bytes = wire.result_bytes();
+  message.task.moved_bytes = wire.moved_bytes();
   return message;
 }
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -140,26 +140,41 @@
   return limit - kEngineStartTime - following * kFollowingStageTime;
 }
 
+StageTask GatewayRequest::DescribeStage(size_t stage) const {
+  const StageDefinition& definition = route_->stages[stage];
+  StageTask task;
+  task.request = request_.id;
+  task.pool = definition.pool;
+  task.stage = stage;
+  task.item_count = progress_.stages[stage].item_count;
+  if (definition.after.empty()) {
+    task.key = request_.stage_input_key;
+  } else {
+    task.inputs = InputsOf(route_->stages, progress_, stage);
+  }
+  task.due = LatestEnd(stage, accepted_ + route_->target_latency);
+  task.deadline = LatestEnd(stage, deadline_);
+  task.priority = priority_;
+  task.result_bytes = definition.result_bytes;
+  task.preferred_domain = work_domain_;
+  task.moved_bytes = task.item_count * definition.result_bytes;
+  for (const size_t input : definition.after) {
+    // Each item fetches all inputs.
+    const int64_t bytes = task.item_count * route_->stages[input].result_bytes *
+                          progress_.stages[input].item_count;
+    if (bytes > task.moved_bytes) {
+      task.moved_bytes = bytes;
+      task.preferred_domain = progress_.stages[input].maker_domain;
+    }
+  }
+  return task;
+}
+
 void GatewayRequest::SubmitReadyStages() {
   for (const size_t stage : ReadyStages(route_->stages, progress_)) {
-    const StageDefinition& definition = route_->stages[stage];
-    StageTask task;
-    task.request = request_.id;
-    task.pool = definition.pool;
-    task.preferred_domain = work_domain_;
-    task.stage = stage;
-    task.item_count = progress_.stages[stage].item_count;
-    if (definition.after.empty()) {
-      task.key = request_.stage_input_key;
-    } else {
-      task.inputs = InputsOf(route_->stages, progress_, stage);
-    }
-    task.due = LatestEnd(stage, accepted_ + route_->target_latency);
-    task.deadline = LatestEnd(stage, deadline_);
-    task.priority = priority_;
-    task.result_bytes = definition.result_bytes;
     progress_.stages[stage].state = StageProgress::State::kRunning;
-    stage_tasks_[stage] = context_.stage_worker.Submit(std::move(task), this);
+    stage_tasks_[stage] =
+        context_.stage_worker.Submit(DescribeStage(stage), this);
   }
   if (AreAllDone(progress_)) {
     StartAttempt();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -50,6 +50,7 @@
   // Prefers the failure domain of the engine that is likely to serve the
   // request for its stages.
   void ChooseWorkDomain();
+  StageTask DescribeStage(size_t stage) const;
   void SubmitReadyStages();
   // Produces all results again after some were lost.
   bool RepeatStages();
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -15,17 +15,37 @@
 // that it prefers, and for each megabyte that would be moved.
 constexpr Duration kOtherDomainStep = std::chrono::milliseconds(30);
 constexpr double kStepPerMegabyteMs = 40;
+// Tasks that would move less than this take any endpoint.
+constexpr int64_t kMinMovedBytes = 400'000;
+
+Duration MovingDelay(const WaitingTask& task) {
+  constexpr double kBytesPerMegabyte = 1e6;
+  return kOtherDomainStep +
+         FromMilliseconds(kStepPerMegabyteMs *
+                          static_cast<double>(task.moved_bytes) /
+                          kBytesPerMegabyte);
+}
 
 TimePoint OrderingTime(const WaitingTask& task, const BatchTarget& target) {
-  TimePoint time = task.due + task.priority * kPriorityStep;
-  if (task.preferred_domain != target.failure_domain) {
-    constexpr double kBytesPerMegabyte = 1e6;
-    const double bytes =
-        static_cast<double>(task.result_bytes) * task.item_count;
-    time += kOtherDomainStep +
-            FromMilliseconds(kStepPerMegabyteMs * bytes / kBytesPerMegabyte);
+  const TimePoint time = task.due + task.priority * kPriorityStep;
+  return task.preferred_domain == target.failure_domain
+             ? time
+             : time + MovingDelay(task);
+}
+
+// Whether the task had better wait for an endpoint in the domain it prefers.
+bool WaitsForDomain(const WaitingTask& task,
+                    const BatchTarget& target,
+                    Duration call_time,
+                    TimePoint now) {
+  if (task.preferred_domain == target.failure_domain ||
+      task.moved_bytes < kMinMovedBytes ||
+      !target.served_domains.contains(task.preferred_domain)) {
+    return false;
   }
-  return time;
+  // One more call fits before the task is due.
+  return now + 2 * call_time < task.due &&
+         now - task.submitted < MovingDelay(task);
 }
 
 }  // namespace
@@ -70,6 +90,9 @@
   order.reserve(queue.waiting.size());
   for (auto& [id, task] : queue.waiting) {
     const int items = task.item_count - task.next_item;
+    if (WaitsForDomain(task, target, CallTime(pool, items), now)) {
+      continue;
+    }
     const bool is_late = now + CallTime(pool, items) > task.due;
     order.push_back({is_late, OrderingTime(task, target), id, &task});
   }
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 #include "peridotmill_gateway/configuration/gateway_config.h"
@@ -21,6 +22,7 @@
 
 // A task with items that wait for a call.
 struct WaitingTask {
+  TimePoint submitted;
   TimePoint due;
   TimePoint deadline;
   int priority = 0;
@@ -30,6 +32,7 @@
   // Room that each item's result takes.
   int64_t result_bytes = 0;
   FailureDomainId preferred_domain;
+  int64_t moved_bytes = 0;
 };
 
 // Tasks that wait for a call to the endpoints of one pool.
@@ -53,6 +56,8 @@
   // Room for results.
   int64_t room_bytes = 0;
   FailureDomainId failure_domain;
+  // Failure domains with an endpoint that can be used.
+  std::set<FailureDomainId> served_domains;
 };
 
 // Takes the next call's items. Answers
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -20,18 +20,20 @@
 // An endpoint that refused a call as full is left alone for about one call.
 constexpr Duration kRefusalPause = std::chrono::milliseconds(150);
 // Time until the next look at a queue for which no endpoint was free.
-constexpr Duration kRetryInterval = std::chrono::milliseconds(100);
+constexpr Duration kRetryInterval = std::chrono::milliseconds(40);
 // Weight of a repeated item against the budget, which counts requests.
 constexpr int kRepeatWeight = 1;
 
-WaitingTask Describe(const StageTask& task) {
+WaitingTask Describe(const StageTask& task, TimePoint submitted) {
   WaitingTask waiting;
+  waiting.submitted = submitted;
   waiting.due = task.due;
   waiting.deadline = task.deadline;
   waiting.priority = task.priority;
   waiting.item_count = task.item_count;
   waiting.result_bytes = task.result_bytes;
   waiting.preferred_domain = task.preferred_domain;
+  waiting.moved_bytes = task.moved_bytes;
   return waiting;
 }
 
@@ -110,7 +112,7 @@
     StageTaskListener* listener) {
   const StageTaskId id = next_task_++;
   const PoolId pool = task.pool;
-  AddTask(queues_[pool].batch, id, Describe(task));
+  AddTask(queues_[pool].batch, id, Describe(task, dependencies_.clock.Now()));
   dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now(),
                                  kCoordinatingShare);
   Task& entry = tasks_[id];
@@ -165,34 +167,49 @@
     EndTask(task, StageItemOutcome::kLate);
   }
   Queue& queue = queues_[id];
-  while (!queue.batch.waiting.empty() && StartCall(id, queue, *pool)) {
+  // Tasks may wait for an endpoint of their domain while another is idle, so
+  // that each idle endpoint is offered the queue once.
+  for (const EndpointPtr& endpoint : IdleEndpoints(id, *pool)) {
+    while (!queue.batch.waiting.empty() &&
+           endpoint->open_calls < pool->concurrent_calls &&
+           StartCall(id, queue, *pool, endpoint)) {
+    }
   }
   if (!queue.batch.waiting.empty()) {
     ScheduleDispatch(id, kRetryInterval);
   }
 }
 
-EndpointPtr StageCoordinator::ChooseIdleEndpoint(
+std::vector<EndpointPtr> StageCoordinator::IdleEndpoints(
     const PoolId& id,
-    const StagePoolDefinition& pool) {
-  const TimePoint now = dependencies_.clock.Now();
-  const Duration longest_wait =
-      kCallTimeoutFactor * CallTime(pool, pool.batch_size);
+    const StagePoolDefinition& pool) const {
   std::vector<EndpointPtr> idle;
   for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
     if (endpoint->open_calls < pool.concurrent_calls &&
-        IsTrusted(*endpoint, now, longest_wait)) {
+        IsTrusted(*endpoint, dependencies_.clock.Now(),
+                  kCallTimeoutFactor * CallTime(pool, pool.batch_size))) {
       idle.push_back(endpoint);
     }
   }
   // The one with the most room takes the fullest call.
-  EndpointPtr best;
-  for (const EndpointPtr& endpoint : idle) {
-    if (best == nullptr || endpoint->result_bytes < best->result_bytes) {
-      best = endpoint;
+  std::stable_sort(idle.begin(), idle.end(),
+                   [](const EndpointPtr& a, const EndpointPtr& b) {
+                     return a->result_bytes < b->result_bytes;
+                   });
+  return idle;
+}
+
+std::set<FailureDomainId> StageCoordinator::ServedDomains(
+    const PoolId& id,
+    const StagePoolDefinition& pool) const {
+  std::set<FailureDomainId> domains;
+  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
+    if (IsTrusted(*endpoint, dependencies_.clock.Now(),
+                  kCallTimeoutFactor * CallTime(pool, pool.batch_size))) {
+      domains.insert(endpoint->registration.failure_domain);
     }
   }
-  return best;
+  return domains;
 }
 
 int64_t StageCoordinator::FreeRoom(const Endpoint& endpoint,
@@ -205,16 +222,15 @@
 
 bool StageCoordinator::StartCall(const PoolId& id,
                                  Queue& queue,
-                                 const StagePoolDefinition& pool) {
-  EndpointPtr endpoint = ChooseIdleEndpoint(id, pool);
-  if (endpoint == nullptr) {
-    return false;
-  }
+                                 const StagePoolDefinition& pool,
+                                 const EndpointPtr& endpoint) {
+  BatchTarget target;
+  target.room_bytes = FreeRoom(*endpoint, pool);
+  target.failure_domain = endpoint->registration.failure_domain;
+  target.served_domains = ServedDomains(id, pool);
   const TimePoint now = dependencies_.clock.Now();
   auto call = std::make_unique<Call>(this, id, endpoint, now);
-  call->parts_ = TakeBatch(
-      queue.batch, pool,
-      {FreeRoom(*endpoint, pool), endpoint->registration.failure_domain}, now);
+  call->parts_ = TakeBatch(queue.batch, pool, target, now);
   if (call->parts_.empty()) {
     return false;
   }
@@ -235,6 +251,21 @@
       kCallTimeoutFactor * CallTime(pool, static_cast<int>(items.size())) +
       kCallTimeoutMargin;
   Call* const raw = call.get();
+  int64_t moved_bytes = 0;
+  for (const BatchPart& part : call->parts_) {
+    const StageTask& task = tasks_.at(part.task).task;
+    if (task.preferred_domain != target.failure_domain) {
+      moved_bytes += task.moved_bytes * part.item_count / task.item_count;
+    }
+  }
+  dependencies_.events.Write(
+      "stage_call",
+      {{"pool", id.value()},
+       {"endpoint", endpoint->registration.id.value()},
+       {"tasks", std::to_string(call->parts_.size())},
+       {"items", std::to_string(items.size())},
+       {"waiting_items", std::to_string(queue.batch.waiting_items)},
+       {"moved_bytes", std::to_string(moved_bytes)}});
   endpoint->result_bytes += call->result_bytes_;
   BeginCall(*endpoint, now);
   call->open_ = dependencies_.caller.Start(endpoint->registration, items, raw);
@@ -378,7 +409,7 @@
   for (int i = 0; i < part.item_count; ++i) {
     DropResult(task->second, static_cast<size_t>(part.first_item + i));
   }
-  ReturnPart(queues_[id].batch, part, Describe(task->second.task));
+  ReturnPart(queues_[id].batch, part, Describe(task->second.task, now));
 }
 
 void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -71,11 +72,16 @@
 
   void ScheduleDispatch(const PoolId& id, Duration delay);
   void Dispatch(const PoolId& id);
+  // Sends the next call to an endpoint; false when no task fits it.
   bool StartCall(const PoolId& id,
                  Queue& queue,
-                 const StagePoolDefinition& pool);
-  EndpointPtr ChooseIdleEndpoint(const PoolId& id,
-                                 const StagePoolDefinition& pool);
+                 const StagePoolDefinition& pool,
+                 const EndpointPtr& endpoint);
+  std::vector<EndpointPtr> IdleEndpoints(const PoolId& id,
+                                         const StagePoolDefinition& pool) const;
+  std::set<FailureDomainId> ServedDomains(
+      const PoolId& id,
+      const StagePoolDefinition& pool) const;
   void FinishCall(Call* call, StageAnswer answer);
   // Notes at the endpoint that a call has ended.
   void CloseCall(Call& call, const StageAnswer& answer);
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -13,8 +13,10 @@
 struct StageTask {
   RequestId request;
   PoolId pool;
-  // Where its results are likely to be used.
+  // Where its inputs lie or its results are likely to be used, and how many
+  // bytes are moved if it is worked on elsewhere.
   FailureDomainId preferred_domain;
+  int64_t moved_bytes = 0;
   size_t stage = 0;
   int item_count = 0;
   std::string key;
