Repeat only missing stage items; refuse at arrival what is predicted to be late

Change: items are queued one by one; calls in progress run to their end and their results are released. Requests whose predicted first event is late are refused at once, with the time in which the queue drains.

--- /dev/null
+++ b/modules/peridotmill_gateway/calls/stage_call.cc
@@ -0,0 +1,21 @@
+#include "peridotmill_gateway/calls/stage_call.h"
+
+namespace peridotmill {
+
+std::string_view ToString(StageItemOutcome outcome) {
+  switch (outcome) {
+    case StageItemOutcome::kDone:
+      return "done";
+    case StageItemOutcome::kLate:
+      return "late";
+    case StageItemOutcome::kInputGone:
+      return "input_gone";
+    case StageItemOutcome::kNoRoom:
+      return "no_room";
+    case StageItemOutcome::kFailed:
+      return "failed";
+  }
+  return "failed";
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "peridotmill_core/ids/ids.h"
@@ -35,6 +36,8 @@
   kFailed,
 };
 
+std::string_view ToString(StageItemOutcome outcome);
+
 struct StageItemResult {
   StageItemOutcome outcome = StageItemOutcome::kFailed;
   ResultHandle handle;
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -20,6 +20,10 @@
 constexpr Duration kFirstExclusion = std::chrono::milliseconds(1000);
 constexpr int kMaxDoublings = 3;
 
+// A coordinator's report loses half of its weight in this time, in which a
+// queue of a few calls drains.
+constexpr Duration kReportHalfLife = std::chrono::seconds(1);
+
 }  // namespace
 
 class StageRelay::Link final : public PeerLinkListener {
@@ -118,9 +122,10 @@
   if (report == reports_.end()) {
     return local;
   }
-  // The queue drains at the pace of time; new tasks of others are not known.
   const Duration age = dependencies_.clock.Now() - report->second.received;
-  return std::max(local, report->second.delay - age);
+  const double weight = DecayOver(age, kReportHalfLife);
+  const double excess = ToMilliseconds(report->second.delay - local);
+  return local + FromMilliseconds(std::max(0.0, excess * weight));
 }
 
 void StageRelay::OnFrame(const NodeId& node, std::string_view frame) {
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -6,6 +6,7 @@
 
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/admission/stage_admission.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
 
 namespace peridotmill {
@@ -25,6 +26,14 @@
 constexpr Duration kEngineStartTime = std::chrono::milliseconds(350);
 // Time reserved for each further stage: a call with a batch that is half full.
 constexpr Duration kFollowingStageTime = std::chrono::milliseconds(260);
+// Callers give up after the longest of two seconds, four times the target and
+// eight times the longest pause between events, as their platform describes.
+constexpr Duration kLeastPatience = std::chrono::seconds(2);
+constexpr int kTargetPatience = 4;
+constexpr int kGapPatience = 8;
+// A deadline that is shorter than the route's time limit by more than this
+// shows that the caller has tried before.
+constexpr Duration kReturnMargin = std::chrono::milliseconds(100);
 // Rounds in which lost inputs are produced again.
 constexpr int kMaxLostInputs = 2;
 // The first event may take this many times the target before a stream that may
@@ -93,10 +102,46 @@
   }
   progress_ = MakeStageProgress(request_.stage_item_counts);
   stage_tasks_.resize(route_->stages.size());
+  if (const auto retry_after = CheckAdmission()) {
+    Fail(Reason::kQueueFull, *retry_after);
+    return;
+  }
   ChooseWorkDomain();
   SubmitReadyStages();
 }
 
+Duration GatewayRequest::Patience() const {
+  return std::max(
+      {kLeastPatience, kTargetPatience * route_->target_latency,
+       kGapPatience * route_->target_event_gap.value_or(Duration::zero())});
+}
+
+std::optional<Duration> GatewayRequest::CheckAdmission() const {
+  // Longest way through the stages, by the predicted delay of each.
+  std::vector<Duration> ends(route_->stages.size());
+  Duration last = Duration::zero();
+  for (size_t i = 0; i < route_->stages.size(); ++i) {
+    for (const size_t input : route_->stages[i].after) {
+      ends[i] = std::max(ends[i], ends[input]);
+    }
+    const int items = progress_.stages[i].item_count;
+    if (items > 0) {
+      ends[i] +=
+          context_.stage_worker.PredictDelay(route_->stages[i].pool, items);
+    }
+    last = std::max(last, ends[i]);
+  }
+  StageAdmissionInput input;
+  input.predicted = last + kEngineStartTime;
+  input.target_latency = route_->target_latency;
+  input.patience = Patience();
+  input.time_left = deadline_ - accepted_;
+  input.priority = priority_;
+  input.is_returning = request_.deadline.has_value() &&
+                       *request_.deadline + kReturnMargin < route_->timeout;
+  return RefuseForQueue(input, gateway_->random_.Unit());
+}
+
 PlacementRequest GatewayRequest::DescribePlacement() const {
   PlacementRequest placement;
   placement.tried = history_.tried();
@@ -153,7 +198,7 @@
     task.inputs = InputsOf(route_->stages, progress_, stage);
   }
   task.due = LatestEnd(stage, accepted_ + route_->target_latency);
-  task.deadline = LatestEnd(stage, deadline_);
+  task.deadline = LatestEnd(stage, std::min(deadline_, accepted_ + Patience()));
   task.priority = priority_;
   task.result_bytes = definition.result_bytes;
   task.preferred_domain = work_domain_;
@@ -173,6 +218,7 @@
 void GatewayRequest::SubmitReadyStages() {
   for (const size_t stage : ReadyStages(route_->stages, progress_)) {
     progress_.stages[stage].state = StageProgress::State::kRunning;
+    progress_.stages[stage].submitted = context_.clock.Now();
     stage_tasks_[stage] =
         context_.stage_worker.Submit(DescribeStage(stage), this);
   }
@@ -183,6 +229,14 @@
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
   StageProgress::Stage& state = progress_.stages[stage];
+  context_.events.Write(
+      "stage_end",
+      {{"request", request_.id.value()},
+       {"stage", std::to_string(stage)},
+       {"pool", route_->stages[stage].pool.value()},
+       {"outcome", std::string(ToString(result.outcome))},
+       {"domain", result.maker_domain.value()},
+       {"ms", Milliseconds(context_.clock.Now() - state.submitted)}});
   if (result.outcome == StageItemOutcome::kDone) {
     state.state = StageProgress::State::kDone;
     state.results = std::move(result.handles);
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -2,6 +2,7 @@
 #define PERIDOTMILL_GATEWAY_REQUESTS_GATEWAY_REQUEST_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,6 +51,10 @@
   // Prefers the failure domain of the engine that is likely to serve the
   // request for its stages.
   void ChooseWorkDomain();
+  // Until the caller gives up waiting for the first event.
+  Duration Patience() const;
+  // When the caller should come back, if the request is refused now.
+  std::optional<Duration> CheckAdmission() const;
   StageTask DescribeStage(size_t stage) const;
   void SubmitReadyStages();
   // Produces all results again after some were lost.
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -17,6 +17,7 @@
     int item_count = 0;
     std::vector<ResultHandle> results;
     FailureDomainId maker_domain;
+    TimePoint submitted;
   };
   std::vector<Stage> stages;
 };
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -48,30 +48,29 @@
          now - task.submitted < MovingDelay(task);
 }
 
+int CountItems(const WaitingTask& task) {
+  return static_cast<int>(task.items.size());
+}
+
 }  // namespace
 
 void AddTask(BatchQueue& queue, StageTaskId id, const WaitingTask& task) {
-  queue.waiting.emplace(id, task);
-  queue.waiting_items += task.item_count - task.next_item;
+  const auto [entry, is_new] = queue.waiting.emplace(id, task);
+  if (!is_new) {
+    auto& items = entry->second.items;
+    items.insert(items.end(), task.items.begin(), task.items.end());
+  }
+  queue.waiting_items += CountItems(task);
 }
 
 void RemoveTask(BatchQueue& queue, StageTaskId id) {
   const auto found = queue.waiting.find(id);
   if (found != queue.waiting.end()) {
-    queue.waiting_items -= found->second.item_count - found->second.next_item;
+    queue.waiting_items -= CountItems(found->second);
     queue.waiting.erase(found);
   }
 }
 
-void ReturnPart(BatchQueue& queue,
-                const BatchPart& part,
-                const WaitingTask& task) {
-  RemoveTask(queue, part.task);
-  WaitingTask returned = task;
-  returned.next_item = part.first_item;
-  AddTask(queue, part.task, returned);
-}
-
 Duration CallTime(const StagePoolDefinition& pool, int item_count) {
   return pool.call_time + item_count * pool.item_time;
 }
@@ -89,7 +88,7 @@
   std::vector<Entry> order;
   order.reserve(queue.waiting.size());
   for (auto& [id, task] : queue.waiting) {
-    const int items = task.item_count - task.next_item;
+    const int items = CountItems(task);
     if (WaitsForDomain(task, target, CallTime(pool, items), now)) {
       continue;
     }
@@ -105,7 +104,7 @@
   int64_t room_bytes = target.room_bytes;
   std::vector<StageTaskId> emptied;
   for (const Entry& entry : order) {
-    const int items = entry.task->item_count - entry.task->next_item;
+    const int items = CountItems(*entry.task);
     int taken = std::min(items, room);
     if (entry.task->result_bytes > 0) {
       taken = static_cast<int>(
@@ -115,11 +114,13 @@
       continue;
     }
     room_bytes -= taken * entry.task->result_bytes;
-    batch.push_back({entry.id, entry.task->next_item, taken});
-    entry.task->next_item += taken;
+    auto& waiting = entry.task->items;
+    const auto end = waiting.begin() + taken;
+    batch.push_back({entry.id, std::vector<int>(waiting.begin(), end)});
+    waiting.erase(waiting.begin(), end);
     queue.waiting_items -= taken;
     room -= taken;
-    if (entry.task->next_item == entry.task->item_count) {
+    if (waiting.empty()) {
       emptied.push_back(entry.id);
     }
   }
@@ -134,8 +135,7 @@
                                       TimePoint now) {
   std::vector<StageTaskId> hopeless;
   for (const auto& [id, task] : queue.waiting) {
-    if (now + CallTime(pool, task.item_count - task.next_item) >
-        task.deadline) {
+    if (now + CallTime(pool, CountItems(task)) > task.deadline) {
       hopeless.push_back(id);
     }
   }
@@ -148,14 +148,20 @@
 Duration PredictQueueDelay(const BatchQueue& queue,
                            const StagePoolDefinition& pool,
                            int endpoint_count,
-                           int item_count) {
-  const int full_calls = queue.waiting_items / std::max(1, pool.batch_size);
-  const Duration ahead = full_calls * CallTime(pool, pool.batch_size) /
-                         std::max(1, endpoint_count);
-  const int own_batch =
-      std::min(pool.batch_size,
-               queue.waiting_items % std::max(1, pool.batch_size) + item_count);
-  return ahead + CallTime(pool, own_batch);
+                           int item_count,
+                           TimePoint now) {
+  int ahead = 0;
+  for (const auto& [id, task] : queue.waiting) {
+    const int items = CountItems(task);
+    if (now + CallTime(pool, items) <= task.due) {
+      ahead += items;
+    }
+  }
+  const int batch_size = std::max(1, pool.batch_size);
+  const Duration wait = (ahead / batch_size) * CallTime(pool, batch_size) /
+                        std::max(1, endpoint_count);
+  return wait +
+         CallTime(pool, std::min(batch_size, ahead % batch_size + item_count));
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -16,8 +16,8 @@
 // Items of one task that go into a call together.
 struct BatchPart {
   StageTaskId task = 0;
-  int first_item = 0;
-  int item_count = 0;
+  // Positions of the items in their task.
+  std::vector<int> items;
 };
 
 // A task with items that wait for a call.
@@ -26,9 +26,8 @@
   TimePoint due;
   TimePoint deadline;
   int priority = 0;
-  // Items from here on wait.
-  int next_item = 0;
-  int item_count = 0;
+  // Positions of the items that wait.
+  std::vector<int> items;
   // Room that each item's result takes.
   int64_t result_bytes = 0;
   FailureDomainId preferred_domain;
@@ -41,13 +40,9 @@
   int waiting_items = 0;
 };
 
+// Adds a task, or further items of one that is there.
 void AddTask(BatchQueue& queue, StageTaskId id, const WaitingTask& task);
 void RemoveTask(BatchQueue& queue, StageTaskId id);
-// Returns the items of a part to the queue.
-void ReturnPart(BatchQueue& queue,
-                const BatchPart& part,
-                const WaitingTask& task);
-
 // Time that an endpoint works on a call with this many items.
 Duration CallTime(const StagePoolDefinition& pool, int item_count);
 
@@ -75,11 +70,12 @@
                                       TimePoint now);
 
 // Predicted time until a new task's call has ended, when `endpoint_count`
-// endpoints work on the queue.
+// endpoints work on the queue. Tasks that are late already give way to it.
 Duration PredictQueueDelay(const BatchQueue& queue,
                            const StagePoolDefinition& pool,
                            int endpoint_count,
-                           int item_count);
+                           int item_count,
+                           TimePoint now);
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 #include <optional>
 #include <string>
 
@@ -21,8 +22,6 @@
 constexpr Duration kRefusalPause = std::chrono::milliseconds(150);
 // Time until the next look at a queue for which no endpoint was free.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(40);
-// Weight of a repeated item against the budget, which counts requests.
-constexpr int kRepeatWeight = 1;
 
 WaitingTask Describe(const StageTask& task, TimePoint submitted) {
   WaitingTask waiting;
@@ -30,7 +29,8 @@
   waiting.due = task.due;
   waiting.deadline = task.deadline;
   waiting.priority = task.priority;
-  waiting.item_count = task.item_count;
+  waiting.items.resize(static_cast<size_t>(task.item_count));
+  std::iota(waiting.items.begin(), waiting.items.end(), 0);
   waiting.result_bytes = task.result_bytes;
   waiting.preferred_domain = task.preferred_domain;
   waiting.moved_bytes = task.moved_bytes;
@@ -134,7 +134,7 @@
   static const BatchQueue kEmpty;
   Duration delay = PredictQueueDelay(
       queue == queues_.end() ? kEmpty : queue->second.batch, *definition,
-      static_cast<int>(serving.size()), item_count);
+      static_cast<int>(serving.size()), item_count, dependencies_.clock.Now());
   // The next endpoint to be free has half of a call in front of it on average.
   const bool has_idle = std::any_of(
       serving.begin(), serving.end(),
@@ -237,11 +237,12 @@
   std::vector<StageItem> items;
   for (const BatchPart& part : call->parts_) {
     const StageTask& task = tasks_.at(part.task).task;
-    call->result_bytes_ += part.item_count * task.result_bytes;
-    for (int i = 0; i < part.item_count; ++i) {
+    call->result_bytes_ +=
+        static_cast<int64_t>(part.items.size()) * task.result_bytes;
+    for (const int item : part.items) {
       items.push_back({.request = task.request,
                        .stage = task.stage,
-                       .piece = static_cast<size_t>(part.first_item + i),
+                       .piece = static_cast<size_t>(item),
                        .time_left = task.deadline - now,
                        .key = task.key,
                        .inputs = task.inputs});
@@ -255,7 +256,8 @@
   for (const BatchPart& part : call->parts_) {
     const StageTask& task = tasks_.at(part.task).task;
     if (task.preferred_domain != target.failure_domain) {
-      moved_bytes += task.moved_bytes * part.item_count / task.item_count;
+      moved_bytes += task.moved_bytes *
+                     static_cast<int64_t>(part.items.size()) / task.item_count;
     }
   }
   dependencies_.events.Write(
@@ -285,53 +287,63 @@
   size_t position = 0;
   for (const BatchPart& part : owned->parts_) {
     const size_t first = position;
-    position += static_cast<size_t>(part.item_count);
+    position += part.items.size();
     if (!is_answered) {
-      RepeatPart(owned->pool_, part,
-                 answer.outcome != StageCallOutcome::kNotSent);
+      RepeatItems(owned->pool_, part.task, part.items,
+                  answer.outcome != StageCallOutcome::kNotSent);
       continue;
     }
-    const bool is_wanted = tasks_.contains(part.task);
-    bool needs_repeat = false;
-    std::optional<StageItemOutcome> failure;
-    for (size_t i = 0; i < static_cast<size_t>(part.item_count); ++i) {
-      StageItemResult& result = answer.results[first + i];
-      if (result.outcome == StageItemOutcome::kDone) {
-        if (is_wanted) {
-          KeepResult(tasks_.at(part.task),
-                     static_cast<size_t>(part.first_item) + i, owned->endpoint_,
-                     std::move(result.handle));
-        } else {
+    TakeResults(*owned, part, answer.results.data() + first, unused);
+  }
+  if (!unused.empty()) {
+    dependencies_.caller.Release(unused);
+  }
+  Dispatch(owned->pool_);
+}
+
+void StageCoordinator::TakeResults(Call& call,
+                                   const BatchPart& part,
+                                   StageItemResult* results,
+                                   std::vector<ResultHandle>& unused) {
+  const auto task = tasks_.find(part.task);
+  std::vector<int> missing;
+  std::optional<StageItemOutcome> failure;
+  for (size_t i = 0; i < part.items.size(); ++i) {
+    StageItemResult& result = results[i];
+    switch (result.outcome) {
+      case StageItemOutcome::kDone:
+        if (task == tasks_.end()) {
           unused.push_back(std::move(result.handle));
+        } else {
+          KeepResult(task->second, static_cast<size_t>(part.items[i]),
+                     call.endpoint_, std::move(result.handle));
         }
-      } else if (result.outcome == StageItemOutcome::kLate ||
-                 result.outcome == StageItemOutcome::kInputGone) {
+        break;
+      case StageItemOutcome::kLate:
+      case StageItemOutcome::kInputGone:
         failure = result.outcome;
-      } else {
-        needs_repeat = true;
-        if (result.outcome == StageItemOutcome::kNoRoom) {
-          // Room that this node does not know of is taken.
-          owned->endpoint_->ejected_until =
-              dependencies_.clock.Now() + kRefusalPause;
-        }
-      }
-    }
-    if (!is_wanted) {
-      continue;
-    }
-    if (failure) {
-      EndTask(part.task, *failure);
-    } else if (needs_repeat) {
-      RepeatPart(owned->pool_, part, /*counts=*/true);
-    } else if (tasks_.at(part.task).done_items ==
-               tasks_.at(part.task).task.item_count) {
-      EndTask(part.task, StageItemOutcome::kDone);
+        break;
+      case StageItemOutcome::kNoRoom:
+        // Room that this node does not know of is taken.
+        call.endpoint_->ejected_until =
+            dependencies_.clock.Now() + kRefusalPause;
+        missing.push_back(part.items[i]);
+        break;
+      case StageItemOutcome::kFailed:
+        missing.push_back(part.items[i]);
+        break;
     }
   }
-  if (!unused.empty()) {
-    dependencies_.caller.Release(unused);
+  if (task == tasks_.end()) {
+    return;
+  }
+  if (failure) {
+    EndTask(part.task, *failure);
+  } else if (!missing.empty()) {
+    RepeatItems(call.pool_, part.task, missing, /*counts=*/true);
+  } else if (task->second.done_items == task->second.task.item_count) {
+    EndTask(part.task, StageItemOutcome::kDone);
   }
-  Dispatch(owned->pool_);
 }
 
 void StageCoordinator::CloseCall(Call& call, const StageAnswer& answer) {
@@ -392,24 +404,23 @@
   --task.done_items;
 }
 
-void StageCoordinator::RepeatPart(const PoolId& id,
-                                  const BatchPart& part,
-                                  bool counts) {
-  const auto task = tasks_.find(part.task);
-  if (task == tasks_.end()) {
+void StageCoordinator::RepeatItems(const PoolId& id,
+                                   StageTaskId task_id,
+                                   const std::vector<int>& items,
+                                   bool counts) {
+  const auto task = tasks_.find(task_id);
+  if (task == tasks_.end() || task->second.is_ended) {
     return;
   }
   const TimePoint now = dependencies_.clock.Now();
   if (counts && !dependencies_.repeats.TakeRepeats(
-                    id, kRepeatWeight * part.item_count, now)) {
-    EndTask(part.task, StageItemOutcome::kFailed);
+                    id, static_cast<int>(items.size()), now)) {
+    EndTask(task_id, StageItemOutcome::kFailed);
     return;
   }
-  // Results of the part that did arrive are asked for again and replaced.
-  for (int i = 0; i < part.item_count; ++i) {
-    DropResult(task->second, static_cast<size_t>(part.first_item + i));
-  }
-  ReturnPart(queues_[id].batch, part, Describe(task->second.task, now));
+  WaitingTask waiting = Describe(task->second.task, now);
+  waiting.items = items;
+  AddTask(queues_[id].batch, task_id, waiting);
 }
 
 void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
@@ -439,39 +450,17 @@
     return;
   }
   Task& task = found->second;
-  const bool was_ended = task.is_ended;
   const PoolId pool = task.task.pool;
   RemoveTask(queues_[pool].batch, id);
   for (size_t i = 0; i < task.results.size(); ++i) {
     DropResult(task, i);
   }
+  // A call in progress goes on: its results take room until they are released,
+  // and their handles come with its answer.
   tasks_.erase(found);
-  // Room has become free, or a call has lost its last task.
   if (!queues_[pool].batch.waiting.empty()) {
     ScheduleDispatch(pool, Duration::zero());
   }
-  if (!was_ended) {
-    CancelUnusedCall();
-  }
-}
-
-void StageCoordinator::CancelUnusedCall() {
-  for (auto call = calls_.begin(); call != calls_.end(); ++call) {
-    const auto& parts = call->second->parts_;
-    const bool is_unused = std::none_of(
-        parts.begin(), parts.end(),
-        [&](const BatchPart& part) { return tasks_.contains(part.task); });
-    if (is_unused) {
-      Endpoint& endpoint = *call->second->endpoint_;
-      endpoint.result_bytes -= call->second->result_bytes_;
-      EndWaiting(endpoint, call->second->started_);
-      EndCall(endpoint, CallVerdict::kCancelled, dependencies_.clock.Now());
-      const PoolId cancelled = call->second->pool_;
-      calls_.erase(call);
-      ScheduleDispatch(cancelled, Duration::zero());
-      return;
-    }
-  }
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -91,16 +91,23 @@
                   ResultHandle handle);
   // Frees the room of an item's result, if there is one, and tells its maker.
   void DropResult(Task& task, size_t item);
-  // Puts a part's items back into their queue, or ends the task when the budget
-  // of repeats is spent.
-  void RepeatPart(const PoolId& id, const BatchPart& part, bool counts);
+  // Keeps the results of a part's items, and repeats or ends the task as
+  // needed.
+  void TakeResults(Call& call,
+                   const BatchPart& part,
+                   StageItemResult* results,
+                   std::vector<ResultHandle>& unused);
+  // Puts items back into their queue, or ends the task when the budget of
+  // repeats is spent. Items that were never sent do not count.
+  void RepeatItems(const PoolId& id,
+                   StageTaskId task_id,
+                   const std::vector<int>& items,
+                   bool counts);
   void EndTask(StageTaskId id, StageItemOutcome outcome);
   // Room for further results at an endpoint.
   int64_t FreeRoom(const Endpoint& endpoint,
                    const StagePoolDefinition& pool) const;
   void Abandon(StageTaskId id);
-  // Cancels a call none of whose tasks is wanted any more.
-  void CancelUnusedCall();
   const StagePoolDefinition* FindStagePool(const PoolId& id) const;
 
   Dependencies dependencies_;
