Finish stage tasks that have begun before starting others

Cause: in bursts of assay-summary half-made tasks became late, waited behind tasks that were on time and held the room of geo-record: 4.6 of 8 items a call with 300 waiting. A coordinator was also given up when a task waited for long. Change: begun tasks go first; coordinators report on unfinished tasks every 500 ms, and only a silent link is dropped; admission refuses beyond the target.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -82,7 +82,7 @@
                    SeedOf(settings, kStageSeed)),
       stages_({clock, timers_, dialer_, coordinator_, nodes_, repeats_, log,
                settings.node}),
-      stage_service_(coordinator_, clock),
+      stage_service_(coordinator_, clock, timers_),
       node_registration_(settings.node,
                          {settings.peer_address, settings.failure_domain},
                          store_,
@@ -97,7 +97,7 @@
                      log,
                      [this] { registration_follower_.ReadAgain(); }),
       configuration_follower_(
-          {.prefix = platform::kConfigurationKey},
+          {.prefix = std::string(platform::kConfigurationKey)},
           {.on_snapshot =
                [this](const std::vector<StoreEntry>& entries, bool) {
                  for (const StoreEntry& entry : entries) {
@@ -114,20 +114,21 @@
           timers_,
           log,
           SeedOf(settings, kConfigurationSeed)),
-      registration_follower_({.prefix = platform::kRegistrationPrefix},
-                             {.on_snapshot =
-                                  [this](const std::vector<StoreEntry>& entries,
-                                         bool was_unreachable) {
-                                    OnRegistrations(entries, was_unreachable);
-                                  },
-                              .on_change =
-                                  [this](const StoreChange& change) {
-                                    OnRegistrationChange(change);
-                                  }},
-                             store_,
-                             timers_,
-                             log,
-                             SeedOf(settings, kRegistrationSeed)),
+      registration_follower_(
+          {.prefix = std::string(platform::kRegistrationPrefix)},
+          {.on_snapshot =
+               [this](const std::vector<StoreEntry>& entries,
+                      bool was_unreachable) {
+                 OnRegistrations(entries, was_unreachable);
+               },
+           .on_change =
+               [this](const StoreChange& change) {
+                 OnRegistrationChange(change);
+               }},
+          store_,
+          timers_,
+          log,
+          SeedOf(settings, kRegistrationSeed)),
       node_follower_(
           {.prefix = kNodePrefix},
           {.on_snapshot =
@@ -271,8 +272,7 @@
 void GatewayProcess::OnRegistrations(const std::vector<StoreEntry>& entries,
                                      bool was_unreachable) {
   std::vector<EndpointRegistration> registrations;
-  const size_t prefix_size =
-      std::string_view(platform::kRegistrationPrefix).size();
+  const size_t prefix_size = platform::kRegistrationPrefix.size();
   for (const StoreEntry& entry : entries) {
     auto registration = platform::DecodeRegistration(
         std::string_view(entry.key).substr(prefix_size), entry.value);
@@ -286,9 +286,8 @@
 }
 
 void GatewayProcess::OnRegistrationChange(const StoreChange& change) {
-  const std::string_view id =
-      std::string_view(change.entry.key)
-          .substr(std::string_view(platform::kRegistrationPrefix).size());
+  const std::string_view id = std::string_view(change.entry.key)
+                                  .substr(platform::kRegistrationPrefix.size());
   if (change.is_removed) {
     registrations_.Remove(EndpointId(id));
     return;
--- a/modules/peridotmill_gateway/admission/stage_admission.cc
+++ b/modules/peridotmill_gateway/admission/stage_admission.cc
@@ -9,8 +9,8 @@
 
 // The most urgent requests are accepted up to this multiple of their target,
 // for the prediction is not exact; each step of priority lowers it.
-constexpr double kTargetFactor = 1.2;
-constexpr double kFactorStep = 0.15;
+constexpr double kTargetFactor = 1.0;
+constexpr double kFactorStep = 0.1;
 constexpr double kLeastFactor = 0.6;
 // Returning callers are accepted while they are served well within their
 // patience.
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -11,10 +11,10 @@
 // A coordinator that has not accepted a task after this time is passed over.
 // Nodes answer within a few milliseconds; slowed down five times they still do.
 constexpr Duration kAcceptTimeout = std::chrono::milliseconds(250);
-// An accepted task may take this many times its predicted delay, and this much
-// more, before its coordinator is passed over.
-constexpr int kEndTimeoutFactor = 2;
-constexpr Duration kEndTimeoutMargin = std::chrono::milliseconds(1500);
+// A coordinator reports on unfinished tasks every 500 ms; one that is silent
+// for longer than two reports is passed over.
+constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1300);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(400);
 // For how long a node that did not answer gets no further task; doubled with
 // each further failure, up to three times, the length of a partition.
 constexpr Duration kFirstExclusion = std::chrono::milliseconds(1000);
@@ -33,6 +33,26 @@
     link_ = owner->dependencies_.dialer.Dial(address, this);
   }
 
+  void NoteFrame(TimePoint now) { last_frame_ = now; }
+  // Drops the link if tasks wait and nothing is heard of them.
+  void WatchSilence() {
+    if (timer_ != nullptr) {
+      return;
+    }
+    timer_ = owner_->dependencies_.timers.After(kSilenceCheckInterval, [this] {
+      timer_.reset();
+      if (!owner_->HasTasksAt(node_)) {
+        return;
+      }
+      if (owner_->dependencies_.clock.Now() - last_frame_ > kSilenceTimeout) {
+        const NodeId node = node_;
+        owner_->DropLink(node, "silent");
+        return;
+      }
+      WatchSilence();
+    });
+  }
+
   void Send(const StageMessage& message, TimePoint now) {
     link_->Send(EncodeStageMessage(message, now));
   }
@@ -49,6 +69,8 @@
   StageRelay* owner_;
   NodeId node_;
   std::unique_ptr<PeerLink> link_;
+  TimePoint last_frame_;
+  std::unique_ptr<Timer> timer_;
 };
 
 class StageRelay::Ticket final : public OpenStageTask {
@@ -129,7 +151,11 @@
 }
 
 void StageRelay::OnFrame(const NodeId& node, std::string_view frame) {
-  auto message = DecodeStageMessage(frame, dependencies_.clock.Now());
+  const TimePoint now = dependencies_.clock.Now();
+  if (const auto link = links_.find(node); link != links_.end()) {
+    link->second->NoteFrame(now);
+  }
+  auto message = DecodeStageMessage(frame, now);
   if (!message) {
     DropLink(node, "malformed frame");
     return;
@@ -155,10 +181,15 @@
   RemoteTask& entry = found->second;
   NoteReport(entry.task, message.predicted_delay);
   exclusions_.erase(entry.coordinator);
-  const NodeId node = entry.coordinator;
-  entry.timer = dependencies_.timers.After(
-      kEndTimeoutFactor * message.predicted_delay + kEndTimeoutMargin,
-      [this, node] { DropLink(node, "task not done in time"); });
+  entry.timer.reset();
+  links_.at(entry.coordinator)->WatchSilence();
+}
+
+bool StageRelay::HasTasksAt(const NodeId& node) const {
+  return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& entry) {
+    return entry.second.local == nullptr && !entry.second.is_ended &&
+           entry.second.coordinator == node;
+  });
 }
 
 void StageRelay::OnEnded(TaskEndedMessage message) {
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -56,7 +56,7 @@
     std::unique_ptr<OpenStageTask> local;
     // The listener has been told; the coordinator keeps the results.
     bool is_ended = false;
-    // Runs until the coordinator accepts the task, then until it must be done.
+    // Runs until the coordinator accepts the task.
     std::unique_ptr<Timer> timer;
   };
 
@@ -77,6 +77,8 @@
   void OnFrame(const NodeId& node, std::string_view frame);
   void OnAccepted(const TaskAcceptedMessage& message);
   void OnEnded(TaskEndedMessage message);
+  // Whether tasks at this node have not ended.
+  bool HasTasksAt(const NodeId& node) const;
   // Closes the link and gives its tasks to other nodes.
   void DropLink(const NodeId& node, std::string_view reason);
   void Abandon(RemoteTaskId id);
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -5,6 +5,12 @@
 #include "peridotmill_gateway/peers/stage_message.h"
 
 namespace peridotmill {
+namespace {
+
+// Time between reports on unfinished tasks.
+constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+
+}  // namespace
 
 // The tasks of one node.
 class StageService::Session final : public PeerLinkListener {
@@ -25,12 +31,14 @@
       item_count_ = task.item_count;
       ticket_ = session_->service_->worker_.Submit(std::move(task), this);
     }
+    bool is_ended() const { return is_ended_; }
     Duration PredictDelay() const {
       return session_->service_->worker_.PredictDelay(pool_, item_count_);
     }
 
    private:
     void OnStageTaskEnd(size_t, StageTaskResult result) override {
+      is_ended_ = true;
       session_->EndTask(id_, std::move(result), PredictDelay());
     }
 
@@ -38,6 +46,7 @@
     RemoteTaskId id_;
     PoolId pool_;
     int item_count_ = 0;
+    bool is_ended_ = false;
     std::unique_ptr<OpenStageTask> ticket_;
   };
 
@@ -53,6 +62,7 @@
       tasks_[submit->id] = std::move(task);
       raw->Start(std::move(submit->task));
       Send(TaskAcceptedMessage{submit->id, raw->PredictDelay()});
+      ReportLater();
     } else if (const auto* const cancel =
                    std::get_if<CancelTaskMessage>(&*message)) {
       tasks_.erase(cancel->id);
@@ -65,6 +75,24 @@
     Send(TaskEndedMessage{id, std::move(result), delay});
   }
 
+  // Reports on one unfinished task now and then, which tells the owner that
+  // this node is alive and how long its queues are.
+  void ReportLater() {
+    if (report_timer_ != nullptr) {
+      return;
+    }
+    report_timer_ = service_->timers_.After(kReportInterval, [this] {
+      report_timer_.reset();
+      for (const auto& [id, task] : tasks_) {
+        if (!task->is_ended()) {
+          Send(TaskAcceptedMessage{id, task->PredictDelay()});
+          ReportLater();
+          return;
+        }
+      }
+    });
+  }
+
   void Send(const StageMessage& message) {
     link_->Send(EncodeStageMessage(message, service_->clock_.Now()));
   }
@@ -72,10 +100,13 @@
   StageService* service_;
   std::map<RemoteTaskId, std::unique_ptr<RemoteListener>> tasks_;
   std::unique_ptr<PeerLink> link_;
+  std::unique_ptr<Timer> report_timer_;
 };
 
-StageService::StageService(StageWorker& worker, const Clock& clock)
-    : worker_(worker), clock_(clock) {}
+StageService::StageService(StageWorker& worker,
+                           const Clock& clock,
+                           TimerQueue& timers)
+    : worker_(worker), clock_(clock), timers_(timers) {}
 
 StageService::~StageService() = default;
 
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
@@ -18,7 +19,7 @@
   using LinkMaker =
       std::function<std::unique_ptr<PeerLink>(PeerLinkListener* listener)>;
 
-  StageService(StageWorker& worker, const Clock& clock);
+  StageService(StageWorker& worker, const Clock& clock, TimerQueue& timers);
   ~StageService();
   StageService(const StageService&) = delete;
   StageService& operator=(const StageService&) = delete;
@@ -34,6 +35,7 @@
 
   StageWorker& worker_;
   const Clock& clock_;
+  TimerQueue& timers_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -48,6 +48,9 @@
          now - task.submitted < MovingDelay(task);
 }
 
+// Order of tasks in a call.
+enum class BatchRank : uint8_t { kStarted, kOnTime, kLate };
+
 int CountItems(const WaitingTask& task) {
   return static_cast<int>(task.items.size());
 }
@@ -59,6 +62,7 @@
   if (!is_new) {
     auto& items = entry->second.items;
     items.insert(items.end(), task.items.begin(), task.items.end());
+    entry->second.is_started = entry->second.is_started || task.is_started;
   }
   queue.waiting_items += CountItems(task);
 }
@@ -80,7 +84,7 @@
                                  const BatchTarget& target,
                                  TimePoint now) {
   struct Entry {
-    bool is_late;
+    BatchRank rank;
     TimePoint order;
     StageTaskId id;
     WaitingTask* task;
@@ -93,11 +97,13 @@
       continue;
     }
     const bool is_late = now + CallTime(pool, items) > task.due;
-    order.push_back({is_late, OrderingTime(task, target), id, &task});
+    const BatchRank rank = task.is_started ? BatchRank::kStarted
+                           : is_late       ? BatchRank::kLate
+                                           : BatchRank::kOnTime;
+    order.push_back({rank, OrderingTime(task, target), id, &task});
   }
   std::sort(order.begin(), order.end(), [](const Entry& a, const Entry& b) {
-    return std::tie(a.is_late, a.order, a.id) <
-           std::tie(b.is_late, b.order, b.id);
+    return std::tie(a.rank, a.order, a.id) < std::tie(b.rank, b.order, b.id);
   });
   std::vector<BatchPart> batch;
   int room = pool.batch_size;
@@ -118,6 +124,7 @@
     const auto end = waiting.begin() + taken;
     batch.push_back({entry.id, std::vector<int>(waiting.begin(), end)});
     waiting.erase(waiting.begin(), end);
+    entry.task->is_started = true;
     queue.waiting_items -= taken;
     room -= taken;
     if (waiting.empty()) {
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -28,6 +28,9 @@
   int priority = 0;
   // Positions of the items that wait.
   std::vector<int> items;
+  // Other items of the task have been sent; their results take room until the
+  // whole task is done.
+  bool is_started = false;
   // Room that each item's result takes.
   int64_t result_bytes = 0;
   FailureDomainId preferred_domain;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -420,6 +420,7 @@
   }
   WaitingTask waiting = Describe(task->second.task, now);
   waiting.items = items;
+  waiting.is_started = true;
   AddTask(queues_[id].batch, task_id, waiting);
 }
 
