--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -507,10 +507,6 @@
     StartAttempt();
     return;
   }
-  if (is_head_sent_) {
-    Cut(reason);
-    return;
-  }
   Fail(reason, kRetryAfter);
 }
 
@@ -526,14 +522,15 @@
   if (call_ != nullptr) {
     EndAttempt(CallVerdict::kFailure, AttemptOutcome::kSentUnknown);
   }
-  if (is_head_sent_) {
-    Cut(Reason::kDeadlineExpired);
-    return;
-  }
   Fail(Reason::kDeadlineExpired, kRetryAfter);
 }
 
 void GatewayRequest::Fail(Reason reason, Duration retry_after) {
+  if (is_head_sent_) {
+    // The answer has begun; it can only end as an incomplete one.
+    Cut(reason);
+    return;
+  }
   const NodeAnswer answer = MakeFailure(history_, reason, retry_after);
   gateway_->reasons_.Add(reason);
   ++(answer.execution == Execution::kNotRun ? gateway_->counters_.refused
