--- a/cmake/module_tests.cmake
+++ b/cmake/module_tests.cmake
@@ -1,11 +1,14 @@
 # One test binary per module, from modules/<module>/tests/*_test.cc.
 find_package(GTest REQUIRED)
 include(GoogleTest)
-file(GLOB MODULE_DIRS CONFIGURE_DEPENDS modules/peridotmill_* tools/* standins/*)
+file(GLOB MODULE_DIRS CONFIGURE_DEPENDS modules/peridotmill_* platform tools/* standins/*)
 foreach(MODULE_DIR ${MODULE_DIRS})
   file(GLOB TEST_SOURCES CONFIGURE_DEPENDS ${MODULE_DIR}/tests/*.cc)
   if(TEST_SOURCES)
     get_filename_component(MODULE_NAME ${MODULE_DIR} NAME)
+    if(MODULE_NAME STREQUAL platform)
+      set(MODULE_NAME peridotmill_platform)
+    endif()
     add_executable(${MODULE_NAME}_tests ${TEST_SOURCES})
     target_link_libraries(${MODULE_NAME}_tests PRIVATE
       peridotmill peridotmill_warnings GTest::gmock GTest::gtest_main nlohmann_json::nlohmann_json)
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -96,7 +96,8 @@
     if (WaitsForDomain(task, target, CallTime(pool, items), now)) {
       continue;
     }
-    const bool is_late = now + CallTime(pool, items) > task.due;
+    // The call may become a full one.
+    const bool is_late = now + CallTime(pool, pool.batch_size) > task.due;
     const BatchRank rank = task.is_started ? BatchRank::kStarted
                            : is_late       ? BatchRank::kLate
                                            : BatchRank::kOnTime;
@@ -116,7 +117,11 @@
       taken = static_cast<int>(
           std::min<int64_t>(taken, room_bytes / entry.task->result_bytes));
     }
-    if (taken == 0) {
+    // A task whose second call would end late takes no part of this one.
+    const bool ends_late =
+        taken < items && entry.rank == BatchRank::kOnTime &&
+        now + 2 * CallTime(pool, pool.batch_size) > entry.task->due;
+    if (taken == 0 || ends_late) {
       continue;
     }
     room_bytes -= taken * entry.task->result_bytes;
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -0,0 +1,258 @@
+// Tests of the small pure decisions of the gateway.
+#include <gtest/gtest.h>
+
+#include "peridotmill_gateway/admission/stage_admission.h"
+#include "peridotmill_gateway/configuration/active_configuration.h"
+#include "peridotmill_gateway/configuration/config_check.h"
+#include "peridotmill_gateway/placement/endpoint_placement.h"
+#include "peridotmill_gateway/repeats/repeat_budget.h"
+#include "peridotmill_gateway/requests/stage_progress.h"
+#include "peridotmill_gateway/streams/event_splitter.h"
+#include "peridotmill_gateway/tests/gateway_fixture.h"
+
+namespace peridotmill {
+namespace {
+
+using namespace std::chrono_literals;
+
+const TimePoint kNow = TimePoint(1h);
+
+// Guards against waiting for an answer that is known to be late.
+TEST(StageAdmissionTest, RefusesWhatIsPredictedToBeLate) {
+  StageAdmissionInput input;
+  input.target_latency = 2000ms;
+  input.patience = 8s;
+  input.time_left = 9s;
+  input.predicted = 1500ms;
+  EXPECT_FALSE(RefuseForQueue(input, 0));
+  input.predicted = 2600ms;
+  const auto retry_after = RefuseForQueue(input, 0);
+  ASSERT_TRUE(retry_after);
+  EXPECT_EQ(*retry_after, 600ms);
+  // Callers honour a third of the time they have left.
+  input.predicted = 30s;
+  EXPECT_EQ(RefuseForQueue(input, 0.9), 3s);
+}
+
+// Guards against less urgent requests filling the queue before urgent ones.
+TEST(StageAdmissionTest, LessUrgentRequestsAreRefusedAtAShorterQueue) {
+  StageAdmissionInput input;
+  input.target_latency = 2000ms;
+  input.time_left = 9s;
+  input.predicted = 1900ms;
+  EXPECT_FALSE(RefuseForQueue(input, 0));
+  input.priority = 2;
+  EXPECT_TRUE(RefuseForQueue(input, 0));
+}
+
+// Guards against refusing a caller again who came back as told.
+TEST(StageAdmissionTest, AcceptsAReturningCallerWhoCanStillBeServed) {
+  StageAdmissionInput input;
+  input.target_latency = 1000ms;
+  input.patience = 4s;
+  input.time_left = 5s;
+  input.predicted = 2s;
+  input.is_returning = true;
+  EXPECT_FALSE(RefuseForQueue(input, 0));
+  input.predicted = 3s;
+  EXPECT_TRUE(RefuseForQueue(input, 0));
+}
+
+class PlacementTest : public testing::Test {
+ protected:
+  PlacementTest() {
+    for (int i = 0; i < 6; ++i) {
+      registry_.Put(MakeRegistration("e" + std::to_string(i), "engines",
+                                     i % 2 == 0 ? "valley" : "summit"));
+    }
+  }
+  EndpointPtr Choose(const PlacementRequest& request) {
+    return ChooseEndpoint(registry_.Serving(PoolId("engines")), request, 1s,
+                          kNow, random_);
+  }
+
+  EndpointRegistry registry_;
+  Random random_{5};
+};
+
+// Guards against shared parts of prompts being read by several engines.
+TEST_F(PlacementTest, RequestsThatShareAPromptGoToOneEndpoint) {
+  PlacementRequest request;
+  request.affinity = 77;
+  request.shared_tokens = 13'000;
+  const EndpointPtr first = Choose(request);
+  for (int i = 0; i < 20; ++i) {
+    EXPECT_EQ(Choose(request), first);
+  }
+}
+
+// Guards against a holder that is overrun by requests for one prompt.
+TEST_F(PlacementTest, ALoadedHolderGivesRequestsAway) {
+  PlacementRequest request;
+  request.affinity = 77;
+  request.shared_tokens = 3'000;
+  const EndpointPtr holder = Choose(request);
+  for (int i = 0; i < 40; ++i) {
+    BeginCall(*holder, kNow);
+    EndWaiting(*holder, kNow);
+  }
+  EXPECT_NE(Choose(request), holder);
+}
+
+// Guards against large results crossing failure domains for nothing.
+TEST_F(PlacementTest, PrefersTheDomainOfTheData) {
+  PlacementRequest request;
+  request.data_domain = FailureDomainId("summit");
+  request.data_bytes = 6'000'000;
+  EXPECT_EQ(Choose(request)->registration.failure_domain,
+            FailureDomainId("summit"));
+}
+
+// Guards against sending to endpoints that fail or stay silent, and against
+// leaving none when all of them do.
+TEST_F(PlacementTest, AvoidsEndpointsThatFailOrStaySilent) {
+  PlacementRequest request;
+  request.affinity = 77;
+  request.shared_tokens = 13'000;
+  const EndpointPtr failing = Choose(request);
+  for (int i = 0; i < 3; ++i) {
+    BeginCall(*failing, kNow);
+    EndCall(*failing, CallVerdict::kFailure, kNow);
+  }
+  const EndpointPtr silent = Choose(request);
+  EXPECT_NE(silent, failing);
+  BeginCall(*silent, kNow - 2s);
+  EXPECT_NE(Choose(request), silent);
+  EXPECT_NE(Choose(request), failing);
+  for (const EndpointPtr& endpoint : registry_.Serving(PoolId("engines"))) {
+    endpoint->ejected_until = kNow + 1s;
+  }
+  EXPECT_NE(Choose(request), nullptr);
+}
+
+// Guards against more repeats than the fleet may make, in any window.
+TEST(RepeatBudgetTest, StaysWithinRatioAndAllowanceOfAnyWindow) {
+  RepeatBudget budget({.ratio = 0.2, .window = 10s, .node_allowance = 2});
+  const PoolId pool("p");
+  std::vector<TimePoint> first;
+  std::vector<TimePoint> repeated;
+  for (int step = 0; step < 4000; ++step) {
+    const TimePoint now = kNow + step * 10ms;
+    // Half of the time there is load.
+    if ((step / 500) % 2 == 0) {
+      budget.AddFirst(pool, now);
+      first.push_back(now);
+    }
+    if (budget.TakeRepeats(pool, 1, now)) {
+      repeated.push_back(now);
+    }
+  }
+  for (TimePoint end = kNow + 10s; end < kNow + 40s; end += 250ms) {
+    const auto within = [&](const std::vector<TimePoint>& times,
+                            Duration back) {
+      return std::count_if(times.begin(), times.end(), [&](TimePoint t) {
+        return t > end - back && t <= end;
+      });
+    };
+    // First calls may lie in the window or the one before it.
+    EXPECT_LE(within(repeated, 10s),
+              0.2 * static_cast<double>(within(first, 20s)) + 2);
+  }
+  EXPECT_GT(repeated.size(), 100u);
+}
+
+// Guards against events that are cut, joined or counted twice.
+TEST(EventSplitterTest, PassesOnWholeEventsOnly) {
+  const std::string stream =
+      "id: 1\ndata: a\n\npartial-version: 3\nid: 2\ndata: b\n\nid: 3\nda";
+  for (size_t step = 1; step < stream.size(); ++step) {
+    EventSplitter splitter;
+    std::string passed;
+    for (size_t i = 0; i < stream.size(); i += step) {
+      passed += splitter.Add(std::string_view(stream).substr(i, step));
+    }
+    EXPECT_EQ(passed, stream.substr(0, stream.size() - 8));
+    EXPECT_EQ(splitter.rest(), "id: 3\nda");
+    EXPECT_EQ(splitter.last_event_id(), "2");
+    EXPECT_EQ(splitter.event_count(), 2u);
+  }
+}
+
+// Guards against a shorter prefix winning, and against look-ups by part of a
+// path segment.
+TEST(ActiveConfigurationTest, TheLongestPrefixWins) {
+  GatewayConfig config;
+  for (const char* const prefix : {"/a/", "/a/b/", "/"}) {
+    RouteDefinition route;
+    route.name = prefix;
+    route.host = "h";
+    route.path_prefix = prefix;
+    config.routes.push_back(route);
+  }
+  const ActiveConfiguration active(config);
+  EXPECT_EQ(active.FindRoute("h", "/a/b/c")->name, "/a/b/");
+  EXPECT_EQ(active.FindRoute("h", "/a/bc")->name, "/a/");
+  EXPECT_EQ(active.FindRoute("h", "/x")->name, "/");
+  EXPECT_EQ(active.FindRoute("other", "/a/"), nullptr);
+}
+
+// Guards against a configuration that refers to nothing being put in force.
+TEST(ConfigCheckTest, ReportsAllFaultsTogether) {
+  GatewayConfig config;
+  RouteDefinition route;
+  route.name = "r";
+  route.path_prefix = "no-slash";
+  route.max_attempts = 0;
+  route.pools = {{PoolId("missing"), -1}};
+  route.stages = {{.pool = PoolId("missing"), .after = {0}}};
+  config.routes = {route};
+  config.pools = {{.id = PoolId("p")}, {.id = PoolId("p")}};
+  EXPECT_EQ(CheckGatewayConfig(config).size(), 7u);
+}
+
+// Guards against stages that start early or results that are freed too soon.
+TEST(StageProgressTest, FollowsTheDependencies) {
+  const std::vector<StageDefinition> definitions = {
+      {.pool = PoolId("a"), .after = {}},
+      {.pool = PoolId("b"), .after = {}},
+      {.pool = PoolId("c"), .after = {0}},
+      {.pool = PoolId("d"), .after = {2}}};
+  StageProgress progress = MakeStageProgress({1, 0, 2, 1});
+  EXPECT_EQ(ReadyStages(definitions, progress), std::vector<size_t>{0});
+  EXPECT_EQ(RemainingDepth(definitions, progress, 0), 3);
+  progress.stages[0].state = StageProgress::State::kDone;
+  progress.stages[0].results = {ResultHandle("x")};
+  EXPECT_EQ(ReadyStages(definitions, progress), std::vector<size_t>{2});
+  EXPECT_EQ(InputsOf(definitions, progress, 2).size(), 1u);
+  EXPECT_TRUE(FindSpentStages(definitions, progress).empty());
+  progress.stages[2].state = StageProgress::State::kDone;
+  EXPECT_EQ(FindSpentStages(definitions, progress), std::vector<size_t>{0});
+  EXPECT_FALSE(AreAllDone(progress));
+  progress.stages[3].state = StageProgress::State::kDone;
+  progress.stages[3].results = {ResultHandle("y")};
+  EXPECT_TRUE(AreAllDone(progress));
+  EXPECT_EQ(FinalResults(definitions, progress).size(), 1u);
+}
+
+// Guards against an endpoint that started anew keeping its old verdicts, and
+// against draining endpoints getting work.
+TEST(EndpointRegistryTest, FollowsRegistrations) {
+  EndpointRegistry registry;
+  const PoolId pool("p");
+  EndpointRegistration registration = MakeRegistration("a", "p", "valley");
+  registry.Put(registration);
+  registry.Serving(pool)[0]->ejected_until = kNow;
+  registration.started_at_ms = 5;
+  registry.Put(registration);
+  EXPECT_EQ(registry.Serving(pool)[0]->ejected_until, TimePoint());
+  registration.is_draining = true;
+  registry.Put(registration);
+  EXPECT_TRUE(registry.Serving(pool).empty());
+  registry.Put(MakeRegistration("b", "p", "valley"));
+  registry.ReplaceAll({MakeRegistration("c", "p", "valley")});
+  ASSERT_EQ(registry.Serving(pool).size(), 1u);
+  EXPECT_EQ(registry.Serving(pool)[0]->registration.id, EndpointId("c"));
+}
+
+}  // namespace
+}  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/fake_caller_channel.h
@@ -0,0 +1,36 @@
+#ifndef PERIDOTMILL_GATEWAY_TESTS_FAKE_CALLER_CHANNEL_H_
+#define PERIDOTMILL_GATEWAY_TESTS_FAKE_CALLER_CHANNEL_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotmill_core/http/caller_channel.h"
+
+namespace peridotmill {
+
+// What one caller has received.
+class FakeCallerChannel final : public CallerChannel {
+ public:
+  void SendHead(const HttpResponseHead& head) override {
+    heads.push_back(head);
+  }
+  void SendBody(std::string_view bytes) override { body += bytes; }
+  void Finish() override { is_finished = true; }
+  void Abort() override { is_aborted = true; }
+  void set_on_caller_gone(std::function<void()> callback) override {
+    on_gone = std::move(callback);
+  }
+
+  int status() const { return heads.empty() ? 0 : heads.front().status; }
+
+  std::vector<HttpResponseHead> heads;
+  std::string body;
+  bool is_finished = false;
+  bool is_aborted = false;
+  std::function<void()> on_gone;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_TESTS_FAKE_CALLER_CHANNEL_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/fake_endpoint_caller.h
@@ -0,0 +1,65 @@
+#ifndef PERIDOTMILL_GATEWAY_TESTS_FAKE_ENDPOINT_CALLER_H_
+#define PERIDOTMILL_GATEWAY_TESTS_FAKE_ENDPOINT_CALLER_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotmill_gateway/calls/endpoint_call.h"
+
+namespace peridotmill {
+
+// Records attempts at endpoints; the test answers them.
+class FakeEndpointCaller final : public EndpointCaller {
+ public:
+  struct Call {
+    EndpointCall call;
+    EndpointCallListener* listener = nullptr;
+    bool is_open = true;
+  };
+
+  std::unique_ptr<OpenEndpointCall> Start(
+      const EndpointCall& call,
+      EndpointCallListener* listener) override {
+    calls.push_back(std::make_shared<Call>(Call{call, listener, true}));
+    return std::make_unique<Open>(calls.back());
+  }
+
+  EndpointCallListener& listener(size_t index) {
+    return *calls.at(index)->listener;
+  }
+
+  static EndpointAnswerHead Success() {
+    EndpointAnswerHead head;
+    head.status = 200;
+    head.is_authentic = true;
+    return head;
+  }
+  static EndpointAnswerHead Stream() {
+    EndpointAnswerHead head = Success();
+    head.is_event_stream = true;
+    return head;
+  }
+  static EndpointAnswerHead Refusal(int status = 503) {
+    EndpointAnswerHead head;
+    head.status = status;
+    head.is_stated_not_run = true;
+    return head;
+  }
+
+  std::vector<std::shared_ptr<Call>> calls;
+
+ private:
+  class Open final : public OpenEndpointCall {
+   public:
+    explicit Open(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+    ~Open() override { call_->is_open = false; }
+
+   private:
+    std::shared_ptr<Call> call_;
+  };
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_TESTS_FAKE_ENDPOINT_CALLER_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/fake_stage_caller.h
@@ -0,0 +1,66 @@
+#ifndef PERIDOTMILL_GATEWAY_TESTS_FAKE_STAGE_CALLER_H_
+#define PERIDOTMILL_GATEWAY_TESTS_FAKE_STAGE_CALLER_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peridotmill_gateway/calls/stage_call.h"
+
+namespace peridotmill {
+
+// Records stage calls; the test answers them.
+class FakeStageCaller final : public StageCaller {
+ public:
+  struct Call {
+    EndpointRegistration endpoint;
+    std::vector<StageItem> items;
+    StageCallListener* listener = nullptr;
+    bool is_open = true;
+  };
+
+  std::unique_ptr<OpenStageCall> Start(const EndpointRegistration& endpoint,
+                                       const std::vector<StageItem>& items,
+                                       StageCallListener* listener) override {
+    calls.push_back(
+        std::make_shared<Call>(Call{endpoint, items, listener, true}));
+    return std::make_unique<Open>(calls.back());
+  }
+  void Release(const std::vector<ResultHandle>& handles) override {
+    released.insert(released.end(), handles.begin(), handles.end());
+  }
+
+  // Answers a call with a result for each item.
+  void Answer(size_t index) {
+    StageAnswer answer;
+    answer.outcome = StageCallOutcome::kAnswered;
+    for (const StageItem& item : calls[index]->items) {
+      answer.results.push_back({StageItemOutcome::kDone,
+                                ResultHandle(calls[index]->endpoint.address +
+                                             "/" + item.request.value() + "." +
+                                             std::to_string(item.stage) + "." +
+                                             std::to_string(item.piece))});
+    }
+    calls[index]->listener->OnStageAnswer(std::move(answer));
+  }
+  void Answer(size_t index, StageAnswer answer) {
+    calls[index]->listener->OnStageAnswer(std::move(answer));
+  }
+
+  std::vector<std::shared_ptr<Call>> calls;
+  std::vector<ResultHandle> released;
+
+ private:
+  class Open final : public OpenStageCall {
+   public:
+    explicit Open(std::shared_ptr<Call> call) : call_(std::move(call)) {}
+    ~Open() override { call_->is_open = false; }
+
+   private:
+    std::shared_ptr<Call> call_;
+  };
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_TESTS_FAKE_STAGE_CALLER_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/fake_store_channel.h
@@ -0,0 +1,98 @@
+#ifndef PERIDOTMILL_GATEWAY_TESTS_FAKE_STORE_CHANNEL_H_
+#define PERIDOTMILL_GATEWAY_TESTS_FAKE_STORE_CHANNEL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "peridotmill_gateway/store/store_channel.h"
+
+namespace peridotmill {
+
+// Records calls to the store; the test answers the latest of each kind.
+class FakeStoreChannel final : public StoreChannel {
+ public:
+  std::unique_ptr<OpenStoreCall> ReadPrefix(
+      const std::string&,
+      const std::string& after_key,
+      std::function<void(StorePage)> callback) override {
+    ++reads;
+    last_after_key = after_key;
+    on_page = std::move(callback);
+    return std::make_unique<OpenStoreCall>();
+  }
+  std::unique_ptr<OpenStoreCall> WatchPrefix(
+      const std::string&,
+      int64_t after_revision,
+      Duration,
+      std::function<void(StoreChanges)> callback) override {
+    ++watches;
+    watched_after = after_revision;
+    on_changes = std::move(callback);
+    return std::make_unique<OpenStoreCall>();
+  }
+  std::unique_ptr<OpenStoreCall> GrantLease(
+      Duration,
+      std::function<void(StoreLease)> callback) override {
+    ++grants;
+    on_lease = std::move(callback);
+    return std::make_unique<OpenStoreCall>();
+  }
+  std::unique_ptr<OpenStoreCall> KeepLease(
+      int64_t,
+      std::function<void(StoreLease)> callback) override {
+    ++keeps;
+    on_keep = std::move(callback);
+    return std::make_unique<OpenStoreCall>();
+  }
+  std::unique_ptr<OpenStoreCall> EndLease(
+      int64_t,
+      std::function<void(StoreCallStatus)>) override {
+    ++ended_leases;
+    return std::make_unique<OpenStoreCall>();
+  }
+  std::unique_ptr<OpenStoreCall> Put(
+      const StorePut& put,
+      std::function<void(StoreCallStatus)> callback) override {
+    puts.push_back(put);
+    on_put = std::move(callback);
+    return std::make_unique<OpenStoreCall>();
+  }
+
+  void AnswerRead(std::vector<std::string> keys,
+                  int64_t revision,
+                  bool has_more = false) {
+    StorePage page;
+    page.status = StoreCallStatus::kOk;
+    for (std::string& key : keys) {
+      page.entries.push_back({.key = std::move(key), .value = "v"});
+    }
+    page.store_revision = revision;
+    page.has_more = has_more;
+    std::exchange(on_page, nullptr)(std::move(page));
+  }
+  void FailRead() { std::exchange(on_page, nullptr)(StorePage()); }
+  void AnswerWatch(StoreChanges changes) {
+    std::exchange(on_changes, nullptr)(std::move(changes));
+  }
+
+  int reads = 0;
+  int watches = 0;
+  int grants = 0;
+  int keeps = 0;
+  int ended_leases = 0;
+  int64_t watched_after = 0;
+  std::string last_after_key;
+  std::vector<StorePut> puts;
+  std::function<void(StorePage)> on_page;
+  std::function<void(StoreChanges)> on_changes;
+  std::function<void(StoreLease)> on_lease;
+  std::function<void(StoreLease)> on_keep;
+  std::function<void(StoreCallStatus)> on_put;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_TESTS_FAKE_STORE_CHANNEL_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -0,0 +1,292 @@
+#include <gtest/gtest.h>
+
+#include "peridotmill_gateway/peers/node_directory.h"
+#include "peridotmill_gateway/peers/stage_message.h"
+#include "peridotmill_gateway/peers/stage_relay.h"
+#include "peridotmill_gateway/peers/stage_service.h"
+#include "peridotmill_gateway/tests/gateway_fixture.h"
+
+namespace peridotmill {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Links between two nodes in memory, which can be silenced and lost.
+class MemoryNetwork final : public PeerDialer {
+ public:
+  explicit MemoryNetwork(TimerQueue& timers) : timers_(timers) {}
+
+  std::unique_ptr<PeerLink> Dial(const std::string&,
+                                 PeerLinkListener* listener) override {
+    ++dialed;
+    auto pair = std::make_shared<Pair>();
+    pair->ends[0] = listener;
+    pairs.push_back(pair);
+    if (service != nullptr) {
+      service->Accept([&](PeerLinkListener* accepted) {
+        pair->ends[1] = accepted;
+        return std::make_unique<Link>(this, pair, 1);
+      });
+    }
+    return std::make_unique<Link>(this, pair, 0);
+  }
+
+  void LoseAll() {
+    for (const auto& pair : std::exchange(pairs, {})) {
+      for (PeerLinkListener*& end : pair->ends) {
+        if (PeerLinkListener* const listener = std::exchange(end, nullptr)) {
+          listener->OnLinkLost();
+        }
+      }
+    }
+  }
+
+  StageService* service = nullptr;
+  bool is_silent = false;
+  int dialed = 0;
+
+ private:
+  struct Pair {
+    std::array<PeerLinkListener*, 2> ends = {};
+  };
+
+  class Link final : public PeerLink {
+   public:
+    Link(MemoryNetwork* network, std::shared_ptr<Pair> pair, size_t side)
+        : network_(network), pair_(std::move(pair)), side_(side) {}
+    ~Link() override { pair_->ends[side_] = nullptr; }
+    void Send(std::string_view frame) override {
+      if (network_->is_silent) {
+        return;
+      }
+      network_->deliveries_.push_back(network_->timers_.After(
+          1ms, [pair = pair_, side = side_, bytes = std::string(frame)] {
+            if (pair->ends[1 - side] != nullptr) {
+              pair->ends[1 - side]->OnLinkFrame(bytes);
+            }
+          }));
+    }
+
+   private:
+    MemoryNetwork* network_;
+    std::shared_ptr<Pair> pair_;
+    size_t side_;
+  };
+
+  TimerQueue& timers_;
+  std::vector<std::shared_ptr<Pair>> pairs;
+  std::vector<std::unique_ptr<Timer>> deliveries_;
+};
+
+// This node and one that coordinates the pool.
+class StagePeersTest : public GatewayFixture, public StageTaskListener {
+ protected:
+  StagePeersTest()
+      : network_(timers_),
+        other_({clock_, timers_, other_caller_, other_endpoints_,
+                other_repeats_, events_},
+               9),
+        service_(other_, clock_, timers_),
+        relay_({clock_, timers_, network_, coordinator_, nodes_, repeats_,
+                events_, FindSelf()}) {
+    network_.service = &service_;
+    other_endpoints_.Put(MakeRegistration("s1", "scan", "valley", 1));
+    other_.SetConfiguration(gateway_.configuration());
+    StoreEntry entry;
+    entry.key = std::string(kNodePrefix) + "other";
+    entry.value = EncodeNodeRecord({"10.0.0.2:7", FailureDomainId("summit")});
+    nodes_.Replace({entry}, false);
+  }
+
+  // A name that comes after "other" in the order for the pool.
+  static NodeId FindSelf() {
+    NodeDirectory directory;
+    StoreEntry entry;
+    entry.key = std::string(kNodePrefix) + "other";
+    entry.value = EncodeNodeRecord({"10.0.0.2:7", FailureDomainId("summit")});
+    directory.Replace({entry}, false);
+    for (int i = 0;; ++i) {
+      const NodeId self("self" + std::to_string(i));
+      if (directory.CoordinatorOrder(PoolId("scan"), self)[0] ==
+          NodeId("other")) {
+        return self;
+      }
+    }
+  }
+
+  std::unique_ptr<OpenStageTask> Submit(int items = 2) {
+    StageTask task;
+    task.request = RequestId("q" + std::to_string(++submitted_));
+    task.pool = PoolId("scan");
+    task.preferred_domain = FailureDomainId("valley");
+    task.item_count = items;
+    task.key = "k";
+    task.due = clock_.Now() + 1s;
+    task.deadline = clock_.Now() + 5s;
+    return relay_.Submit(task, this);
+  }
+
+  void OnStageTaskEnd(size_t, StageTaskResult result) override {
+    results_.push_back(std::move(result));
+  }
+
+  MemoryNetwork network_;
+  FakeStageCaller other_caller_;
+  EndpointRegistry other_endpoints_;
+  RepeatBudget other_repeats_{{}};
+  StageCoordinator other_;
+  StageService service_;
+  NodeDirectory nodes_;
+  StageRelay relay_;
+  std::vector<StageTaskResult> results_;
+  int submitted_ = 0;
+};
+
+// Guards against nodes that each make small calls of their own.
+TEST_F(StagePeersTest, TheCoordinatorWorksOnTheTask) {
+  const auto task = Submit();
+  timers_.Advance(5ms);
+  ASSERT_EQ(other_caller_.calls.size(), 1u);
+  EXPECT_TRUE(stage_caller_.calls.empty());
+  other_caller_.Answer(0);
+  timers_.Advance(5ms);
+  ASSERT_EQ(results_.size(), 1u);
+  EXPECT_EQ(results_[0].handles.size(), 2u);
+  EXPECT_EQ(results_[0].maker_domain, FailureDomainId("valley"));
+}
+
+// Guards against results that stay at their makers when nobody needs them.
+TEST_F(StagePeersTest, GivingTheTaskUpReleasesItsResults) {
+  auto task = Submit();
+  timers_.Advance(5ms);
+  other_caller_.Answer(0);
+  timers_.Advance(5ms);
+  EXPECT_TRUE(other_caller_.released.empty());
+  task.reset();
+  timers_.Advance(5ms);
+  EXPECT_EQ(other_caller_.released.size(), 2u);
+}
+
+// Guards against tasks that hang at a frozen or cut-off coordinator.
+TEST_F(StagePeersTest, ASilentCoordinatorIsPassedOver) {
+  network_.is_silent = true;
+  const auto task = Submit();
+  timers_.Advance(300ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 1u);
+  EXPECT_TRUE(events_.Has("peer_lost peer=other reason=not accepted in time"));
+  stage_caller_.Answer(0);
+  EXPECT_EQ(results_.size(), 1u);
+  // Further tasks do not wait for it.
+  const auto next = Submit();
+  timers_.Advance(5ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 2u);
+}
+
+// Guards against a coordinator that dies with tasks in its queue.
+TEST_F(StagePeersTest, ALostLinkGivesTheTasksToAnotherNode) {
+  const auto task = Submit();
+  timers_.Advance(5ms);
+  network_.LoseAll();
+  timers_.Advance(5ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 1u);
+  EXPECT_EQ(relay_.reassigned_count(), 1u);
+  EXPECT_EQ(service_.session_count(), 0u);
+}
+
+// Guards against giving up a coordinator because its queue is long: it reports
+// on tasks that wait.
+TEST_F(StagePeersTest, ATaskMayWaitForLongAtALivingCoordinator) {
+  other_endpoints_.Serving(PoolId("scan"))[0]->open_calls = 1;
+  const auto task = Submit();
+  timers_.Advance(4s);
+  EXPECT_EQ(relay_.reassigned_count(), 0u);
+  EXPECT_TRUE(stage_caller_.calls.empty());
+}
+
+// Guards against a coordinator that freezes after it has accepted tasks.
+TEST_F(StagePeersTest, ACoordinatorThatFallsSilentLaterIsPassedOver) {
+  other_endpoints_.Serving(PoolId("scan"))[0]->open_calls = 1;
+  const auto task = Submit();
+  timers_.Advance(5ms);
+  network_.is_silent = true;
+  other_endpoints_.Serving(PoolId("scan"))[0]->open_calls = 0;
+  timers_.Advance(2s);
+  EXPECT_TRUE(events_.Has("peer_lost peer=other reason=silent"));
+}
+
+// Guards against wrong or lost fields between two nodes.
+TEST(StageMessageTest, CarriesAllFields) {
+  const TimePoint now = TimePoint(1h);
+  StageTask task;
+  task.request = RequestId("r");
+  task.pool = PoolId("p");
+  task.preferred_domain = FailureDomainId("d");
+  task.moved_bytes = 5'000'000'000;
+  task.stage = 3;
+  task.item_count = 16;
+  task.key = "k";
+  task.inputs = {ResultHandle("a"), ResultHandle("b")};
+  task.due = now + 700ms;
+  task.deadline = now - 20ms;
+  task.priority = 2;
+  task.result_bytes = 60'000;
+  const auto message = DecodeStageMessage(
+      EncodeStageMessage(SubmitTaskMessage{7, task}, now), now + 1h);
+  ASSERT_TRUE(message);
+  const auto& decoded = std::get<SubmitTaskMessage>(*message);
+  EXPECT_EQ(decoded.id, 7u);
+  EXPECT_EQ(decoded.task.request, task.request);
+  EXPECT_EQ(decoded.task.pool, task.pool);
+  EXPECT_EQ(decoded.task.preferred_domain, task.preferred_domain);
+  EXPECT_EQ(decoded.task.moved_bytes, task.moved_bytes);
+  EXPECT_EQ(decoded.task.stage, task.stage);
+  EXPECT_EQ(decoded.task.item_count, task.item_count);
+  EXPECT_EQ(decoded.task.inputs, task.inputs);
+  EXPECT_EQ(decoded.task.due - (now + 1h), 700ms);
+  EXPECT_EQ(decoded.task.deadline - (now + 1h), -20ms);
+  EXPECT_EQ(decoded.task.priority, 2);
+  EXPECT_EQ(decoded.task.result_bytes, 60'000);
+}
+
+// Guards against frames from broken or foreign peers.
+TEST(StageMessageTest, RejectsDamagedFrames) {
+  Random random(11);
+  const std::string whole =
+      EncodeStageMessage(TaskAcceptedMessage{1, 100ms}, TimePoint(1h));
+  for (int i = 0; i < 20'000; ++i) {
+    std::string damaged = whole;
+    for (int change = 0; change < 3; ++change) {
+      damaged[random.Below(damaged.size())] =
+          static_cast<char>(random.Below(256));
+    }
+    damaged.resize(random.Below(damaged.size()) + 1);
+    // Must neither crash nor read beyond the frame.
+    (void)DecodeStageMessage(damaged, TimePoint(1h));
+    (void)DecodeNodeRecord(damaged);
+  }
+  EXPECT_FALSE(DecodeStageMessage("", TimePoint(1h)));
+}
+
+// Guards against nodes that disagree on a pool's coordinator.
+TEST(NodeDirectoryTest, AllNodesComputeTheSameOrder) {
+  NodeDirectory directory;
+  std::vector<StoreEntry> entries;
+  for (const char* const name : {"a", "b", "c", "d"}) {
+    StoreEntry entry;
+    entry.key = std::string(kNodePrefix) + name;
+    entry.value = EncodeNodeRecord({"10.0.0.1:1", FailureDomainId("d")});
+    entries.push_back(entry);
+  }
+  directory.Replace(entries, false);
+  const auto order = directory.CoordinatorOrder(PoolId("p"), NodeId("a"));
+  EXPECT_EQ(order, directory.CoordinatorOrder(PoolId("p"), NodeId("c")));
+  EXPECT_EQ(order.size(), 4u);
+  // Registrations may lapse while the store is away.
+  directory.Replace({}, true);
+  EXPECT_EQ(directory.size(), 4u);
+  directory.Apply({.entry = entries[0], .is_removed = true});
+  EXPECT_EQ(directory.size(), 3u);
+}
+
+}  // namespace
+}  // namespace peridotmill
