--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -157,6 +157,10 @@
     return malformed;
   }
   const stagewire::Message* const message = stagewire::GetMessage(bytes.data());
+  // The verifier accepts a body's type without its body.
+  if (message->body() == nullptr) {
+    return malformed;
+  }
   switch (message->body_type()) {
     case stagewire::Body::SubmitTask:
       return DecodeSubmit(*message->body_as_SubmitTask(), now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -30,6 +30,10 @@
   // Room that results of this node's stage calls take, or will take when the
   // calls in progress end.
   int64_t result_bytes = 0;
+  // Room that was found taken by results that this node does not know, such as
+  // those of a coordinator that died, and when.
+  int64_t foreign_bytes = 0;
+  TimePoint foreign_since;
   // The registration is gone; the object lives on while calls are open.
   bool is_removed = false;
 };
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -76,6 +76,7 @@
   std::vector<BatchPart> parts_;
   // Room that the call's results will take.
   int64_t result_bytes_ = 0;
+  bool found_no_room_ = false;
   std::unique_ptr<OpenStageCall> open_;
   std::unique_ptr<Timer> timeout_;
 };
@@ -217,7 +218,30 @@
   if (pool.result_room_bytes == 0) {
     return std::numeric_limits<int64_t>::max();
   }
-  return pool.result_room_bytes - endpoint.result_bytes;
+  // Foreign results run out, or are released, within their retention.
+  const double age =
+      ToMilliseconds(dependencies_.clock.Now() - endpoint.foreign_since) /
+      ToMilliseconds(pool.result_retention);
+  const double foreign =
+      static_cast<double>(endpoint.foreign_bytes) * std::max(0.0, 1 - age);
+  return pool.result_room_bytes - endpoint.result_bytes -
+         static_cast<int64_t>(foreign);
+}
+
+void StageCoordinator::NoteForeignResults(const Call& call) {
+  const StagePoolDefinition* const pool = FindStagePool(call.pool_);
+  if (pool == nullptr || pool->result_room_bytes == 0) {
+    return;
+  }
+  Endpoint& endpoint = *call.endpoint_;
+  endpoint.foreign_bytes =
+      std::max<int64_t>(0, pool->result_room_bytes - endpoint.result_bytes);
+  endpoint.foreign_since = dependencies_.clock.Now();
+  dependencies_.events.Write(
+      "endpoint_room_taken",
+      {{"endpoint", endpoint.registration.id.value()},
+       {"known_bytes", std::to_string(endpoint.result_bytes)},
+       {"foreign_bytes", std::to_string(endpoint.foreign_bytes)}});
 }
 
 bool StageCoordinator::StartCall(const PoolId& id,
@@ -295,6 +319,9 @@
     }
     TakeResults(*owned, part, answer.results.data() + first, unused);
   }
+  if (owned->found_no_room_) {
+    NoteForeignResults(*owned);
+  }
   if (!unused.empty()) {
     dependencies_.caller.Release(unused);
   }
@@ -324,9 +351,7 @@
         failure = result.outcome;
         break;
       case StageItemOutcome::kNoRoom:
-        // Room that this node does not know of is taken.
-        call.endpoint_->ejected_until =
-            dependencies_.clock.Now() + kRefusalPause;
+        call.found_no_room_ = true;
         missing.push_back(part.items[i]);
         break;
       case StageItemOutcome::kFailed:
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -104,6 +104,8 @@
                    const std::vector<int>& items,
                    bool counts);
   void EndTask(StageTaskId id, StageItemOutcome outcome);
+  // An endpoint had less room than its known results leave.
+  void NoteForeignResults(const Call& call);
   // Room for further results at an endpoint.
   int64_t FreeRoom(const Endpoint& endpoint,
                    const StagePoolDefinition& pool) const;
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -99,6 +99,26 @@
   ASSERT_EQ(stage_caller_.calls.size(), 3u);
 }
 
+// Guards against filling calls with items that find no room, after another
+// coordinator died and left its results behind.
+TEST_F(StageCoordinatorTest, LeavesRoomThatUnknownResultsTake) {
+  GatewayConfig config = MakeConfig(2);
+  config.pools[2].stage->result_room_bytes = 3000;
+  coordinator_.SetConfiguration(
+      std::make_shared<const ActiveConfiguration>(config));
+  const auto task = Submit(2, 1000);
+  timers_.Advance(1ms);
+  StageAnswer answer;
+  answer.outcome = StageCallOutcome::kAnswered;
+  answer.results = {{StageItemOutcome::kDone, ResultHandle("e/0")},
+                    {StageItemOutcome::kNoRoom, {}}};
+  stage_caller_.Answer(0, answer);
+  timers_.Advance(500ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  timers_.Advance(2s);
+  EXPECT_EQ(stage_caller_.calls.size(), 2u);
+}
+
 // Guards against results of an abandoned task that stay at their maker: the
 // call goes on, and its results are released when their handles are known.
 TEST_F(StageCoordinatorTest, ReleasesTheResultsOfAnAbandonedTask) {
