--- /dev/null
+++ b/modules/peridotmill_http/tests/socket_peer.h
@@ -0,0 +1,84 @@
+#ifndef PERIDOTMILL_HTTP_TESTS_SOCKET_PEER_H_
+#define PERIDOTMILL_HTTP_TESTS_SOCKET_PEER_H_
+
+#include <glib.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "peridotmill_http/sockets/stream_socket.h"
+#include "peridotmill_http/sockets/tcp_listener.h"
+
+namespace peridotmill {
+
+// Runs the main loop until `is_done` holds; bounded by about ten seconds.
+template <typename Predicate>
+bool RunLoopUntil(const Predicate& is_done) {
+  constexpr int kMaxTurns = 2000;
+  const guint ticks = g_timeout_add(
+      5, [](gpointer) -> gboolean { return G_SOURCE_CONTINUE; }, nullptr);
+  for (int i = 0; i < kMaxTurns && !is_done(); ++i) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  g_source_remove(ticks);
+  return is_done();
+}
+
+// One end of a TCP connection that sends bytes, right or wrong, and collects
+// what comes back.
+class SocketPeer final : public StreamSocket::Listener {
+ public:
+  explicit SocketPeer(uint16_t port) {
+    auto socket =
+        StreamSocket::Connect("127.0.0.1:" + std::to_string(port), this);
+    socket_ = *std::move(socket);
+  }
+  explicit SocketPeer(int descriptor)
+      : socket_(StreamSocket::Accepted(descriptor, this)) {}
+
+  void Send(std::string_view bytes) { socket_->Write(bytes); }
+  void Close() { socket_->Close(); }
+  void Abort() { socket_->Abort(); }
+
+  bool Has(std::string_view text) const {
+    return received.find(text) != std::string::npos;
+  }
+
+  std::string received;
+  std::optional<SocketEnd> end;
+
+ private:
+  void OnSocketData(std::string_view bytes) override { received += bytes; }
+  void OnSocketEnd(SocketEnd socket_end) override { end = socket_end; }
+
+  std::unique_ptr<StreamSocket> socket_;
+};
+
+// A server whose connections the test drives byte by byte.
+class ScriptedPeers {
+ public:
+  ScriptedPeers() {
+    listener_ = *TcpListener::Create("127.0.0.1:0", [this](int descriptor) {
+      peers.push_back(std::make_unique<SocketPeer>(descriptor));
+    });
+    address = "127.0.0.1:" + std::to_string(listener_->port());
+  }
+  // Waits until connection `index` has received `text`.
+  bool WaitFor(size_t index, std::string_view text) {
+    return RunLoopUntil(
+        [&] { return peers.size() > index && peers[index]->Has(text); });
+  }
+
+  std::string address;
+  std::vector<std::unique_ptr<SocketPeer>> peers;
+
+ private:
+  std::unique_ptr<TcpListener> listener_;
+};
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_HTTP_TESTS_SOCKET_PEER_H_
