--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -3,6 +3,7 @@
 #include <malloc.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "daemons/peridotmill-gateway/settings_file.h"
@@ -42,6 +43,13 @@
   return Hash64(settings.node.value(), part);
 }
 
+// The endpoint's id, which is the rest of its registration's key.
+std::string_view RegistrationId(const StoreEntry& entry) {
+  std::string_view id = entry.key;
+  id.remove_prefix(std::min(id.size(), platform::kRegistrationPrefix.size()));
+  return id;
+}
+
 void SendText(HttpExchange& exchange, int status, std::string_view body) {
   HttpResponseHead head;
   head.status = status;
@@ -272,10 +280,9 @@
 void GatewayProcess::OnRegistrations(const std::vector<StoreEntry>& entries,
                                      bool was_unreachable) {
   std::vector<EndpointRegistration> registrations;
-  const size_t prefix_size = platform::kRegistrationPrefix.size();
   for (const StoreEntry& entry : entries) {
-    auto registration = platform::DecodeRegistration(
-        std::string_view(entry.key).substr(prefix_size), entry.value);
+    auto registration =
+        platform::DecodeRegistration(RegistrationId(entry), entry.value);
     if (registration) {
       registrations.push_back(*std::move(registration));
     } else {
@@ -286,8 +293,7 @@
 }
 
 void GatewayProcess::OnRegistrationChange(const StoreChange& change) {
-  const std::string_view id = std::string_view(change.entry.key)
-                                  .substr(platform::kRegistrationPrefix.size());
+  const std::string_view id = RegistrationId(change.entry);
   if (change.is_removed) {
     registrations_.Remove(EndpointId(id));
     return;
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -143,8 +143,8 @@
   int32_t deadline_in_ms() const {
     return GetField<int32_t>(VT_DEADLINE_IN_MS, 0);
   }
-  int8_t priority() const {
-    return GetField<int8_t>(VT_PRIORITY, 0);
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, 0);
   }
   int64_t result_bytes() const {
     return GetField<int64_t>(VT_RESULT_BYTES, 0);
@@ -170,7 +170,7 @@
            verifier.VerifyVectorOfStrings(inputs()) &&
            VerifyField<int32_t>(verifier, VT_DUE_IN_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_DEADLINE_IN_MS, 4) &&
-           VerifyField<int8_t>(verifier, VT_PRIORITY, 1) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
            VerifyField<int64_t>(verifier, VT_MOVED_BYTES, 8) &&
            verifier.EndTable();
@@ -211,8 +211,8 @@
   void add_deadline_in_ms(int32_t deadline_in_ms) {
     fbb_.AddElement<int32_t>(SubmitTask::VT_DEADLINE_IN_MS, deadline_in_ms, 0);
   }
-  void add_priority(int8_t priority) {
-    fbb_.AddElement<int8_t>(SubmitTask::VT_PRIORITY, priority, 0);
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(SubmitTask::VT_PRIORITY, priority, 0);
   }
   void add_result_bytes(int64_t result_bytes) {
     fbb_.AddElement<int64_t>(SubmitTask::VT_RESULT_BYTES, result_bytes, 0);
@@ -243,13 +243,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> inputs = 0,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    int8_t priority = 0,
+    int32_t priority = 0,
     int64_t result_bytes = 0,
     int64_t moved_bytes = 0) {
   SubmitTaskBuilder builder_(_fbb);
   builder_.add_moved_bytes(moved_bytes);
   builder_.add_result_bytes(result_bytes);
   builder_.add_task(task);
+  builder_.add_priority(priority);
   builder_.add_deadline_in_ms(deadline_in_ms);
   builder_.add_due_in_ms(due_in_ms);
   builder_.add_inputs(inputs);
@@ -259,7 +260,6 @@
   builder_.add_request(request);
   builder_.add_item_count(item_count);
   builder_.add_stage(stage);
-  builder_.add_priority(priority);
   return builder_.Finish();
 }
 
@@ -275,7 +275,7 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *inputs = nullptr,
     int32_t due_in_ms = 0,
     int32_t deadline_in_ms = 0,
-    int8_t priority = 0,
+    int32_t priority = 0,
     int64_t result_bytes = 0,
     int64_t moved_bytes = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -70,8 +70,7 @@
         static_cast<uint16_t>(task.stage),
         static_cast<uint16_t>(task.item_count), key, inputs,
         RelativeMilliseconds(task.due, now),
-        RelativeMilliseconds(task.deadline, now),
-        static_cast<int8_t>(std::clamp(task.priority, -128, 127)),
+        RelativeMilliseconds(task.deadline, now), task.priority,
         task.result_bytes, task.moved_bytes);
     return Wrap(stagewire::Body::SubmitTask, body.Union());
   }
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -45,8 +45,7 @@
         return;
       }
       if (owner_->dependencies_.clock.Now() - last_frame_ > kSilenceTimeout) {
-        const NodeId node = node_;
-        owner_->DropLink(node, "silent");
+        owner_->DropLink(node_, "silent");
         return;
       }
       WatchSilence();
@@ -61,10 +60,7 @@
   void OnLinkFrame(std::string_view frame) override {
     owner_->OnFrame(node_, frame);
   }
-  void OnLinkLost() override {
-    const NodeId node = node_;
-    owner_->DropLink(node, "lost");
-  }
+  void OnLinkLost() override { owner_->DropLink(node_, "lost"); }
 
   StageRelay* owner_;
   NodeId node_;
@@ -211,8 +207,8 @@
   entry.listener->OnStageTaskEnd(entry.task.stage, std::move(message.result));
 }
 
-void StageRelay::DropLink(const NodeId& node, std::string_view reason) {
-  const NodeId lost = node;
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
+void StageRelay::DropLink(NodeId lost, std::string_view reason) {
   const auto link = links_.find(lost);
   if (link == links_.end()) {
     return;
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -80,7 +80,9 @@
   // Whether tasks at this node have not ended.
   bool HasTasksAt(const NodeId& node) const;
   // Closes the link and gives its tasks to other nodes.
-  void DropLink(const NodeId& node, std::string_view reason);
+  // The name is a copy, since the link's own goes with the link.
+  // NOLINTNEXTLINE(performance-unnecessary-value-param)
+  void DropLink(NodeId lost, std::string_view reason);
   void Abandon(RemoteTaskId id);
   void NoteReport(const StageTask& task, Duration delay);
 
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -72,9 +72,9 @@
 
 const std::vector<EndpointPtr>& EndpointRegistry::Serving(
     const PoolId& pool) const {
-  static const std::vector<EndpointPtr> kNone;
+  static const std::vector<EndpointPtr> none;
   const auto found = serving_.find(pool);
-  return found == serving_.end() ? kNone : found->second;
+  return found == serving_.end() ? none : found->second;
 }
 
 void EndpointRegistry::Rebuild(const PoolId& pool) {
--- a/modules/peridotmill_gateway/store/prefix_follower.cc
+++ b/modules/peridotmill_gateway/store/prefix_follower.cc
@@ -75,10 +75,10 @@
 void PrefixFollower::Watch() {
   call_ = store_.WatchPrefix(
       settings_.prefix, revision_, settings_.watch_wait,
-      [this](StoreChanges changes) { OnChanges(std::move(changes)); });
+      [this](const StoreChanges& changes) { OnChanges(changes); });
 }
 
-void PrefixFollower::OnChanges(StoreChanges changes) {
+void PrefixFollower::OnChanges(const StoreChanges& changes) {
   call_.reset();
   if (changes.status == StoreCallStatus::kHistoryGone) {
     log_.Write("store_history_gone", {{"prefix", settings_.prefix},
@@ -125,7 +125,7 @@
   const auto jittered = std::chrono::duration_cast<Duration>(
       pause * (0.5 + 0.5 * random_.Unit()));
   retry_timer_ =
-      timers_.After(jittered, [this, action = std::move(action)] { action(); });
+      timers_.After(jittered, [action = std::move(action)] { action(); });
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/store/prefix_follower.h
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -52,7 +52,7 @@
   void Read(const std::string& after_key);
   void OnPage(StorePage page);
   void Watch();
-  void OnChanges(StoreChanges changes);
+  void OnChanges(const StoreChanges& changes);
   void RetryLater(std::function<void()> action);
   void NoteSuccess();
 
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -40,13 +40,13 @@
 std::string EventSplitter::Add(std::string_view bytes) {
   rest_.append(bytes);
   size_t start = 0;
+  const std::string_view text = rest_;
   while (true) {
-    const size_t end = FindEventEnd(rest_, start);
+    const size_t end = FindEventEnd(text, start);
     if (end == std::string::npos) {
       break;
     }
-    const auto id =
-        FindEventId(std::string_view(rest_).substr(start, end - start));
+    const auto id = FindEventId(text.substr(start, end - start));
     if (id) {
       last_event_id_ = *id;
     }
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -65,7 +65,8 @@
                  false},
         HeadCase{
             "nul_in_value",
-            std::string("GET / HTTP/1.1\r\nHost: a\r\nX: b\0c\r\n\r\n", 40),
+            std::string("GET / HTTP/1.1\r\nHost: a\r\nX: b").append(1, '\0') +
+                "c\r\n\r\n",
             false},
         HeadCase{"no_host", "GET / HTTP/1.1\r\n\r\n", false},
         HeadCase{"two_hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
@@ -146,16 +147,16 @@
     std::string bytes;
     const char* status;
   };
-  const std::string chunk(1500, 'x');
+  std::string chunks =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 2; ++i) {
+    chunks.append("5dc\r\n").append(1500, 'x').append("\r\n");
+  }
   for (const Case& test :
        {Case{"GET / HTTP/1.1\r\nX: " + std::string(1200, 'a'), " 431 "},
         Case{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2001\r\n\r\n",
              " 413 "},
-        Case{"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-             "5dc\r\n" +
-                 chunk + "\r\n5dc\r\n" + chunk + "\r\n",
-             " 413 "},
-        Case{"GET / HTT", " 408 "},
+        Case{chunks, " 413 "}, Case{"GET / HTT", " 408 "},
         Case{"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc",
              " 408 "},
         Case{"\x16\x03\x01 no HTTP\n", " 400 "}}) {
