--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -86,8 +86,10 @@
       endpoint_adapter_(http_),
       stage_adapter_(http_, timers_),
       repeats_(settings.repeats),
-      coordinator_({clock, timers_, stage_adapter_, endpoints_, repeats_, log},
-                   SeedOf(settings, kStageSeed)),
+      stage_repeats_(CoordinatorSettings(settings.repeats)),
+      coordinator_(
+          {clock, timers_, stage_adapter_, endpoints_, stage_repeats_, log},
+          SeedOf(settings, kStageSeed)),
       stages_({clock, timers_, dialer_, coordinator_, nodes_, repeats_, log,
                settings.node}),
       stage_service_(coordinator_, clock, timers_),
@@ -324,6 +326,7 @@
     return;
   }
   repeats_.set_settings(changed.repeats);
+  stage_repeats_.set_settings(CoordinatorSettings(changed.repeats));
   store_.set_address(changed.store_address);
   settings_.stop_grace = changed.stop_grace;
   log_.Write("settings_reloaded",
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -71,6 +71,7 @@
   platform::StageAdapter stage_adapter_;
   EndpointRegistry endpoints_;
   RepeatBudget repeats_;
+  RepeatBudget stage_repeats_;
   StageCoordinator coordinator_;
   NodeDirectory nodes_;
   FrameDialer dialer_;
--- a/modules/peridotmill_gateway/repeats/repeat_budget.h
+++ b/modules/peridotmill_gateway/repeats/repeat_budget.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_GATEWAY_REPEATS_REPEAT_BUDGET_H_
 #define PERIDOTMILL_GATEWAY_REPEATS_REPEAT_BUDGET_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <unordered_map>
@@ -18,8 +19,23 @@
   // Repeats that a node may make beyond its ratio. Nodes spend without asking
   // one another, so the sum over all nodes stays within the fleet's allowance.
   double node_allowance = 2;
+  // Repeats that the fleet may make beyond the ratio.
+  double fleet_allowance = 0;
 };
 
+// Share of the fleet's allowance that the coordinator of a stage pool takes.
+// Four coordinators that follow one another within a window stay within it; the
+// other nodes repeat little there.
+inline constexpr double kCoordinatorAllowanceShare = 0.25;
+
+// Settings for the budget of a node's coordinated stage calls.
+inline RepeatBudgetSettings CoordinatorSettings(RepeatBudgetSettings settings) {
+  settings.node_allowance =
+      std::max(settings.node_allowance,
+               kCoordinatorAllowanceShare * settings.fleet_allowance);
+  return settings;
+}
+
 // Shares of a stage task's first call that count for the node that asks for it
 // and for the one that coordinates it.
 inline constexpr double kAskingShare = 0.4;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -132,9 +132,9 @@
   }
   const auto& serving = dependencies_.endpoints.Serving(pool);
   const auto queue = queues_.find(pool);
-  static const BatchQueue kEmpty;
+  static const BatchQueue empty;
   Duration delay = PredictQueueDelay(
-      queue == queues_.end() ? kEmpty : queue->second.batch, *definition,
+      queue == queues_.end() ? empty : queue->second.batch, *definition,
       static_cast<int>(serving.size()), item_count, dependencies_.clock.Now());
   // The next endpoint to be free has half of a call in front of it on average.
   const bool has_idle = std::any_of(
