Send stage calls that are at least half full when room is short

Cause: with room short, calls of buyer-portal carried 3 of 20 items at 150 ms each, and results counted as taking room after their makers had dropped them.

--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -34,6 +34,8 @@
   // those of a coordinator that died, and when.
   int64_t foreign_bytes = 0;
   TimePoint foreign_since;
+  // Since when a stage call waits for room there.
+  TimePoint short_of_room_since;
   // The registration is gone; the object lives on while calls are open.
   bool is_removed = false;
 };
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -51,34 +51,35 @@
   return "unknown";
 }
 
+// A call that could carry this many times what the endpoint has room for waits
+// for room, since the fixed time of a call exceeds that of its items.
+constexpr int kLeastFillDivisor = 2;
+// Longest wait for room, about one call.
+constexpr Duration kLongestRoomWait = std::chrono::milliseconds(200);
+
 }  // namespace
 
 // One call to an endpoint with the items of several tasks.
 class StageCoordinator::Call final : public StageCallListener {
  public:
-  Call(StageCoordinator* owner,
-       PoolId pool,
-       EndpointPtr endpoint,
-       TimePoint started)
-      : owner_(owner),
-        pool_(std::move(pool)),
-        endpoint_(std::move(endpoint)),
-        started_(started) {}
+  explicit Call(StageCoordinator* owner) : owner_(owner) {}
 
   void OnStageAnswer(StageAnswer answer) override {
     owner_->FinishCall(this, std::move(answer));
   }
 
-  StageCoordinator* owner_;
-  PoolId pool_;
-  EndpointPtr endpoint_;
-  TimePoint started_;
-  std::vector<BatchPart> parts_;
+  PoolId pool;
+  EndpointPtr endpoint;
+  TimePoint started;
+  std::vector<BatchPart> parts;
   // Room that the call's results will take.
-  int64_t result_bytes_ = 0;
-  bool found_no_room_ = false;
-  std::unique_ptr<OpenStageCall> open_;
-  std::unique_ptr<Timer> timeout_;
+  int64_t result_bytes = 0;
+  bool found_no_room = false;
+  std::unique_ptr<OpenStageCall> open;
+  std::unique_ptr<Timer> timeout;
+
+ private:
+  StageCoordinator* owner_;
 };
 
 class StageCoordinator::Ticket final : public OpenStageTask {
@@ -213,6 +214,22 @@
   return domains;
 }
 
+bool StageCoordinator::IsWorthACall(const BatchQueue& before,
+                                    const BatchQueue& after,
+                                    const StagePoolDefinition& pool,
+                                    Endpoint& endpoint) const {
+  const int taken = before.waiting_items - after.waiting_items;
+  const int possible = std::min(before.waiting_items, pool.batch_size);
+  if (taken * kLeastFillDivisor >= possible) {
+    return true;
+  }
+  const TimePoint now = dependencies_.clock.Now();
+  if (endpoint.short_of_room_since == TimePoint()) {
+    endpoint.short_of_room_since = now;
+  }
+  return now - endpoint.short_of_room_since >= kLongestRoomWait;
+}
+
 int64_t StageCoordinator::FreeRoom(const Endpoint& endpoint,
                                    const StagePoolDefinition& pool) const {
   if (pool.result_room_bytes == 0) {
@@ -229,11 +246,11 @@
 }
 
 void StageCoordinator::NoteForeignResults(const Call& call) {
-  const StagePoolDefinition* const pool = FindStagePool(call.pool_);
+  const StagePoolDefinition* const pool = FindStagePool(call.pool);
   if (pool == nullptr || pool->result_room_bytes == 0) {
     return;
   }
-  Endpoint& endpoint = *call.endpoint_;
+  Endpoint& endpoint = *call.endpoint;
   endpoint.foreign_bytes =
       std::max<int64_t>(0, pool->result_room_bytes - endpoint.result_bytes);
   endpoint.foreign_since = dependencies_.clock.Now();
@@ -253,15 +270,23 @@
   target.failure_domain = endpoint->registration.failure_domain;
   target.served_domains = ServedDomains(id, pool);
   const TimePoint now = dependencies_.clock.Now();
-  auto call = std::make_unique<Call>(this, id, endpoint, now);
-  call->parts_ = TakeBatch(queue.batch, pool, target, now);
-  if (call->parts_.empty()) {
+  // A trial on a copy, for a call that carries too little is not sent.
+  BatchQueue rest = queue.batch;
+  std::vector<BatchPart> parts = TakeBatch(rest, pool, target, now);
+  if (parts.empty() || !IsWorthACall(queue.batch, rest, pool, *endpoint)) {
     return false;
   }
+  queue.batch = std::move(rest);
+  endpoint->short_of_room_since = TimePoint();
+  auto call = std::make_unique<Call>(this);
+  call->pool = id;
+  call->endpoint = endpoint;
+  call->started = now;
+  call->parts = std::move(parts);
   std::vector<StageItem> items;
-  for (const BatchPart& part : call->parts_) {
+  for (const BatchPart& part : call->parts) {
     const StageTask& task = tasks_.at(part.task).task;
-    call->result_bytes_ +=
+    call->result_bytes +=
         static_cast<int64_t>(part.items.size()) * task.result_bytes;
     for (const int item : part.items) {
       items.push_back({.request = task.request,
@@ -277,7 +302,7 @@
       kCallTimeoutMargin;
   Call* const raw = call.get();
   int64_t moved_bytes = 0;
-  for (const BatchPart& part : call->parts_) {
+  for (const BatchPart& part : call->parts) {
     const StageTask& task = tasks_.at(part.task).task;
     if (task.preferred_domain != target.failure_domain) {
       moved_bytes += task.moved_bytes *
@@ -288,14 +313,14 @@
       "stage_call",
       {{"pool", id.value()},
        {"endpoint", endpoint->registration.id.value()},
-       {"tasks", std::to_string(call->parts_.size())},
+       {"tasks", std::to_string(call->parts.size())},
        {"items", std::to_string(items.size())},
        {"waiting_items", std::to_string(queue.batch.waiting_items)},
        {"moved_bytes", std::to_string(moved_bytes)}});
-  endpoint->result_bytes += call->result_bytes_;
+  endpoint->result_bytes += call->result_bytes;
   BeginCall(*endpoint, now);
-  call->open_ = dependencies_.caller.Start(endpoint->registration, items, raw);
-  call->timeout_ = dependencies_.timers.After(
+  call->open = dependencies_.caller.Start(endpoint->registration, items, raw);
+  call->timeout = dependencies_.timers.After(
       timeout, [this, raw] { FinishCall(raw, StageAnswer()); });
   calls_.emplace(raw, std::move(call));
   return true;
@@ -309,23 +334,23 @@
   const bool is_answered = answer.outcome == StageCallOutcome::kAnswered;
   std::vector<ResultHandle> unused;
   size_t position = 0;
-  for (const BatchPart& part : owned->parts_) {
+  for (const BatchPart& part : owned->parts) {
     const size_t first = position;
     position += part.items.size();
     if (!is_answered) {
-      RepeatItems(owned->pool_, part.task, part.items,
+      RepeatItems(owned->pool, part.task, part.items,
                   answer.outcome != StageCallOutcome::kNotSent);
       continue;
     }
     TakeResults(*owned, part, answer.results.data() + first, unused);
   }
-  if (owned->found_no_room_) {
+  if (owned->found_no_room) {
     NoteForeignResults(*owned);
   }
   if (!unused.empty()) {
     dependencies_.caller.Release(unused);
   }
-  Dispatch(owned->pool_);
+  Dispatch(owned->pool);
 }
 
 void StageCoordinator::TakeResults(Call& call,
@@ -343,7 +368,7 @@
           unused.push_back(std::move(result.handle));
         } else {
           KeepResult(task->second, static_cast<size_t>(part.items[i]),
-                     call.endpoint_, std::move(result.handle));
+                     call.endpoint, std::move(result.handle));
         }
         break;
       case StageItemOutcome::kLate:
@@ -351,7 +376,7 @@
         failure = result.outcome;
         break;
       case StageItemOutcome::kNoRoom:
-        call.found_no_room_ = true;
+        call.found_no_room = true;
         missing.push_back(part.items[i]);
         break;
       case StageItemOutcome::kFailed:
@@ -365,7 +390,7 @@
   if (failure) {
     EndTask(part.task, *failure);
   } else if (!missing.empty()) {
-    RepeatItems(call.pool_, part.task, missing, /*counts=*/true);
+    RepeatItems(call.pool, part.task, missing, /*counts=*/true);
   } else if (task->second.done_items == task->second.task.item_count) {
     EndTask(part.task, StageItemOutcome::kDone);
   }
@@ -373,11 +398,11 @@
 
 void StageCoordinator::CloseCall(Call& call, const StageAnswer& answer) {
   const TimePoint now = dependencies_.clock.Now();
-  Endpoint& endpoint = *call.endpoint_;
+  Endpoint& endpoint = *call.endpoint;
   const bool is_answered = answer.outcome == StageCallOutcome::kAnswered;
   const bool is_refused = answer.outcome == StageCallOutcome::kRefused;
-  endpoint.result_bytes -= call.result_bytes_;
-  EndWaiting(endpoint, call.started_);
+  endpoint.result_bytes -= call.result_bytes;
+  EndWaiting(endpoint, call.started);
   EndCall(endpoint,
           is_answered  ? CallVerdict::kSuccess
           : is_refused ? CallVerdict::kRefused
@@ -394,12 +419,12 @@
   if (!is_answered) {
     dependencies_.events.Write(
         "stage_call_failed",
-        {{"pool", call.pool_.value()},
+        {{"pool", call.pool.value()},
          {"endpoint", endpoint.registration.id.value()},
          {"outcome", std::string(NameOf(answer.outcome))},
-         {"tasks", std::to_string(call.parts_.size())},
+         {"tasks", std::to_string(call.parts.size())},
          {"ms",
-          std::to_string(std::lround(ToMilliseconds(now - call.started_)))}});
+          std::to_string(std::lround(ToMilliseconds(now - call.started)))}});
   }
 }
 
@@ -414,10 +439,25 @@
   }
   result.handle = std::move(handle);
   result.maker = maker;
+  task.maker_domain = maker->registration.failure_domain;
+  const StagePoolDefinition* const pool = FindStagePool(task.task.pool);
+  if (task.expiry == nullptr && pool != nullptr) {
+    task.expiry = dependencies_.timers.After(
+        pool->result_retention, [this, &task] { ExpireResults(task); });
+  }
   maker->result_bytes += task.task.result_bytes;
   ++task.done_items;
 }
 
+void StageCoordinator::ExpireResults(Task& task) {
+  for (MadeResult& result : task.results) {
+    if (result.maker != nullptr) {
+      result.maker->result_bytes -= task.task.result_bytes;
+      result.maker = nullptr;
+    }
+  }
+}
+
 void StageCoordinator::DropResult(Task& task, size_t item) {
   MadeResult& result = task.results[item];
   if (result.maker == nullptr) {
@@ -463,8 +503,7 @@
     for (const MadeResult& made : task.results) {
       result.handles.push_back(made.handle);
     }
-    result.maker_domain =
-        task.results.front().maker->registration.failure_domain;
+    result.maker_domain = task.maker_domain;
   }
   // May destroy the ticket, and the task with it.
   task.listener->OnStageTaskEnd(task.task.stage, std::move(result));
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -48,7 +48,8 @@
   class Call;
   class Ticket;
 
-  // A result, and the endpoint whose room it takes.
+  // A result, and the endpoint whose room it takes until it is released or its
+  // retention ends.
   struct MadeResult {
     ResultHandle handle;
     EndpointPtr maker;
@@ -62,6 +63,8 @@
     int done_items = 0;
     // The listener has been told; the results are kept for the ticket's owner.
     bool is_ended = false;
+    FailureDomainId maker_domain;
+    std::unique_ptr<Timer> expiry;
   };
 
   // One queue and what works on it.
@@ -89,6 +92,8 @@
                   size_t item,
                   const EndpointPtr& maker,
                   ResultHandle handle);
+  // The makers have dropped a task's results.
+  void ExpireResults(Task& task);
   // Frees the room of an item's result, if there is one, and tells its maker.
   void DropResult(Task& task, size_t item);
   // Keeps the results of a part's items, and repeats or ends the task as
@@ -104,6 +109,11 @@
                    const std::vector<int>& items,
                    bool counts);
   void EndTask(StageTaskId id, StageItemOutcome outcome);
+  // Whether the items taken from a queue fill enough of a call.
+  bool IsWorthACall(const BatchQueue& before,
+                    const BatchQueue& after,
+                    const StagePoolDefinition& pool,
+                    Endpoint& endpoint) const;
   // An endpoint had less room than its known results leave.
   void NoteForeignResults(const Call& call);
   // Room for further results at an endpoint.
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -99,6 +99,24 @@
   ASSERT_EQ(stage_caller_.calls.size(), 3u);
 }
 
+// Guards against counting the room of results that their maker has dropped, as
+// when requests hang at a dead engine.
+TEST_F(StageCoordinatorTest, ResultsTakeNoRoomAfterTheirRetention) {
+  GatewayConfig config = MakeConfig(2);
+  config.pools[2].stage->result_room_bytes = 2000;
+  coordinator_.SetConfiguration(
+      std::make_shared<const ActiveConfiguration>(config));
+  const auto held = Submit(2, 1000);
+  timers_.Advance(1ms);
+  stage_caller_.Answer(0);
+  timers_.Advance(3900ms);
+  const auto next = Submit(2, 1000);
+  timers_.Advance(50ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  timers_.Advance(200ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 2u);
+}
+
 // Guards against filling calls with items that find no room, after another
 // coordinator died and left its results behind.
 TEST_F(StageCoordinatorTest, LeavesRoomThatUnknownResultsTake) {
