--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -139,7 +139,17 @@
   input.priority = priority_;
   input.is_returning = request_.deadline.has_value() &&
                        *request_.deadline + kReturnMargin < route_->timeout;
-  return RefuseForQueue(input, gateway_->random_.Unit());
+  const auto retry_after = RefuseForQueue(input, gateway_->random_.Unit());
+  if (retry_after) {
+    context_.events.Write("admission_refused",
+                          {{"request", request_.id.value()},
+                           {"predicted_ms", Milliseconds(input.predicted)},
+                           {"target_ms", Milliseconds(input.target_latency)},
+                           {"priority", std::to_string(input.priority)},
+                           {"returning", input.is_returning ? "1" : "0"},
+                           {"retry_after_ms", Milliseconds(*retry_after)}});
+  }
+  return retry_after;
 }
 
 PlacementRequest GatewayRequest::DescribePlacement() const {
@@ -300,11 +310,14 @@
   BeginCall(*endpoint_, now);
   call_ = context_.endpoint_caller.Start(call, this);
   context_.events.Write(
-      "attempt", {{"request", request_.id.value()},
-                  {"endpoint", endpoint_->registration.id.value()},
-                  {"load", std::to_string(EstimateLoad(*endpoint_, now))},
-                  {"report_age_ms", Milliseconds(now - endpoint_->reported_at)},
-                  {"waited_ms", Milliseconds(now - accepted_)}});
+      "attempt",
+      {{"request", request_.id.value()},
+       {"endpoint", endpoint_->registration.id.value()},
+       {"load", std::to_string(EstimateLoad(*endpoint_, now))},
+       {"report_age_ms", endpoint_->reported_at == TimePoint()
+                             ? "none"
+                             : Milliseconds(now - endpoint_->reported_at)},
+       {"waited_ms", Milliseconds(now - accepted_)}});
   ArmSilenceTimer();
 }
 
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -478,8 +478,16 @@
     return;
   }
   const TimePoint now = dependencies_.clock.Now();
-  if (counts && !dependencies_.repeats.TakeRepeats(
-                    id, static_cast<int>(items.size()), now)) {
+  const bool is_allowed =
+      !counts || dependencies_.repeats.TakeRepeats(
+                     id, static_cast<int>(items.size()), now);
+  dependencies_.events.Write(
+      is_allowed ? "stage_items_repeated" : "stage_repeat_refused",
+      {{"request", task->second.task.request.value()},
+       {"pool", id.value()},
+       {"stage", std::to_string(task->second.task.stage)},
+       {"items", std::to_string(items.size())}});
+  if (!is_allowed) {
     EndTask(task_id, StageItemOutcome::kFailed);
     return;
   }
--- a/modules/peridotmill_gateway/tests/decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -169,7 +169,7 @@
     EventSplitter splitter;
     std::string passed;
     for (size_t i = 0; i < stream.size(); i += step) {
-      passed += splitter.Add(std::string_view(stream).substr(i, step));
+      passed += splitter.Add(stream.substr(i, step));
     }
     EXPECT_EQ(passed, stream.substr(0, stream.size() - 8));
     EXPECT_EQ(splitter.rest(), "id: 3\nda");
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -229,6 +229,18 @@
   EXPECT_EQ(stage_caller_.calls[2]->items[0].stage, 0u);
 }
 
+// Guards against a refusal whose cause cannot be found: the line names what was
+// predicted and what was allowed.
+TEST_F(GatewayTest, LogsWhyARequestWasRefusedAtArrival) {
+  for (int i = 0; i < 12; ++i) {
+    Send("staged");
+  }
+  const auto refused = Send("staged");
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_TRUE(refused->heads[0].headers.Find("Retry-After").has_value());
+  EXPECT_TRUE(events_.Has("admission_refused request=q13 predicted_ms="));
+}
+
 // Guards against a request without an explanation: its id leads to its outcome.
 TEST_F(GatewayTest, LogsEachEndWithItsReason) {
   Send("book");
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -77,6 +77,7 @@
   ASSERT_EQ(results_.size(), 1u);
   EXPECT_EQ(results_[0].outcome, StageItemOutcome::kFailed);
   EXPECT_LE(stage_caller_.calls.size(), 3u);
+  EXPECT_TRUE(events_.Has("stage_repeat_refused request=q1 pool=scan"));
 }
 
 // Guards against calls whose results find no room at their maker.
--- a/modules/peridotmill_gateway/tests/stage_peers_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -21,7 +21,7 @@
     ++dialed;
     auto pair = std::make_shared<Pair>();
     pair->ends[0] = listener;
-    pairs.push_back(pair);
+    pairs_.push_back(pair);
     if (service != nullptr) {
       service->Accept([&](PeerLinkListener* accepted) {
         pair->ends[1] = accepted;
@@ -32,7 +32,7 @@
   }
 
   void LoseAll() {
-    for (const auto& pair : std::exchange(pairs, {})) {
+    for (const auto& pair : std::exchange(pairs_, {})) {
       for (PeerLinkListener*& end : pair->ends) {
         if (PeerLinkListener* const listener = std::exchange(end, nullptr)) {
           listener->OnLinkLost();
@@ -74,7 +74,7 @@
   };
 
   TimerQueue& timers_;
-  std::vector<std::shared_ptr<Pair>> pairs;
+  std::vector<std::shared_ptr<Pair>> pairs_;
   std::vector<std::unique_ptr<Timer>> deliveries_;
 };
 
@@ -106,7 +106,7 @@
     entry.value = EncodeNodeRecord({"10.0.0.2:7", FailureDomainId("summit")});
     directory.Replace({entry}, false);
     for (int i = 0;; ++i) {
-      const NodeId self("self" + std::to_string(i));
+      NodeId self("self" + std::to_string(i));
       if (directory.CoordinatorOrder(PoolId("scan"), self)[0] ==
           NodeId("other")) {
         return self;
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -208,7 +208,7 @@
 }
 
 const http_parser_settings& HttpClientConnection::Callbacks() {
-  static const http_parser_settings kCallbacks = [] {
+  static const http_parser_settings parser_callbacks = [] {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
     callbacks.on_status = OnStatus;
@@ -219,7 +219,7 @@
     callbacks.on_message_complete = OnMessageComplete;
     return callbacks;
   }();
-  return kCallbacks;
+  return parser_callbacks;
 }
 
 int HttpClientConnection::OnStatus(http_parser* parser,
--- a/modules/peridotmill_http/logging/output_log.cc
+++ b/modules/peridotmill_http/logging/output_log.cc
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <cstdio>
 
 #include "peridotmill_core/logging/log_value.h"
 #include "peridotmill_core/time/milliseconds.h"
@@ -60,16 +59,17 @@
   if (!TakeLine(clock_.Now())) {
     return;
   }
-  char stamp[40];
-  const auto milliseconds =
+  const int64_t milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           clock_.WallNow().time_since_epoch())
           .count();
-  constexpr long long kMillisecondsPerSecond = 1000;
-  std::snprintf(stamp, sizeof(stamp), "time=%lld.%03lld event=",
-                static_cast<long long>(milliseconds) / kMillisecondsPerSecond,
-                static_cast<long long>(milliseconds) % kMillisecondsPerSecond);
-  buffer_ += stamp;
+  constexpr int64_t kMillisecondsPerSecond = 1000;
+  const std::string fraction =
+      std::to_string(milliseconds % kMillisecondsPerSecond);
+  constexpr size_t kFractionDigits = 3;
+  buffer_ += "time=" + std::to_string(milliseconds / kMillisecondsPerSecond) +
+             "." + std::string(kFractionDigits - fraction.size(), '0') +
+             fraction + " event=";
   AppendLogValue(event, buffer_);
   for (const auto& [key, value] : fields) {
     buffer_ += ' ';
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -133,7 +133,7 @@
 }
 
 void HttpServerConnection::ReadBody() {
-  static const http_parser_settings kCallbacks = [] {
+  static const http_parser_settings parser_callbacks = [] {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
     callbacks.on_url = OnUrl;
@@ -144,7 +144,7 @@
     callbacks.on_message_complete = OnMessageComplete;
     return callbacks;
   }();
-  const size_t parsed = http_parser_execute(&parser_, &kCallbacks,
+  const size_t parsed = http_parser_execute(&parser_, &parser_callbacks,
                                             received_.data(), received_.size());
   const http_errno error = HTTP_PARSER_ERRNO(&parser_);
   if (is_body_too_large_) {
