Never take a negative number of items for a call

Cause: found in reading: with more room taken than a changed configuration grants, a call took a negative number of items. The new test fails without the change.

--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -72,7 +72,7 @@
  private:
   friend class GatewayRequest;
 
-  // Checks a request against the configuration; the denial or refusal, if any.
+  // Answers a request that the configuration does not allow.
   void Deny(const CallerRequest& request,
             CallerChannel& channel,
             int status,
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -121,7 +121,7 @@
     const bool ends_late =
         taken < items && entry.rank == BatchRank::kOnTime &&
         now + 2 * CallTime(pool, pool.batch_size) > entry.task->due;
-    if (taken == 0 || ends_late) {
+    if (taken <= 0 || ends_late) {
       continue;
     }
     room_bytes -= taken * entry.task->result_bytes;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -20,8 +20,8 @@
 namespace peridotmill {
 
 // Gathers stage tasks into batched calls to the endpoints of stage pools. Each
-// pool and failure domain has a queue of its own; an endpoint gets its next
-// call when the one before has ended, so that tasks gather while it works.
+// pool has one queue; an endpoint gets its next call when the one before has
+// ended, so that tasks gather while it works.
 class StageCoordinator final : public StageWorker {
  public:
   struct Dependencies {
--- a/modules/peridotmill_gateway/tests/batch_queue_test.cc
+++ b/modules/peridotmill_gateway/tests/batch_queue_test.cc
@@ -73,6 +73,17 @@
   EXPECT_EQ(queue.waiting_items, 2);
 }
 
+// Guards against a negative number of items when more room is taken than a
+// changed configuration grants.
+TEST(BatchQueueTest, SendsNothingWhenMoreThanTheRoomIsTaken) {
+  BatchQueue queue;
+  WaitingTask task = MakeTask(4, 1s);
+  task.result_bytes = 1000;
+  AddTask(queue, 1, task);
+  EXPECT_TRUE(TakeBatch(queue, MakePool(), MakeTarget(-5000), kStart).empty());
+  EXPECT_EQ(queue.waiting_items, 4);
+}
+
 // Guards against moving large data between domains for a little time, and
 // against waiting for a domain when the task would be late.
 TEST(BatchQueueTest, TasksWithLargeDataWaitForTheirDomainWhileTheyHaveTime) {
