Save store calls and results' room on the grown deployments

Ruled out: processor time (the busiest node takes 0.047 cores) and engines (a quarter of their reading rate is used).

Change: a watch that brought changes is followed by a pause, so that changes share an answer; a wait lasts 20 s; results are released when the engine's answer begins, and a resumed stream has them produced again; a stage starts only when no longer way is ahead of the request.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -39,6 +39,13 @@
 // within this time of its return.
 constexpr Duration kNodeReturnTime = std::chrono::seconds(3);
 
+// Changes that come within these times share one answer of the store. Endpoints
+// that leave go on for 2 s and more, and a configuration is due after 2 s, of
+// which a watch may lose one; a node that comes or goes is found by its links.
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(400);
+constexpr Duration kConfigurationPause = std::chrono::milliseconds(300);
+constexpr Duration kNodePause = std::chrono::milliseconds(1500);
+
 uint64_t SeedOf(const GatewaySettings& settings, uint64_t part) {
   return Hash64(settings.node.value(), part);
 }
@@ -107,7 +114,8 @@
                      log,
                      [this] { registration_follower_.ReadAgain(); }),
       configuration_follower_(
-          {.prefix = std::string(platform::kConfigurationKey)},
+          {.prefix = std::string(platform::kConfigurationKey),
+           .pause = kConfigurationPause},
           {.on_snapshot =
                [this](const std::vector<StoreEntry>& entries, bool) {
                  for (const StoreEntry& entry : entries) {
@@ -125,7 +133,8 @@
           log,
           SeedOf(settings, kConfigurationSeed)),
       registration_follower_(
-          {.prefix = std::string(platform::kRegistrationPrefix)},
+          {.prefix = std::string(platform::kRegistrationPrefix),
+           .pause = kRegistrationPause},
           {.on_snapshot =
                [this](const std::vector<StoreEntry>& entries,
                       bool was_unreachable) {
@@ -140,7 +149,7 @@
           log,
           SeedOf(settings, kRegistrationSeed)),
       node_follower_(
-          {.prefix = kNodePrefix},
+          {.prefix = kNodePrefix, .pause = kNodePause},
           {.on_snapshot =
                [this](const std::vector<StoreEntry>& entries,
                       bool was_unreachable) {
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -226,7 +226,7 @@
 }
 
 void GatewayRequest::SubmitReadyStages() {
-  for (const size_t stage : ReadyStages(route_->stages, progress_)) {
+  for (const size_t stage : StagesToStart(route_->stages, progress_)) {
     progress_.stages[stage].state = StageProgress::State::kRunning;
     progress_.stages[stage].submitted = context_.clock.Now();
     stage_tasks_[stage] =
@@ -276,11 +276,19 @@
     task.reset();
   }
   progress_ = MakeStageProgress(request_.stage_item_counts);
+  stage_tasks_.resize(route_->stages.size());
+  are_results_released_ = false;
   SubmitReadyStages();
   return true;
 }
 
 void GatewayRequest::StartAttempt() {
+  if (HasStages() && are_results_released_) {
+    if (!RepeatStages()) {
+      Fail(Reason::kStageFailed, kRetryAfter);
+    }
+    return;
+  }
   const TimePoint now = context_.clock.Now();
   endpoint_ =
       ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
@@ -369,9 +377,11 @@
     endpoint_->reported_waiting = head.load->waiting;
     endpoint_->reported_at = now;
   }
-  // The engine has fetched its inputs; only a resumed stream needs them again.
-  if (head.status < 300 && !route_->MayRunAgain()) {
+  if (head.status < 300) {
+    // The engine has fetched its inputs. A stream that is resumed has them
+    // produced again, which is rarer than makers that are short of room.
     stage_tasks_.clear();
+    are_results_released_ = true;
   }
   if (IsStream()) {
     ArmSilenceTimer();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -95,6 +95,8 @@
   StageProgress progress_;
   std::vector<std::unique_ptr<OpenStageTask>> stage_tasks_;
   FailureDomainId work_domain_;
+  // The makers of the stages' results have been told to drop them.
+  bool are_results_released_ = false;
   int lost_inputs_ = 0;
 
   AttemptHistory history_;
--- a/modules/peridotmill_gateway/requests/stage_progress.cc
+++ b/modules/peridotmill_gateway/requests/stage_progress.cc
@@ -48,6 +48,20 @@
   return ready;
 }
 
+std::vector<size_t> StagesToStart(
+    const std::vector<StageDefinition>& definitions,
+    const StageProgress& progress) {
+  int longest = 0;
+  for (size_t i = 0; i < definitions.size(); ++i) {
+    longest = std::max(longest, RemainingDepth(definitions, progress, i));
+  }
+  std::vector<size_t> stages = ReadyStages(definitions, progress);
+  std::erase_if(stages, [&](size_t stage) {
+    return RemainingDepth(definitions, progress, stage) < longest;
+  });
+  return stages;
+}
+
 bool AreAllDone(const StageProgress& progress) {
   return std::all_of(progress.stages.begin(), progress.stages.end(),
                      [](const StageProgress::Stage& stage) {
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -30,6 +30,13 @@
 std::vector<size_t> ReadyStages(const std::vector<StageDefinition>& definitions,
                                 const StageProgress& progress);
 
+// Ready stages that need not wait any longer. A stage waits while a longer way
+// than its own is ahead of the request, since its results would take room at
+// their maker until the others are there.
+std::vector<size_t> StagesToStart(
+    const std::vector<StageDefinition>& definitions,
+    const StageProgress& progress);
+
 bool AreAllDone(const StageProgress& progress);
 
 // Results that a stage takes.
--- a/modules/peridotmill_gateway/store/prefix_follower.cc
+++ b/modules/peridotmill_gateway/store/prefix_follower.cc
@@ -42,6 +42,7 @@
 
 void PrefixFollower::Read(const std::string& after_key) {
   is_read_wanted_ = false;
+  pause_timer_.reset();
   call_ =
       store_.ReadPrefix(settings_.prefix, after_key,
                         [this](StorePage page) { OnPage(std::move(page)); });
@@ -101,7 +102,20 @@
     Start();
     return;
   }
-  Watch();
+  // An answer without changes ends a wait that has run out.
+  if (changes.changes.empty()) {
+    Watch();
+  } else {
+    WatchAfterPause();
+  }
+}
+
+void PrefixFollower::WatchAfterPause() {
+  if (settings_.pause == Duration::zero()) {
+    Watch();
+    return;
+  }
+  pause_timer_ = timers_.After(settings_.pause, [this] { Watch(); });
 }
 
 void PrefixFollower::NoteSuccess() {
@@ -124,7 +138,7 @@
   // Nodes that lost the store together return spread out.
   const auto jittered = std::chrono::duration_cast<Duration>(
       pause * (0.5 + 0.5 * random_.Unit()));
-  retry_timer_ =
+  pause_timer_ =
       timers_.After(jittered, [action = std::move(action)] { action(); });
 }
 
--- a/modules/peridotmill_gateway/store/prefix_follower.h
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -18,7 +18,11 @@
   std::string prefix;
   // How long a watch waits for changes; bounds the time for which one that the
   // store has forgotten goes unnoticed.
-  Duration watch_wait = std::chrono::seconds(10);
+  Duration watch_wait = std::chrono::seconds(20);
+  // Time between the answer to a watch and the next watch. Changes that come
+  // meanwhile share one answer, so that a burst of changes costs a large fleet
+  // a few calls a node and not one for each change.
+  Duration pause = Duration::zero();
 };
 
 // What a follower reports. Callbacks come from the main loop.
@@ -52,6 +56,7 @@
   void Read(const std::string& after_key);
   void OnPage(StorePage page);
   void Watch();
+  void WatchAfterPause();
   void OnChanges(const StoreChanges& changes);
   void RetryLater(std::function<void()> action);
   void NoteSuccess();
@@ -63,7 +68,8 @@
   EventSink& log_;
   Random random_;
   std::unique_ptr<OpenStoreCall> call_;
-  std::unique_ptr<Timer> retry_timer_;
+  // The pause before a retry or before the next watch.
+  std::unique_ptr<Timer> pause_timer_;
   std::vector<StoreEntry> entries_;
   int64_t revision_ = 0;
   int failures_ = 0;
--- a/modules/peridotmill_gateway/tests/decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -234,6 +234,22 @@
   EXPECT_EQ(FinalResults(definitions, progress).size(), 1u);
 }
 
+// Guards against large results that take room at their maker while the request
+// still has a longer way through its other stages.
+TEST(StageProgressTest, StartsAStageBesideTheLastOnesOfALongerWay) {
+  std::vector<StageDefinition> definitions(4);
+  definitions[2].after = {1};
+  definitions[3].after = {2};
+  StageProgress progress = MakeStageProgress({1, 1, 1, 1});
+  EXPECT_EQ(StagesToStart(definitions, progress), std::vector<size_t>{1});
+  progress.stages[1].state = StageProgress::State::kRunning;
+  EXPECT_TRUE(StagesToStart(definitions, progress).empty());
+  progress.stages[1].state = StageProgress::State::kDone;
+  EXPECT_EQ(StagesToStart(definitions, progress), std::vector<size_t>{2});
+  progress.stages[2].state = StageProgress::State::kDone;
+  EXPECT_EQ(StagesToStart(definitions, progress), (std::vector<size_t>{0, 3}));
+}
+
 // Guards against an endpoint that started anew keeping its old verdicts, and
 // against draining endpoints getting work.
 TEST(EndpointRegistryTest, FollowsRegistrations) {
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -215,6 +215,29 @@
   EXPECT_TRUE(caller->is_finished);
 }
 
+// Guards against makers that run short of room because results are kept for the
+// whole length of a stream, and against resuming one without its inputs.
+TEST_F(GatewayTest, ReleasesResultsWhenTheEngineAnswers) {
+  const auto caller = Send("staged");
+  stage_caller_.Answer(0);
+  timers_.Advance(1ms);
+  stage_caller_.Answer(1);
+  endpoint_caller_.listener(0).OnAnswerHead(FakeEndpointCaller::Stream());
+  EXPECT_EQ(stage_caller_.released.size(), 5u);
+  endpoint_caller_.listener(0).OnAnswerBody("id: 1\ndata: a\n\n");
+  endpoint_caller_.listener(0).OnAnswerEnd(HttpCallEnd::kTruncated);
+  timers_.Advance(1ms);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
+  ASSERT_EQ(stage_caller_.calls.size(), 3u);
+  stage_caller_.Answer(2);
+  timers_.Advance(1ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 4u);
+  stage_caller_.Answer(3);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EXPECT_EQ(endpoint_caller_.calls[1]->call.inputs->size(), 3u);
+  EXPECT_EQ(endpoint_caller_.calls[1]->call.resume_after_event, "1");
+}
+
 // Guards against a request that fails because results ran out at their maker.
 TEST_F(GatewayTest, ProducesLostInputsAgain) {
   Send("staged");
--- a/modules/peridotmill_gateway/tests/store_followers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_followers_test.cc
@@ -100,6 +100,38 @@
   EXPECT_EQ(store_.reads, 2);
 }
 
+// Guards against a call to the store from each node for each of many changes
+// that come together, as when a whole fleet starts.
+TEST_F(PrefixFollowerTest, ChangesDuringThePauseShareOneWatch) {
+  FakeStoreChannel store;
+  int changes = 0;
+  PrefixFollower follower(
+      {.prefix = "p/", .pause = 400ms},
+      {.on_snapshot = [](const std::vector<StoreEntry>&, bool) {},
+       .on_change = [&](const StoreChange&) { ++changes; }},
+      store, timers_, events_, 1);
+  follower.Start();
+  store.AnswerRead({}, 10);
+  for (int64_t round = 1; round <= 2; ++round) {
+    StoreChanges answer;
+    answer.status = StoreCallStatus::kOk;
+    answer.changes.resize(3);
+    answer.store_revision = 10 + round;
+    store.AnswerWatch(answer);
+    timers_.Advance(390ms);
+    EXPECT_EQ(store.watches, round);
+    timers_.Advance(20ms);
+    EXPECT_EQ(store.watches, round + 1);
+    EXPECT_EQ(store.watched_after, 10 + round);
+  }
+  EXPECT_EQ(changes, 6);
+  // A wait that ran out without a change needs no pause.
+  StoreChanges none;
+  none.status = StoreCallStatus::kOk;
+  store.AnswerWatch(none);
+  EXPECT_EQ(store.watches, 4);
+}
+
 class RegistrationKeeperTest : public testing::Test {
  protected:
   RegistrationKeeperTest()
--- a/modules/peridotmill_net/tests/caller_server_test.cc
+++ b/modules/peridotmill_net/tests/caller_server_test.cc
@@ -195,6 +195,16 @@
   EXPECT_TRUE(RunUntil([&] { return server_->connection_count() == 0; }));
 }
 
+// Guards against descriptors that stay open after a caller has closed a
+// connection on which it was answered.
+TEST_F(CallerServerTest, ReleasesConnectionsThatCallersClose) {
+  auto client = std::make_unique<RawClient>(server_->port());
+  client->Send("GET /readyz HTTP/1.1\r\nHost: n\r\n\r\n");
+  ASSERT_TRUE(RunUntil([&] { return client->Has("ready\n"); }));
+  client.reset();
+  EXPECT_TRUE(RunUntil([&] { return server_->connection_count() == 0; }));
+}
+
 // Guards against a head without an end that fills memory.
 TEST_F(CallerServerTest, BoundsAHeadWithoutEnd) {
   RawClient client(server_->port());
