--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -50,6 +50,12 @@
   return Hash64(settings.node.value(), part);
 }
 
+NodeRecord RecordOf(const GatewaySettings& settings) {
+  return {.peer_address = settings.peer_address,
+          .failure_domain = settings.failure_domain,
+          .processor_share = settings.processor_share};
+}
+
 // The endpoint's id, which is the rest of its registration's key.
 std::string_view RegistrationId(const StoreEntry& entry) {
   std::string_view id = entry.key;
@@ -98,10 +104,10 @@
           {clock, timers_, stage_adapter_, endpoints_, stage_repeats_, log},
           SeedOf(settings, kStageSeed)),
       stages_({clock, timers_, dialer_, coordinator_, nodes_, repeats_, log,
-               settings.node}),
+               settings.node, RecordOf(settings)}),
       stage_service_(coordinator_, clock, timers_),
       node_registration_(settings.node,
-                         {settings.peer_address, settings.failure_domain},
+                         RecordOf(settings),
                          store_,
                          timers_,
                          log,
@@ -392,6 +398,8 @@
   add("streams_resumed_total", counters.resumed_streams);
   add("open_requests", gateway_.open_requests());
   add("stage_tasks", coordinator_.task_count());
+  add("stage_requests_waiting", coordinator_.waiting_requests());
+  add("stage_requests_started", coordinator_.started_requests());
   add("stage_tasks_reassigned_total", stages_.reassigned_count());
   add("nodes", nodes_.size());
   add("endpoints", endpoints_.size());
--- a/modules/peridotmill_gateway/calls/stage_call.cc
+++ b/modules/peridotmill_gateway/calls/stage_call.cc
@@ -14,6 +14,8 @@
       return "no_room";
     case StageItemOutcome::kFailed:
       return "failed";
+    case StageItemOutcome::kRefused:
+      return "refused";
   }
   return "failed";
 }
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -34,6 +34,8 @@
   // The endpoint has no room for the result.
   kNoRoom,
   kFailed,
+  // Not begun: the request it belongs to cannot be served in time.
+  kRefused,
 };
 
 std::string_view ToString(StageItemOutcome outcome);
--- a/modules/peridotmill_gateway/configuration/active_configuration.cc
+++ b/modules/peridotmill_gateway/configuration/active_configuration.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_gateway/configuration/active_configuration.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace peridotmill {
@@ -24,6 +25,33 @@
   for (const PoolDefinition& pool : config_.pools) {
     pools_by_id_.emplace(pool.id, &pool);
   }
+  GroupStagePools();
+}
+
+void ActiveConfiguration::GroupStagePools() {
+  // The least name of a group's pools spreads until nothing changes.
+  bool has_changed = true;
+  while (has_changed) {
+    has_changed = false;
+    for (const RouteDefinition& route : config_.routes) {
+      std::optional<PoolId> least;
+      for (const StageDefinition& stage : route.stages) {
+        const PoolId& group =
+            stage_groups_.try_emplace(stage.pool, stage.pool).first->second;
+        least = least ? std::min(*least, group) : group;
+      }
+      for (const StageDefinition& stage : route.stages) {
+        PoolId& group = stage_groups_[stage.pool];
+        has_changed = has_changed || group != *least;
+        group = *least;
+      }
+    }
+  }
+}
+
+const PoolId& ActiveConfiguration::StageGroup(const PoolId& pool) const {
+  const auto group = stage_groups_.find(pool);
+  return group == stage_groups_.end() ? pool : group->second;
 }
 
 const RouteDefinition* ActiveConfiguration::FindRoute(
--- a/modules/peridotmill_gateway/configuration/active_configuration.h
+++ b/modules/peridotmill_gateway/configuration/active_configuration.h
@@ -24,11 +24,17 @@
                                    std::string_view path) const;
   const TeamDefinition* FindTeam(std::string_view key) const;
   const PoolDefinition* FindPool(const PoolId& id) const;
+  // Names the group that a stage pool belongs to: pools that the stages of one
+  // route share, directly or through other routes, are in one group.
+  const PoolId& StageGroup(const PoolId& pool) const;
 
   const GatewayConfig& config() const { return config_; }
 
  private:
+  void GroupStagePools();
+
   GatewayConfig config_;
+  std::unordered_map<PoolId, PoolId> stage_groups_;
   // Routes of each host, longest prefix first.
   std::unordered_map<std::string_view, std::vector<const RouteDefinition*>>
       routes_by_host_;
--- a/modules/peridotmill_gateway/peers/node_directory.cc
+++ b/modules/peridotmill_gateway/peers/node_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "peridotmill_core/hashing/hashing.h"
@@ -10,6 +11,10 @@
 namespace peridotmill {
 namespace {
 
+// Hosts with at least this share of the largest one's processor coordinate
+// before the others, which may have a quarter of it and slower links.
+constexpr double kLargeHostShare = 0.75;
+
 NodeId NodeOf(std::string_view key) {
   const std::string_view prefix = kNodePrefix;
   return key.starts_with(prefix) ? NodeId(key.substr(prefix.size())) : NodeId();
@@ -43,22 +48,29 @@
   }
 }
 
-std::vector<NodeId> NodeDirectory::CoordinatorOrder(const PoolId& pool,
-                                                    const NodeId& self) const {
-  std::vector<std::pair<uint64_t, NodeId>> order;
-  const auto add = [&](const NodeId& node) {
-    order.emplace_back(RendezvousScore(pool.value(), node.value()), node);
+std::vector<NodeId> NodeDirectory::CoordinatorOrder(
+    const PoolId& group,
+    const NodeId& self,
+    const NodeRecord& self_record) const {
+  double largest = self_record.processor_share;
+  for (const auto& [node, record] : nodes_) {
+    largest = std::max(largest, record.processor_share);
+  }
+  std::vector<std::tuple<bool, uint64_t, NodeId>> order;
+  const auto add = [&](const NodeId& node, const NodeRecord& record) {
+    order.emplace_back(record.processor_share >= kLargeHostShare * largest,
+                       RendezvousScore(group.value(), node.value()), node);
   };
-  add(self);
+  add(self, self_record);
   for (const auto& [node, record] : nodes_) {
     if (node != self) {
-      add(node);
+      add(node, record);
     }
   }
   std::sort(order.begin(), order.end(), std::greater<>());
   std::vector<NodeId> nodes;
   nodes.reserve(order.size());
-  for (auto& [score, node] : order) {
+  for (auto& [is_large, score, node] : order) {
     nodes.push_back(std::move(node));
   }
   return nodes;
--- a/modules/peridotmill_gateway/peers/node_directory.h
+++ b/modules/peridotmill_gateway/peers/node_directory.h
@@ -22,10 +22,12 @@
   void Replace(const std::vector<StoreEntry>& entries, bool was_unreachable);
   void Apply(const StoreChange& change);
 
-  // Order in which nodes are asked to coordinate a pool, by rendezvous hash, so
-  // that all nodes agree without talking.
-  std::vector<NodeId> CoordinatorOrder(const PoolId& pool,
-                                       const NodeId& self) const;
+  // Order in which nodes are asked to coordinate a group of pools, so that all
+  // nodes agree without talking: the larger hosts before the others, each by
+  // rendezvous hash.
+  std::vector<NodeId> CoordinatorOrder(const PoolId& group,
+                                       const NodeId& self,
+                                       const NodeRecord& self_record) const;
 
   const NodeRecord* Find(const NodeId& node) const;
   size_t size() const { return nodes_.size(); }
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -19,6 +19,12 @@
 struct SubmitTask;
 struct SubmitTaskBuilder;
 
+struct Prompt;
+struct PromptBuilder;
+
+struct PlannedWork;
+struct PlannedWorkBuilder;
+
 struct CancelTask;
 struct CancelTaskBuilder;
 
@@ -111,7 +117,11 @@
     VT_DEADLINE_IN_MS = 22,
     VT_PRIORITY = 24,
     VT_RESULT_BYTES = 26,
-    VT_MOVED_BYTES = 28
+    VT_MOVED_BYTES = 28,
+    VT_GROUP = 30,
+    VT_PLAN = 32,
+    VT_IS_RETURNING = 34,
+    VT_PROMPT = 36
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -152,6 +162,18 @@
   int64_t moved_bytes() const {
     return GetField<int64_t>(VT_MOVED_BYTES, 0);
   }
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *plan() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *>(VT_PLAN);
+  }
+  bool is_returning() const {
+    return GetField<uint8_t>(VT_IS_RETURNING, 0) != 0;
+  }
+  const peridotmill::stagewire::Prompt *prompt() const {
+    return GetPointer<const peridotmill::stagewire::Prompt *>(VT_PROMPT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -173,6 +195,14 @@
            VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
            VerifyField<int64_t>(verifier, VT_MOVED_BYTES, 8) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyOffset(verifier, VT_PLAN) &&
+           verifier.VerifyVector(plan()) &&
+           verifier.VerifyVectorOfTables(plan()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_RETURNING, 1) &&
+           VerifyOffset(verifier, VT_PROMPT) &&
+           verifier.VerifyTable(prompt()) &&
            verifier.EndTable();
   }
 };
@@ -220,6 +250,18 @@
   void add_moved_bytes(int64_t moved_bytes) {
     fbb_.AddElement<int64_t>(SubmitTask::VT_MOVED_BYTES, moved_bytes, 0);
   }
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(SubmitTask::VT_GROUP, group);
+  }
+  void add_plan(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>> plan) {
+    fbb_.AddOffset(SubmitTask::VT_PLAN, plan);
+  }
+  void add_is_returning(bool is_returning) {
+    fbb_.AddElement<uint8_t>(SubmitTask::VT_IS_RETURNING, static_cast<uint8_t>(is_returning), 0);
+  }
+  void add_prompt(flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt) {
+    fbb_.AddOffset(SubmitTask::VT_PROMPT, prompt);
+  }
   explicit SubmitTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -245,11 +287,18 @@
     int32_t deadline_in_ms = 0,
     int32_t priority = 0,
     int64_t result_bytes = 0,
-    int64_t moved_bytes = 0) {
+    int64_t moved_bytes = 0,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>> plan = 0,
+    bool is_returning = false,
+    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0) {
   SubmitTaskBuilder builder_(_fbb);
   builder_.add_moved_bytes(moved_bytes);
   builder_.add_result_bytes(result_bytes);
   builder_.add_task(task);
+  builder_.add_prompt(prompt);
+  builder_.add_plan(plan);
+  builder_.add_group(group);
   builder_.add_priority(priority);
   builder_.add_deadline_in_ms(deadline_in_ms);
   builder_.add_due_in_ms(due_in_ms);
@@ -260,6 +309,7 @@
   builder_.add_request(request);
   builder_.add_item_count(item_count);
   builder_.add_stage(stage);
+  builder_.add_is_returning(is_returning);
   return builder_.Finish();
 }
 
@@ -277,12 +327,18 @@
     int32_t deadline_in_ms = 0,
     int32_t priority = 0,
     int64_t result_bytes = 0,
-    int64_t moved_bytes = 0) {
+    int64_t moved_bytes = 0,
+    const char *group = nullptr,
+    const std::vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *plan = nullptr,
+    bool is_returning = false,
+    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto preferred_domain__ = preferred_domain ? _fbb.CreateString(preferred_domain) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  auto plan__ = plan ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>(*plan) : 0;
   return peridotmill::stagewire::CreateSubmitTask(
       _fbb,
       task,
@@ -297,7 +353,189 @@
       deadline_in_ms,
       priority,
       result_bytes,
-      moved_bytes);
+      moved_bytes,
+      group__,
+      plan__,
+      is_returning,
+      prompt);
+}
+
+struct Prompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_PREFIX_HASHES = 6,
+    VT_PREFIX_TOKENS = 8,
+    VT_TOKENS = 10
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::Vector<uint64_t> *prefix_hashes() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PREFIX_HASHES);
+  }
+  const flatbuffers::Vector<int64_t> *prefix_tokens() const {
+    return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_PREFIX_TOKENS);
+  }
+  int64_t tokens() const {
+    return GetField<int64_t>(VT_TOKENS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_PREFIX_HASHES) &&
+           verifier.VerifyVector(prefix_hashes()) &&
+           VerifyOffset(verifier, VT_PREFIX_TOKENS) &&
+           verifier.VerifyVector(prefix_tokens()) &&
+           VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct PromptBuilder {
+  typedef Prompt Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(Prompt::VT_POOL, pool);
+  }
+  void add_prefix_hashes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix_hashes) {
+    fbb_.AddOffset(Prompt::VT_PREFIX_HASHES, prefix_hashes);
+  }
+  void add_prefix_tokens(flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens) {
+    fbb_.AddOffset(Prompt::VT_PREFIX_TOKENS, prefix_tokens);
+  }
+  void add_tokens(int64_t tokens) {
+    fbb_.AddElement<int64_t>(Prompt::VT_TOKENS, tokens, 0);
+  }
+  explicit PromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Prompt> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Prompt>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Prompt> CreatePrompt(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix_hashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0,
+    int64_t tokens = 0) {
+  PromptBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_prefix_tokens(prefix_tokens);
+  builder_.add_prefix_hashes(prefix_hashes);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<Prompt> CreatePromptDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const std::vector<uint64_t> *prefix_hashes = nullptr,
+    const std::vector<int64_t> *prefix_tokens = nullptr,
+    int64_t tokens = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto prefix_hashes__ = prefix_hashes ? _fbb.CreateVector<uint64_t>(*prefix_hashes) : 0;
+  auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
+  return peridotmill::stagewire::CreatePrompt(
+      _fbb,
+      pool__,
+      prefix_hashes__,
+      prefix_tokens__,
+      tokens);
+}
+
+struct PlannedWork FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlannedWorkBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_ITEMS = 6,
+    VT_RESULT_BYTES = 8,
+    VT_END_MS = 10
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  uint16_t items() const {
+    return GetField<uint16_t>(VT_ITEMS, 0);
+  }
+  int64_t result_bytes() const {
+    return GetField<int64_t>(VT_RESULT_BYTES, 0);
+  }
+  uint32_t end_ms() const {
+    return GetField<uint32_t>(VT_END_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyField<uint16_t>(verifier, VT_ITEMS, 2) &&
+           VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
+           VerifyField<uint32_t>(verifier, VT_END_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PlannedWorkBuilder {
+  typedef PlannedWork Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(PlannedWork::VT_POOL, pool);
+  }
+  void add_items(uint16_t items) {
+    fbb_.AddElement<uint16_t>(PlannedWork::VT_ITEMS, items, 0);
+  }
+  void add_result_bytes(int64_t result_bytes) {
+    fbb_.AddElement<int64_t>(PlannedWork::VT_RESULT_BYTES, result_bytes, 0);
+  }
+  void add_end_ms(uint32_t end_ms) {
+    fbb_.AddElement<uint32_t>(PlannedWork::VT_END_MS, end_ms, 0);
+  }
+  explicit PlannedWorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlannedWork> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlannedWork>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlannedWork> CreatePlannedWork(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    uint16_t items = 0,
+    int64_t result_bytes = 0,
+    uint32_t end_ms = 0) {
+  PlannedWorkBuilder builder_(_fbb);
+  builder_.add_result_bytes(result_bytes);
+  builder_.add_end_ms(end_ms);
+  builder_.add_pool(pool);
+  builder_.add_items(items);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PlannedWork> CreatePlannedWorkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    uint16_t items = 0,
+    int64_t result_bytes = 0,
+    uint32_t end_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  return peridotmill::stagewire::CreatePlannedWork(
+      _fbb,
+      pool__,
+      items,
+      result_bytes,
+      end_ms);
 }
 
 struct CancelTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -344,19 +582,14 @@
 struct TaskAccepted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TaskAcceptedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TASK = 4,
-    VT_PREDICTED_DELAY_MS = 6
+    VT_TASK = 4
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
   }
-  uint32_t predicted_delay_ms() const {
-    return GetField<uint32_t>(VT_PREDICTED_DELAY_MS, 0);
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
-           VerifyField<uint32_t>(verifier, VT_PREDICTED_DELAY_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -368,9 +601,6 @@
   void add_task(uint64_t task) {
     fbb_.AddElement<uint64_t>(TaskAccepted::VT_TASK, task, 0);
   }
-  void add_predicted_delay_ms(uint32_t predicted_delay_ms) {
-    fbb_.AddElement<uint32_t>(TaskAccepted::VT_PREDICTED_DELAY_MS, predicted_delay_ms, 0);
-  }
   explicit TaskAcceptedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -384,11 +614,9 @@
 
 inline flatbuffers::Offset<TaskAccepted> CreateTaskAccepted(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t task = 0,
-    uint32_t predicted_delay_ms = 0) {
+    uint64_t task = 0) {
   TaskAcceptedBuilder builder_(_fbb);
   builder_.add_task(task);
-  builder_.add_predicted_delay_ms(predicted_delay_ms);
   return builder_.Finish();
 }
 
@@ -398,8 +626,9 @@
     VT_TASK = 4,
     VT_OUTCOME = 6,
     VT_HANDLES = 8,
-    VT_PREDICTED_DELAY_MS = 10,
-    VT_MAKER_DOMAIN = 12
+    VT_MAKER_DOMAIN = 12,
+    VT_RETRY_AFTER_MS = 14,
+    VT_ENGINE = 16
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -410,12 +639,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *handles() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_HANDLES);
   }
-  uint32_t predicted_delay_ms() const {
-    return GetField<uint32_t>(VT_PREDICTED_DELAY_MS, 0);
-  }
   const flatbuffers::String *maker_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_MAKER_DOMAIN);
   }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -423,9 +655,11 @@
            VerifyOffset(verifier, VT_HANDLES) &&
            verifier.VerifyVector(handles()) &&
            verifier.VerifyVectorOfStrings(handles()) &&
-           VerifyField<uint32_t>(verifier, VT_PREDICTED_DELAY_MS, 4) &&
            VerifyOffset(verifier, VT_MAKER_DOMAIN) &&
            verifier.VerifyString(maker_domain()) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
            verifier.EndTable();
   }
 };
@@ -443,12 +677,15 @@
   void add_handles(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> handles) {
     fbb_.AddOffset(TaskEnded::VT_HANDLES, handles);
   }
-  void add_predicted_delay_ms(uint32_t predicted_delay_ms) {
-    fbb_.AddElement<uint32_t>(TaskEnded::VT_PREDICTED_DELAY_MS, predicted_delay_ms, 0);
-  }
   void add_maker_domain(flatbuffers::Offset<flatbuffers::String> maker_domain) {
     fbb_.AddOffset(TaskEnded::VT_MAKER_DOMAIN, maker_domain);
   }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(TaskEnded::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(TaskEnded::VT_ENGINE, engine);
+  }
   explicit TaskEndedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -465,12 +702,14 @@
     uint64_t task = 0,
     uint8_t outcome = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> handles = 0,
-    uint32_t predicted_delay_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> maker_domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> maker_domain = 0,
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> engine = 0) {
   TaskEndedBuilder builder_(_fbb);
   builder_.add_task(task);
+  builder_.add_engine(engine);
+  builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_maker_domain(maker_domain);
-  builder_.add_predicted_delay_ms(predicted_delay_ms);
   builder_.add_handles(handles);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -481,24 +720,28 @@
     uint64_t task = 0,
     uint8_t outcome = 0,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *handles = nullptr,
-    uint32_t predicted_delay_ms = 0,
-    const char *maker_domain = nullptr) {
+    const char *maker_domain = nullptr,
+    uint32_t retry_after_ms = 0,
+    const char *engine = nullptr) {
   auto handles__ = handles ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*handles) : 0;
   auto maker_domain__ = maker_domain ? _fbb.CreateString(maker_domain) : 0;
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return peridotmill::stagewire::CreateTaskEnded(
       _fbb,
       task,
       outcome,
       handles__,
-      predicted_delay_ms,
-      maker_domain__);
+      maker_domain__,
+      retry_after_ms,
+      engine__);
 }
 
 struct NodeRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef NodeRecordBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PEER_ADDRESS = 4,
-    VT_FAILURE_DOMAIN = 6
+    VT_FAILURE_DOMAIN = 6,
+    VT_PROCESSOR_SHARE = 8
   };
   const flatbuffers::String *peer_address() const {
     return GetPointer<const flatbuffers::String *>(VT_PEER_ADDRESS);
@@ -506,12 +749,16 @@
   const flatbuffers::String *failure_domain() const {
     return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
   }
+  float processor_share() const {
+    return GetField<float>(VT_PROCESSOR_SHARE, 0.0f);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PEER_ADDRESS) &&
            verifier.VerifyString(peer_address()) &&
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
+           VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
            verifier.EndTable();
   }
 };
@@ -526,6 +773,9 @@
   void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
     fbb_.AddOffset(NodeRecord::VT_FAILURE_DOMAIN, failure_domain);
   }
+  void add_processor_share(float processor_share) {
+    fbb_.AddElement<float>(NodeRecord::VT_PROCESSOR_SHARE, processor_share, 0.0f);
+  }
   explicit NodeRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -540,8 +790,10 @@
 inline flatbuffers::Offset<NodeRecord> CreateNodeRecord(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> peer_address = 0,
-    flatbuffers::Offset<flatbuffers::String> failure_domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    float processor_share = 0.0f) {
   NodeRecordBuilder builder_(_fbb);
+  builder_.add_processor_share(processor_share);
   builder_.add_failure_domain(failure_domain);
   builder_.add_peer_address(peer_address);
   return builder_.Finish();
@@ -550,13 +802,15 @@
 inline flatbuffers::Offset<NodeRecord> CreateNodeRecordDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *peer_address = nullptr,
-    const char *failure_domain = nullptr) {
+    const char *failure_domain = nullptr,
+    float processor_share = 0.0f) {
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   return peridotmill::stagewire::CreateNodeRecord(
       _fbb,
       peer_address__,
-      failure_domain__);
+      failure_domain__,
+      processor_share);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -52,6 +52,37 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
+flatbuffers::Offset<stagewire::Prompt> AddPrompt(
+    flatbuffers::FlatBufferBuilder& builder,
+    const PromptDemand& prompt) {
+  std::vector<uint64_t> hashes;
+  std::vector<int64_t> tokens;
+  for (const SharedPrefix& prefix : prompt.shared) {
+    hashes.push_back(prefix.hash);
+    tokens.push_back(prefix.tokens);
+  }
+  const auto pool = builder.CreateString(prompt.pool.value());
+  const auto hash_vector = builder.CreateVector(hashes);
+  const auto token_vector = builder.CreateVector(tokens);
+  return stagewire::CreatePrompt(builder, pool, hash_vector, token_vector,
+                                 prompt.tokens);
+}
+
+PromptDemand DecodePrompt(const stagewire::Prompt& wire) {
+  PromptDemand prompt;
+  prompt.pool = PoolId(TextOf(wire.pool()));
+  prompt.tokens = wire.tokens();
+  if (wire.prefix_hashes() != nullptr && wire.prefix_tokens() != nullptr) {
+    const auto count =
+        std::min(wire.prefix_hashes()->size(), wire.prefix_tokens()->size());
+    for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
+      prompt.shared.push_back(
+          {wire.prefix_hashes()->Get(i), wire.prefix_tokens()->Get(i)});
+    }
+  }
+  return prompt;
+}
+
 // Fills in one message; the visitor of EncodeStageMessage.
 struct Encoder {
   flatbuffers::FlatBufferBuilder& builder;
@@ -65,13 +96,27 @@
     const auto domain = builder.CreateString(task.preferred_domain.value());
     const auto key = builder.CreateString(task.key);
     const auto inputs = AddHandles(builder, task.inputs);
+    const auto group = builder.CreateString(task.group.value());
+    std::vector<flatbuffers::Offset<stagewire::PlannedWork>> plan;
+    for (const PlannedWork& work : task.plan) {
+      plan.push_back(stagewire::CreatePlannedWork(
+          builder, builder.CreateString(work.pool.value()),
+          static_cast<uint16_t>(work.items), work.result_bytes,
+          DelayMilliseconds(work.end)));
+    }
+    const auto plan_vector = builder.CreateVector(plan);
+    flatbuffers::Offset<stagewire::Prompt> prompt;
+    if (task.prompt) {
+      prompt = AddPrompt(builder, *task.prompt);
+    }
     const auto body = stagewire::CreateSubmitTask(
         builder, message.id, request, pool, domain,
         static_cast<uint16_t>(task.stage),
         static_cast<uint16_t>(task.item_count), key, inputs,
         RelativeMilliseconds(task.due, now),
         RelativeMilliseconds(task.deadline, now), task.priority,
-        task.result_bytes, task.moved_bytes);
+        task.result_bytes, task.moved_bytes, group, plan_vector,
+        task.is_returning, prompt);
     return Wrap(stagewire::Body::SubmitTask, body.Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
@@ -81,22 +126,21 @@
   }
   flatbuffers::Offset<stagewire::Message> operator()(
       const TaskAcceptedMessage& message) {
-    return Wrap(
-        stagewire::Body::TaskAccepted,
-        stagewire::CreateTaskAccepted(
-            builder, message.id, DelayMilliseconds(message.predicted_delay))
-            .Union());
+    return Wrap(stagewire::Body::TaskAccepted,
+                stagewire::CreateTaskAccepted(builder, message.id).Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
       const TaskEndedMessage& message) {
     const auto handles = AddHandles(builder, message.result.handles);
     const auto domain =
         builder.CreateString(message.result.maker_domain.value());
+    const auto engine = builder.CreateString(message.result.engine.value());
     return Wrap(
         stagewire::Body::TaskEnded,
         stagewire::CreateTaskEnded(
             builder, message.id, static_cast<uint8_t>(message.result.outcome),
-            handles, DelayMilliseconds(message.predicted_delay), domain)
+            handles, domain, DelayMilliseconds(message.result.retry_after),
+            engine)
             .Union());
   }
 
@@ -124,6 +168,19 @@
   message.task.priority = wire.priority();
   message.task.result_bytes = wire.result_bytes();
   message.task.moved_bytes = wire.moved_bytes();
+  message.task.group = PoolId(TextOf(wire.group()));
+  if (wire.plan() != nullptr) {
+    for (const stagewire::PlannedWork* const work : *wire.plan()) {
+      message.task.plan.push_back({.pool = PoolId(TextOf(work->pool())),
+                                   .items = work->items(),
+                                   .result_bytes = work->result_bytes(),
+                                   .end = DelayOf(work->end_ms())});
+    }
+  }
+  message.task.is_returning = wire.is_returning();
+  if (wire.prompt() != nullptr) {
+    message.task.prompt = DecodePrompt(*wire.prompt());
+  }
   return message;
 }
 
@@ -132,10 +189,13 @@
   message.id = wire.task();
   const auto outcome = static_cast<StageItemOutcome>(wire.outcome());
   // A newer version's outcome reads as a failure.
-  message.result.outcome = std::min(outcome, StageItemOutcome::kFailed);
+  message.result.outcome = outcome > StageItemOutcome::kRefused
+                               ? StageItemOutcome::kFailed
+                               : outcome;
   message.result.handles = HandlesOf(wire.handles());
   message.result.maker_domain = FailureDomainId(TextOf(wire.maker_domain()));
-  message.predicted_delay = DelayOf(wire.predicted_delay_ms());
+  message.result.retry_after = DelayOf(wire.retry_after_ms());
+  message.result.engine = EndpointId(TextOf(wire.engine()));
   return message;
 }
 
@@ -165,11 +225,8 @@
       return DecodeSubmit(*message->body_as_SubmitTask(), now);
     case stagewire::Body::CancelTask:
       return CancelTaskMessage{message->body_as_CancelTask()->task()};
-    case stagewire::Body::TaskAccepted: {
-      const auto* const accepted = message->body_as_TaskAccepted();
-      return TaskAcceptedMessage{accepted->task(),
-                                 DelayOf(accepted->predicted_delay_ms())};
-    }
+    case stagewire::Body::TaskAccepted:
+      return TaskAcceptedMessage{message->body_as_TaskAccepted()->task()};
     case stagewire::Body::TaskEnded:
       return DecodeEnded(*message->body_as_TaskEnded());
     default:
@@ -181,7 +238,8 @@
   flatbuffers::FlatBufferBuilder builder;
   const auto address = builder.CreateString(record.peer_address);
   const auto domain = builder.CreateString(record.failure_domain.value());
-  builder.Finish(stagewire::CreateNodeRecord(builder, address, domain));
+  builder.Finish(stagewire::CreateNodeRecord(
+      builder, address, domain, static_cast<float>(record.processor_share)));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
 }
@@ -197,6 +255,7 @@
   NodeRecord record;
   record.peer_address = TextOf(wire->peer_address());
   record.failure_domain = FailureDomainId(TextOf(wire->failure_domain()));
+  record.processor_share = wire->processor_share();
   if (record.peer_address.empty()) {
     return tl::unexpected(make_error_code(Error::kMalformed));
   }
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -27,13 +27,11 @@
 
 struct TaskAcceptedMessage {
   RemoteTaskId id = 0;
-  Duration predicted_delay = Duration::zero();
 };
 
 struct TaskEndedMessage {
   RemoteTaskId id = 0;
   StageTaskResult result;
-  Duration predicted_delay = Duration::zero();
 };
 
 using StageMessage = std::variant<SubmitTaskMessage,
@@ -51,6 +49,8 @@
 struct NodeRecord {
   std::string peer_address;
   FailureDomainId failure_domain;
+  // Share of a processor core that the node has.
+  double processor_share = 0;
 };
 
 std::string EncodeNodeRecord(const NodeRecord& record);
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -20,10 +20,6 @@
 constexpr Duration kFirstExclusion = std::chrono::milliseconds(1000);
 constexpr int kMaxDoublings = 3;
 
-// A coordinator's report loses half of its weight in this time, in which a
-// queue of a few calls drains.
-constexpr Duration kReportHalfLife = std::chrono::seconds(1);
-
 }  // namespace
 
 class StageRelay::Link final : public PeerLinkListener {
@@ -84,10 +80,10 @@
 
 StageRelay::~StageRelay() = default;
 
-NodeId StageRelay::ChooseCoordinator(const PoolId& pool) const {
+NodeId StageRelay::ChooseCoordinator(const PoolId& group) const {
   const TimePoint now = dependencies_.clock.Now();
-  for (const NodeId& node :
-       dependencies_.nodes.CoordinatorOrder(pool, dependencies_.self)) {
+  for (const NodeId& node : dependencies_.nodes.CoordinatorOrder(
+           group, dependencies_.self, dependencies_.self_record)) {
     const auto exclusion = exclusions_.find(node);
     if (exclusion == exclusions_.end() || exclusion->second.until <= now) {
       return node;
@@ -98,7 +94,7 @@
 
 std::unique_ptr<OpenStageTask> StageRelay::Submit(StageTask task,
                                                   StageTaskListener* listener) {
-  if (ChooseCoordinator(task.pool) == dependencies_.self) {
+  if (ChooseCoordinator(task.group) == dependencies_.self) {
     return dependencies_.local.Submit(std::move(task), listener);
   }
   const RemoteTaskId id = next_id_++;
@@ -113,7 +109,7 @@
 
 void StageRelay::Assign(RemoteTaskId id) {
   RemoteTask& entry = tasks_.at(id);
-  entry.coordinator = ChooseCoordinator(entry.task.pool);
+  entry.coordinator = ChooseCoordinator(entry.task.group);
   const NodeRecord* const record = dependencies_.nodes.Find(entry.coordinator);
   if (entry.coordinator == dependencies_.self || record == nullptr) {
     entry.coordinator = dependencies_.self;
@@ -131,21 +127,6 @@
       kAcceptTimeout, [this, node] { DropLink(node, "not accepted in time"); });
 }
 
-Duration StageRelay::PredictDelay(const PoolId& pool, int item_count) const {
-  const Duration local = dependencies_.local.PredictDelay(pool, item_count);
-  if (ChooseCoordinator(pool) == dependencies_.self) {
-    return local;
-  }
-  const auto report = reports_.find(pool);
-  if (report == reports_.end()) {
-    return local;
-  }
-  const Duration age = dependencies_.clock.Now() - report->second.received;
-  const double weight = DecayOver(age, kReportHalfLife);
-  const double excess = ToMilliseconds(report->second.delay - local);
-  return local + FromMilliseconds(std::max(0.0, excess * weight));
-}
-
 void StageRelay::OnFrame(const NodeId& node, std::string_view frame) {
   const TimePoint now = dependencies_.clock.Now();
   if (const auto link = links_.find(node); link != links_.end()) {
@@ -164,10 +145,6 @@
   }
 }
 
-void StageRelay::NoteReport(const StageTask& task, Duration delay) {
-  reports_[task.pool] = {delay, dependencies_.clock.Now()};
-}
-
 void StageRelay::OnAccepted(const TaskAcceptedMessage& message) {
   const auto found = tasks_.find(message.id);
   if (found == tasks_.end() || found->second.local != nullptr ||
@@ -175,7 +152,6 @@
     return;
   }
   RemoteTask& entry = found->second;
-  NoteReport(entry.task, message.predicted_delay);
   exclusions_.erase(entry.coordinator);
   entry.timer.reset();
   links_.at(entry.coordinator)->WatchSilence();
@@ -195,7 +171,6 @@
     return;
   }
   RemoteTask& entry = found->second;
-  NoteReport(entry.task, message.predicted_delay);
   entry.timer.reset();
   entry.is_ended = true;
   const bool is_whole = message.result.handles.size() ==
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -16,8 +16,8 @@
 
 namespace peridotmill {
 
-// Hands stage tasks to the node that coordinates their pool, so that the
-// tasks of all nodes share calls. Nobody elects that node: all
+// Hands stage tasks to the node that coordinates their group of pools, so that
+// the tasks of all nodes share calls. Nobody elects that node: all
 // nodes compute the same order of candidates, and one that does not answer is
 // passed over. Two coordinators at a time cost shared calls, not correctness.
 class StageRelay final : public StageWorker {
@@ -32,6 +32,7 @@
     RepeatBudget& repeats;
     EventSink& events;
     NodeId self;
+    NodeRecord self_record;
   };
 
   explicit StageRelay(const Dependencies& dependencies);
@@ -39,7 +40,6 @@
 
   std::unique_ptr<OpenStageTask> Submit(StageTask task,
                                         StageTaskListener* listener) override;
-  Duration PredictDelay(const PoolId& pool, int item_count) const override;
 
   size_t link_count() const { return links_.size(); }
   uint64_t reassigned_count() const { return reassigned_; }
@@ -66,13 +66,7 @@
     int failures_in_row = 0;
   };
 
-  // What a coordinator said last of its queue.
-  struct Report {
-    Duration delay = Duration::zero();
-    TimePoint received;
-  };
-
-  NodeId ChooseCoordinator(const PoolId& pool) const;
+  NodeId ChooseCoordinator(const PoolId& group) const;
   void Assign(RemoteTaskId id);
   void OnFrame(const NodeId& node, std::string_view frame);
   void OnAccepted(const TaskAcceptedMessage& message);
@@ -84,13 +78,11 @@
   // NOLINTNEXTLINE(performance-unnecessary-value-param)
   void DropLink(NodeId lost, std::string_view reason);
   void Abandon(RemoteTaskId id);
-  void NoteReport(const StageTask& task, Duration delay);
 
   Dependencies dependencies_;
   std::map<NodeId, std::unique_ptr<Link>> links_;
   std::map<RemoteTaskId, RemoteTask> tasks_;
   std::map<NodeId, Exclusion> exclusions_;
-  std::map<PoolId, Report> reports_;
   RemoteTaskId next_id_ = 1;
   uint64_t reassigned_ = 0;
 };
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -27,25 +27,19 @@
     RemoteListener(Session* session, RemoteTaskId id)
         : session_(session), id_(id) {}
     void Start(StageTask task) {
-      pool_ = task.pool;
-      item_count_ = task.item_count;
       ticket_ = session_->service_->worker_.Submit(std::move(task), this);
     }
     bool is_ended() const { return is_ended_; }
-    Duration PredictDelay() const {
-      return session_->service_->worker_.PredictDelay(pool_, item_count_);
-    }
 
    private:
     void OnStageTaskEnd(size_t, StageTaskResult result) override {
       is_ended_ = true;
-      session_->EndTask(id_, std::move(result), PredictDelay());
+      // The task stays until its owner needs the results no longer.
+      session_->Send(TaskEndedMessage{id_, std::move(result)});
     }
 
     Session* session_;
     RemoteTaskId id_;
-    PoolId pool_;
-    int item_count_ = 0;
     bool is_ended_ = false;
     std::unique_ptr<OpenStageTask> ticket_;
   };
@@ -61,7 +55,7 @@
       RemoteListener* const raw = task.get();
       tasks_[submit->id] = std::move(task);
       raw->Start(std::move(submit->task));
-      Send(TaskAcceptedMessage{submit->id, raw->PredictDelay()});
+      Send(TaskAcceptedMessage{submit->id});
       ReportLater();
     } else if (const auto* const cancel =
                    std::get_if<CancelTaskMessage>(&*message)) {
@@ -70,13 +64,8 @@
   }
   void OnLinkLost() override { service_->Release(this); }
 
-  void EndTask(RemoteTaskId id, StageTaskResult result, Duration delay) {
-    // The task stays until its owner needs the results no longer.
-    Send(TaskEndedMessage{id, std::move(result), delay});
-  }
-
   // Reports on one unfinished task now and then, which tells the owner that
-  // this node is alive and how long its queues are.
+  // this node is alive.
   void ReportLater() {
     if (report_timer_ != nullptr) {
       return;
@@ -85,7 +74,7 @@
       report_timer_.reset();
       for (const auto& [id, task] : tasks_) {
         if (!task->is_ended()) {
-          Send(TaskAcceptedMessage{id, task->PredictDelay()});
+          Send(TaskAcceptedMessage{id});
           ReportLater();
           return;
         }
--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -54,6 +54,11 @@
 
 }  // namespace
 
+double MovingCostTokens(int64_t bytes) {
+  return kOtherDomainTokens +
+         kTokensPerMegabyte * static_cast<double>(bytes) / kBytesPerMegabyte;
+}
+
 double EstimateLoad(const Endpoint& endpoint, TimePoint now) {
   const double slots = std::max(1, endpoint.registration.slots);
   const double weight = DecayOver(now - endpoint.reported_at, kReportHalfLife);
@@ -95,9 +100,7 @@
     double cost = LoadCost(*endpoint, now) + kJitterTokens * random.Unit();
     if (!request.data_domain.empty() &&
         endpoint->registration.failure_domain != request.data_domain) {
-      cost += kOtherDomainTokens + kTokensPerMegabyte *
-                                       static_cast<double>(request.data_bytes) /
-                                       kBytesPerMegabyte;
+      cost += MovingCostTokens(request.data_bytes);
     }
     if (holder != nullptr && endpoint != holder) {
       cost += static_cast<double>(request.shared_tokens);
--- a/modules/peridotmill_gateway/placement/endpoint_placement.h
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -24,6 +24,10 @@
   int64_t shared_tokens = 0;
 };
 
+// What it costs to move data between failure domains, in tokens that an engine
+// reads.
+double MovingCostTokens(int64_t bytes);
+
 // Load of an endpoint as a share of its slots: its own report, decayed, or the
 // calls that this node has open there, whichever is more; above 1 work waits.
 double EstimateLoad(const Endpoint& endpoint, TimePoint now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -21,6 +21,8 @@
   int reported_running = 0;
   int reported_waiting = 0;
   TimePoint reported_at;
+  // Time that its stage calls take as a multiple of what their pool states.
+  double call_time_ratio = 1;
   // Failures since the last success.
   int failures_in_row = 0;
   // Takes no work before this time, unless no other endpoint is left.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -6,8 +6,8 @@
 
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
-#include "peridotmill_gateway/admission/stage_admission.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
+#include "peridotmill_gateway/stages/batch_queue.h"
 
 namespace peridotmill {
 namespace {
@@ -34,6 +34,11 @@
 // A deadline that is shorter than the route's time limit by more than this
 // shows that the caller has tried before.
 constexpr Duration kReturnMargin = std::chrono::milliseconds(100);
+// Callers honour a Retry-After of up to a third of the time they have left.
+constexpr int kHonouredDivisor = 3;
+constexpr Duration kShortestRetry = std::chrono::milliseconds(250);
+// Callers that are refused together return over this much more of the time.
+constexpr double kRetrySpread = 0.5;
 // Rounds in which lost inputs are produced again.
 constexpr int kMaxLostInputs = 2;
 // The first event may take this many times the target before a stream that may
@@ -102,10 +107,6 @@
   }
   progress_ = MakeStageProgress(request_.stage_item_counts);
   stage_tasks_.resize(route_->stages.size());
-  if (const auto retry_after = CheckAdmission()) {
-    Fail(Reason::kQueueFull, *retry_after);
-    return;
-  }
   ChooseWorkDomain();
   SubmitReadyStages();
 }
@@ -116,40 +117,44 @@
        kGapPatience * route_->target_event_gap.value_or(Duration::zero())});
 }
 
-std::optional<Duration> GatewayRequest::CheckAdmission() const {
-  // Longest way through the stages, by the predicted delay of each.
-  std::vector<Duration> ends(route_->stages.size());
-  Duration last = Duration::zero();
-  for (size_t i = 0; i < route_->stages.size(); ++i) {
-    for (const size_t input : route_->stages[i].after) {
-      ends[i] = std::max(ends[i], ends[input]);
+bool GatewayRequest::IsReturning() const {
+  return request_.deadline.has_value() &&
+         *request_.deadline + kReturnMargin < route_->timeout;
+}
+
+std::vector<PlannedWork> GatewayRequest::PlanStages() const {
+  const size_t count = route_->stages.size();
+  std::vector<int> depths(count);
+  int longest = 0;
+  for (size_t i = 0; i < count; ++i) {
+    depths[i] = RemainingDepth(route_->stages, progress_, i);
+    longest = std::max(longest, depths[i]);
+  }
+  std::vector<PlannedWork> plan;
+  Duration end = Duration::zero();
+  // Stages of the same depth run beside one another.
+  for (int depth = longest; depth > 0; --depth) {
+    Duration call_time = Duration::zero();
+    const size_t first = plan.size();
+    for (size_t i = 0; i < count; ++i) {
+      const StageDefinition& stage = route_->stages[i];
+      const PoolDefinition* const pool = configuration_->FindPool(stage.pool);
+      if (depths[i] != depth || pool == nullptr || !pool->stage) {
+        continue;
+      }
+      const int items = progress_.stages[i].item_count;
+      plan.push_back({.pool = stage.pool,
+                      .items = items,
+                      .result_bytes = items * stage.result_bytes});
+      call_time =
+          std::max(call_time, CallTime(*pool->stage, pool->stage->batch_size));
     }
-    const int items = progress_.stages[i].item_count;
-    if (items > 0) {
-      ends[i] +=
-          context_.stage_worker.PredictDelay(route_->stages[i].pool, items);
+    end += call_time;
+    for (size_t i = first; i < plan.size(); ++i) {
+      plan[i].end = end;
     }
-    last = std::max(last, ends[i]);
-  }
-  StageAdmissionInput input;
-  input.predicted = last + kEngineStartTime;
-  input.target_latency = route_->target_latency;
-  input.patience = Patience();
-  input.time_left = deadline_ - accepted_;
-  input.priority = priority_;
-  input.is_returning = request_.deadline.has_value() &&
-                       *request_.deadline + kReturnMargin < route_->timeout;
-  const auto retry_after = RefuseForQueue(input, gateway_->random_.Unit());
-  if (retry_after) {
-    context_.events.Write("admission_refused",
-                          {{"request", request_.id.value()},
-                           {"predicted_ms", Milliseconds(input.predicted)},
-                           {"target_ms", Milliseconds(input.target_latency)},
-                           {"priority", std::to_string(input.priority)},
-                           {"returning", input.is_returning ? "1" : "0"},
-                           {"retry_after_ms", Milliseconds(*retry_after)}});
-  }
-  return retry_after;
+  }
+  return plan;
 }
 
 PlacementRequest GatewayRequest::DescribePlacement() const {
@@ -170,13 +175,10 @@
   if (!request_.generation || request_.generation->parts.empty()) {
     return placement;
   }
-  const auto& parts = request_.generation->parts;
-  // The last part is the request's own and shared with no other.
-  const size_t shared = std::max<size_t>(1, parts.size() - 1);
-  uint64_t hash = Hash64(request_.generation->model);
-  for (size_t i = 0; i < shared; ++i) {
-    hash = Hash64(parts[i].id, hash);
-    placement.shared_tokens += parts[i].tokens;
+  uint64_t hash = 0;
+  for (const SharedPrefix& prefix : SharedPrefixesOf(*request_.generation)) {
+    hash = prefix.hash;
+    placement.shared_tokens += prefix.tokens;
   }
   placement.affinity = hash | 1;
   return placement;
@@ -210,6 +212,16 @@
   task.due = LatestEnd(stage, accepted_ + route_->target_latency);
   task.deadline = LatestEnd(stage, std::min(deadline_, accepted_ + Patience()));
   task.priority = priority_;
+  task.group = configuration_->StageGroup(definition.pool);
+  task.is_returning = IsReturning();
+  if (!has_started_ && lost_inputs_ == 0) {
+    task.plan = PlanStages();
+    if (request_.generation) {
+      task.prompt = {.pool = pool_,
+                     .shared = SharedPrefixesOf(*request_.generation),
+                     .tokens = request_.generation->prompt_tokens};
+    }
+  }
   task.result_bytes = definition.result_bytes;
   task.preferred_domain = work_domain_;
   task.moved_bytes = task.item_count * definition.result_bytes;
@@ -247,10 +259,16 @@
        {"outcome", std::string(ToString(result.outcome))},
        {"domain", result.maker_domain.value()},
        {"ms", Milliseconds(context_.clock.Now() - state.submitted)}});
+  if (result.outcome == StageItemOutcome::kRefused) {
+    Fail(Reason::kQueueFull, BoundRetry(result.retry_after));
+    return;
+  }
   if (result.outcome == StageItemOutcome::kDone) {
+    has_started_ = true;
     state.state = StageProgress::State::kDone;
     state.results = std::move(result.handles);
     state.maker_domain = std::move(result.maker_domain);
+    suggested_engine_ = std::move(result.engine);
     for (const size_t spent : FindSpentStages(route_->stages, progress_)) {
       stage_tasks_[spent].reset();
     }
@@ -265,6 +283,16 @@
        kRetryAfter);
 }
 
+Duration GatewayRequest::BoundRetry(Duration drained) const {
+  const Duration honoured =
+      (deadline_ - context_.clock.Now()) / kHonouredDivisor;
+  const double spread = 1 + kRetrySpread * gateway_->random_.Unit();
+  return std::min(
+      honoured,
+      FromMilliseconds(ToMilliseconds(std::max(kShortestRetry, drained)) *
+                       spread));
+}
+
 bool GatewayRequest::RepeatStages() {
   if (lost_inputs_ >= kMaxLostInputs ||
       !context_.repeats.TakeRepeats(route_->stages.front().pool, 1,
@@ -282,6 +310,17 @@
   return true;
 }
 
+EndpointPtr GatewayRequest::TakeSuggestedEngine(TimePoint now) {
+  const EndpointId id = std::exchange(suggested_engine_, EndpointId());
+  for (const EndpointPtr& endpoint : context_.endpoints.Serving(pool_)) {
+    if (endpoint->registration.id == id &&
+        IsTrusted(*endpoint, now, kEngineLongestWait)) {
+      return endpoint;
+    }
+  }
+  return nullptr;
+}
+
 void GatewayRequest::StartAttempt() {
   if (HasStages() && are_results_released_) {
     if (!RepeatStages()) {
@@ -290,10 +329,13 @@
     return;
   }
   const TimePoint now = context_.clock.Now();
-  endpoint_ =
-      ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
-                     IsStream() ? kEngineLongestWait : kPlainLongestWait, now,
-                     gateway_->random_);
+  endpoint_ = TakeSuggestedEngine(now);
+  if (endpoint_ == nullptr) {
+    endpoint_ =
+        ChooseEndpoint(context_.endpoints.Serving(pool_), DescribePlacement(),
+                       IsStream() ? kEngineLongestWait : kPlainLongestWait, now,
+                       gateway_->random_);
+  }
   if (endpoint_ == nullptr) {
     Fail(Reason::kNoEndpoint, kRetryAfter);
     return;
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -53,8 +53,13 @@
   void ChooseWorkDomain();
   // Until the caller gives up waiting for the first event.
   Duration Patience() const;
-  // When the caller should come back, if the request is refused now.
-  std::optional<Duration> CheckAdmission() const;
+  // Whether the caller has been refused before.
+  bool IsReturning() const;
+  // What the stages will ask of their pools.
+  std::vector<PlannedWork> PlanStages() const;
+  // When a refused caller should come back, if the queue has drained after
+  // `drained`.
+  Duration BoundRetry(Duration drained) const;
   StageTask DescribeStage(size_t stage) const;
   void SubmitReadyStages();
   // Produces all results again after some were lost.
@@ -64,6 +69,8 @@
 
   // Attempts.
   void StartAttempt();
+  // The engine that the stages' coordinator chose, once, if it can be used.
+  EndpointPtr TakeSuggestedEngine(TimePoint now);
   void ArmSilenceTimer();
   void EndAttempt(CallVerdict verdict, AttemptOutcome outcome);
   void HandleFailedAttempt(AttemptOutcome outcome, Reason reason);
@@ -95,6 +102,10 @@
   StageProgress progress_;
   std::vector<std::unique_ptr<OpenStageTask>> stage_tasks_;
   FailureDomainId work_domain_;
+  // A stage is done, so the request has been let into the stages.
+  bool has_started_ = false;
+  // The engine that the coordinator of the stages chose for the next attempt.
+  EndpointId suggested_engine_;
   // The makers of the stages' results have been told to drop them.
   bool are_results_released_ = false;
   int lost_inputs_ = 0;
--- a/modules/peridotmill_gateway/settings/gateway_settings.h
+++ b/modules/peridotmill_gateway/settings/gateway_settings.h
@@ -25,6 +25,8 @@
   std::string store_address;
   // Descriptors that the process may have open.
   size_t max_descriptors = 1024;
+  // Share of a processor core that the process has.
+  double processor_share = 1;
   // From the signal to stop until the process is killed.
   Duration stop_grace = std::chrono::seconds(8);
   RepeatBudgetSettings repeats;
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -157,23 +157,4 @@
   return hopeless;
 }
 
-Duration PredictQueueDelay(const BatchQueue& queue,
-                           const StagePoolDefinition& pool,
-                           int endpoint_count,
-                           int item_count,
-                           TimePoint now) {
-  int ahead = 0;
-  for (const auto& [id, task] : queue.waiting) {
-    const int items = CountItems(task);
-    if (now + CallTime(pool, items) <= task.due) {
-      ahead += items;
-    }
-  }
-  const int batch_size = std::max(1, pool.batch_size);
-  const Duration wait = (ahead / batch_size) * CallTime(pool, batch_size) /
-                        std::max(1, endpoint_count);
-  return wait +
-         CallTime(pool, std::min(batch_size, ahead % batch_size + item_count));
-}
-
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -72,14 +72,6 @@
                                       const StagePoolDefinition& pool,
                                       TimePoint now);
 
-// Predicted time until a new task's call has ended, when `endpoint_count`
-// endpoints work on the queue. Tasks that are late already give way to it.
-Duration PredictQueueDelay(const BatchQueue& queue,
-                           const StagePoolDefinition& pool,
-                           int endpoint_count,
-                           int item_count,
-                           TimePoint now);
-
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_GATEWAY_STAGES_BATCH_QUEUE_H_
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -23,6 +23,18 @@
 // Time until the next look at a queue for which no endpoint was free.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(40);
 
+// For how long a result takes room: its own call, the next stage's wait and
+// call, or the engine's wait.
+constexpr Duration kResultHoldTime = std::chrono::milliseconds(800);
+constexpr double kSecondMs = 1000;
+// Tokens of an engine's memory where the configuration does not tell.
+constexpr int64_t kDefaultEngineMemory = 500'000;
+// Weight of the newest call in an endpoint's pace, and the bounds of one call's
+// ratio: a slow endpoint takes up to eight times as long.
+constexpr double kPaceWeight = 0.3;
+constexpr double kLeastPace = 0.3;
+constexpr double kMostPace = 8;
+
 WaitingTask Describe(const StageTask& task, TimePoint submitted) {
   WaitingTask waiting;
   waiting.submitted = submitted;
@@ -72,6 +84,7 @@
   EndpointPtr endpoint;
   TimePoint started;
   std::vector<BatchPart> parts;
+  size_t item_count = 0;
   // Room that the call's results will take.
   int64_t result_bytes = 0;
   bool found_no_room = false;
@@ -94,7 +107,24 @@
 
 StageCoordinator::StageCoordinator(const Dependencies& dependencies,
                                    uint64_t seed)
-    : dependencies_(dependencies), random_(seed) {}
+    : dependencies_(dependencies),
+      random_(seed),
+      entrance_(dependencies.clock,
+                dependencies.timers,
+                dependencies.events,
+                {.on_start = [this](StageTaskId id) { Enqueue(id); },
+                 .on_refuse =
+                     [this](StageTaskId id,
+                            StageItemOutcome outcome,
+                            Duration retry_after) {
+                       EndTask(id, outcome, retry_after);
+                     },
+                 .on_request_end =
+                     [this](const RequestId& request) {
+                       prompts_.erase(request);
+                       RemovePrompt(engines_, request);
+                     },
+                 .rates = [this] { return EstimateRates(); }}) {}
 
 StageCoordinator::~StageCoordinator() = default;
 
@@ -113,39 +143,77 @@
     StageTask task,
     StageTaskListener* listener) {
   const StageTaskId id = next_task_++;
-  const PoolId pool = task.pool;
-  AddTask(queues_[pool].batch, id, Describe(task, dependencies_.clock.Now()));
   dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now(),
                                  kCoordinatingShare);
   Task& entry = tasks_[id];
   entry.results.resize(static_cast<size_t>(task.item_count));
   entry.listener = listener;
   entry.task = std::move(task);
-  ScheduleDispatch(pool, Duration::zero());
+  if (entry.task.prompt) {
+    prompts_[entry.task.request] = *entry.task.prompt;
+  }
+  const StagePoolDefinition* const pool = FindStagePool(entry.task.pool);
+  entrance_.Add(
+      id, entry.task,
+      pool == nullptr ? Duration::zero() : CallTime(*pool, pool->batch_size));
   return std::make_unique<Ticket>(this, id);
 }
 
-Duration StageCoordinator::PredictDelay(const PoolId& pool,
-                                        int item_count) const {
-  const StagePoolDefinition* const definition = FindStagePool(pool);
-  if (definition == nullptr) {
-    return Duration::zero();
-  }
-  const auto& serving = dependencies_.endpoints.Serving(pool);
-  const auto queue = queues_.find(pool);
-  static const BatchQueue empty;
-  Duration delay = PredictQueueDelay(
-      queue == queues_.end() ? empty : queue->second.batch, *definition,
-      static_cast<int>(serving.size()), item_count, dependencies_.clock.Now());
-  // The next endpoint to be free has half of a call in front of it on average.
-  const bool has_idle = std::any_of(
-      serving.begin(), serving.end(),
-      [&](const EndpointPtr& endpoint) { return endpoint->open_calls == 0; });
-  if (!has_idle) {
-    delay += CallTime(*definition, definition->batch_size / 2) /
-             static_cast<int>(serving.size() + 1);
-  }
-  return delay;
+void StageCoordinator::Enqueue(StageTaskId id) {
+  const auto found = tasks_.find(id);
+  if (found == tasks_.end() || found->second.is_ended) {
+    return;
+  }
+  const StageTask& task = found->second.task;
+  AddTask(queues_[task.pool].batch, id,
+          Describe(task, dependencies_.clock.Now()));
+  ScheduleDispatch(task.pool, Duration::zero());
+}
+
+EndpointId StageCoordinator::ChooseEngine(StageTaskId id, const Task& task) {
+  const auto prompt = prompts_.find(task.task.request);
+  if (prompt == prompts_.end() || entrance_.HasMoreWork(id)) {
+    return EndpointId();
+  }
+  const PoolDefinition* const pool =
+      configuration_ == nullptr ? nullptr
+                                : configuration_->FindPool(prompt->second.pool);
+  const EndpointPtr engine = PlacePrompt(
+      engines_, dependencies_.endpoints.Serving(prompt->second.pool),
+      task.task.request, prompt->second, task.maker_domain,
+      task.task.item_count * task.task.result_bytes,
+      pool != nullptr && pool->engines ? pool->engines->memory_tokens
+                                       : kDefaultEngineMemory,
+      dependencies_.clock.Now(), random_);
+  return engine == nullptr ? EndpointId() : engine->registration.id;
+}
+
+PoolRates StageCoordinator::EstimateRates() const {
+  PoolRates rates;
+  if (configuration_ == nullptr) {
+    return rates;
+  }
+  for (const PoolDefinition& pool : configuration_->config().pools) {
+    if (!pool.stage) {
+      continue;
+    }
+    const StagePoolDefinition& stage = *pool.stage;
+    PoolRate& rate = rates[pool.id];
+    const double call_seconds =
+        ToMilliseconds(CallTime(stage, stage.batch_size)) / kSecondMs;
+    for (const EndpointPtr& endpoint :
+         dependencies_.endpoints.Serving(pool.id)) {
+      if (!IsTrusted(*endpoint, dependencies_.clock.Now(),
+                     kCallTimeoutFactor * CallTime(stage, stage.batch_size))) {
+        continue;
+      }
+      rate.items += stage.concurrent_calls * stage.batch_size /
+                    (call_seconds * endpoint->call_time_ratio);
+      rate.result_bytes += static_cast<double>(stage.result_room_bytes) /
+                           (ToMilliseconds(kResultHoldTime) / kSecondMs);
+    }
+  }
+  return rates;
 }
 
 void StageCoordinator::ScheduleDispatch(const PoolId& id, Duration delay) {
@@ -300,6 +368,7 @@
   const Duration timeout =
       kCallTimeoutFactor * CallTime(pool, static_cast<int>(items.size())) +
       kCallTimeoutMargin;
+  call->item_count = items.size();
   Call* const raw = call.get();
   int64_t moved_bytes = 0;
   for (const BatchPart& part : call->parts) {
@@ -380,6 +449,7 @@
         missing.push_back(part.items[i]);
         break;
       case StageItemOutcome::kFailed:
+      case StageItemOutcome::kRefused:
         missing.push_back(part.items[i]);
         break;
     }
@@ -411,6 +481,15 @@
   if (is_refused) {
     endpoint.ejected_until = now + kRefusalPause;
   }
+  const StagePoolDefinition* const pool = FindStagePool(call.pool);
+  if (is_answered && pool != nullptr) {
+    const double ratio =
+        ToMilliseconds(now - call.started) /
+        ToMilliseconds(CallTime(*pool, static_cast<int>(call.item_count)));
+    endpoint.call_time_ratio +=
+        kPaceWeight *
+        (std::clamp(ratio, kLeastPace, kMostPace) - endpoint.call_time_ratio);
+  }
   if (answer.load) {
     endpoint.reported_running = answer.load->running;
     endpoint.reported_waiting = answer.load->waiting;
@@ -497,7 +576,9 @@
   AddTask(queues_[id].batch, task_id, waiting);
 }
 
-void StageCoordinator::EndTask(StageTaskId id, StageItemOutcome outcome) {
+void StageCoordinator::EndTask(StageTaskId id,
+                               StageItemOutcome outcome,
+                               Duration retry_after) {
   const auto found = tasks_.find(id);
   if (found == tasks_.end() || found->second.is_ended) {
     return;
@@ -505,13 +586,16 @@
   Task& task = found->second;
   task.is_ended = true;
   RemoveTask(queues_[task.task.pool].batch, id);
+  entrance_.Finish(id);
   StageTaskResult result;
   result.outcome = outcome;
+  result.retry_after = retry_after;
   if (outcome == StageItemOutcome::kDone) {
     for (const MadeResult& made : task.results) {
       result.handles.push_back(made.handle);
     }
     result.maker_domain = task.maker_domain;
+    result.engine = ChooseEngine(id, task);
   }
   // May destroy the ticket, and the task with it.
   task.listener->OnStageTaskEnd(task.task.stage, std::move(result));
@@ -531,6 +615,7 @@
   // A call in progress goes on: its results take room until they are released,
   // and their handles come with its answer.
   tasks_.erase(found);
+  entrance_.Remove(id);
   if (!queues_[pool].batch.waiting.empty()) {
     ScheduleDispatch(pool, Duration::zero());
   }
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -5,13 +5,16 @@
 #include <memory>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "peridotmill_core/maths/random.h"
 #include "peridotmill_core/timers/timer_queue.h"
+#include "peridotmill_gateway/admission/stage_entrance.h"
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/placement/engine_plan.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/repeats/repeat_budget.h"
 #include "peridotmill_gateway/stages/batch_queue.h"
@@ -19,7 +22,8 @@
 
 namespace peridotmill {
 
-// Gathers stage tasks into batched calls to the endpoints of stage pools. Each
+// Gathers stage tasks into batched calls to the endpoints of stage pools. A
+// request waits at the entrance until the pools on its way can take it. Each
 // pool has one queue; an endpoint gets its next call when the one before has
 // ended, so that tasks gather while it works.
 class StageCoordinator final : public StageWorker {
@@ -40,9 +44,10 @@
 
   std::unique_ptr<OpenStageTask> Submit(StageTask task,
                                         StageTaskListener* listener) override;
-  Duration PredictDelay(const PoolId& pool, int item_count) const override;
 
   size_t task_count() const { return tasks_.size(); }
+  size_t waiting_requests() const { return entrance_.waiting_count(); }
+  size_t started_requests() const { return entrance_.started_count(); }
 
  private:
   class Call;
@@ -73,6 +78,13 @@
     std::unique_ptr<Timer> dispatch_timer;
   };
 
+  // Puts a task into the queue of its pool.
+  void Enqueue(StageTaskId id);
+  // The engine for a request whose last stage has just ended; empty when the
+  // node that holds the request chooses.
+  EndpointId ChooseEngine(StageTaskId id, const Task& task);
+  // What the endpoints that can be used get through.
+  PoolRates EstimateRates() const;
   void ScheduleDispatch(const PoolId& id, Duration delay);
   void Dispatch(const PoolId& id);
   // Sends the next call to an endpoint; false when no task fits it.
@@ -108,7 +120,9 @@
                    StageTaskId task_id,
                    const std::vector<int>& items,
                    bool counts);
-  void EndTask(StageTaskId id, StageItemOutcome outcome);
+  void EndTask(StageTaskId id,
+               StageItemOutcome outcome,
+               Duration retry_after = Duration::zero());
   // Whether the items taken from a queue fill enough of a call.
   bool IsWorthACall(const BatchQueue& before,
                     const BatchQueue& after,
@@ -128,6 +142,10 @@
   std::map<PoolId, Queue> queues_;
   std::map<StageTaskId, Task> tasks_;
   std::map<Call*, std::unique_ptr<Call>> calls_;
+  StageEntrance entrance_;
+  // Prompts of requests that are not yet placed at an engine.
+  std::unordered_map<RequestId, PromptDemand> prompts_;
+  EnginePlan engines_;
   StageTaskId next_task_ = 1;
 };
 
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -2,10 +2,13 @@
 #define PERIDOTMILL_GATEWAY_STAGES_STAGE_TASK_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "peridotmill_gateway/admission/planned_work.h"
 #include "peridotmill_gateway/calls/stage_call.h"
+#include "peridotmill_gateway/placement/prompt_demand.h"
 
 namespace peridotmill {
 
@@ -13,6 +16,9 @@
 struct StageTask {
   RequestId request;
   PoolId pool;
+  // Names the pools that are coordinated together; see
+  // ActiveConfiguration::StageGroup.
+  PoolId group;
   // Where its inputs lie or its results are likely to be used, and how many
   // bytes are moved if it is worked on elsewhere.
   FailureDomainId preferred_domain;
@@ -28,6 +34,13 @@
   int priority = 0;
   // Room that one result takes at its maker.
   int64_t result_bytes = 0;
+  // All stages of the request, if this is the first one to run; the request may
+  // then have to wait, or be refused. Empty once the request has started.
+  std::vector<PlannedWork> plan;
+  // The caller has been refused before.
+  bool is_returning = false;
+  // What an engine reads when all stages are done, if a plan is given.
+  std::optional<PromptDemand> prompt;
 };
 
 struct StageTaskResult {
@@ -36,6 +49,10 @@
   std::vector<ResultHandle> handles;
   // Where the results lie, as far as they lie together.
   FailureDomainId maker_domain;
+  // When the caller should come back, if the task was refused.
+  Duration retry_after = Duration::zero();
+  // The engine that the request had better go to, if this was its last stage.
+  EndpointId engine;
 };
 
 class StageTaskListener {
@@ -59,8 +76,6 @@
   virtual std::unique_ptr<OpenStageTask> Submit(
       StageTask task,
       StageTaskListener* listener) = 0;
-  // Predicted time until a task submitted now to this pool is done.
-  virtual Duration PredictDelay(const PoolId& pool, int item_count) const = 0;
 };
 
 }  // namespace peridotmill
