Place all prompts at the coordinator; read fewer prefixes again

Change: requests without stages ask the coordinator for an engine as well; a coordinator that knows no holder begins at the rendezvous holder; a prefix is read elsewhere only behind 2.2 times its own tokens; watches pause 800 and 500 ms after changes instead of 400 and 300.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -42,8 +42,8 @@
 // Changes that come within these times share one answer of the store. Endpoints
 // that leave go on for 2 s and more, and a configuration is due after 2 s, of
 // which a watch may lose one; a node that comes or goes is found by its links.
-constexpr Duration kRegistrationPause = std::chrono::milliseconds(400);
-constexpr Duration kConfigurationPause = std::chrono::milliseconds(300);
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(800);
+constexpr Duration kConfigurationPause = std::chrono::milliseconds(500);
 constexpr Duration kNodePause = std::chrono::milliseconds(1500);
 
 uint64_t SeedOf(const GatewaySettings& settings, uint64_t part) {
--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -32,7 +32,13 @@
          request.tried.end();
 }
 
-// The first endpoint in the rendezvous order of an affinity.
+double LoadCost(const Endpoint& endpoint, TimePoint now) {
+  const double load = EstimateLoad(endpoint, now);
+  return kFullLoadTokens * load + kWaitingTokens * std::max(0.0, load - 1);
+}
+
+}  // namespace
+
 EndpointPtr FindHolder(const std::vector<EndpointPtr>& endpoints,
                        uint64_t affinity) {
   EndpointPtr holder;
@@ -47,13 +53,6 @@
   return holder;
 }
 
-double LoadCost(const Endpoint& endpoint, TimePoint now) {
-  const double load = EstimateLoad(endpoint, now);
-  return kFullLoadTokens * load + kWaitingTokens * std::max(0.0, load - 1);
-}
-
-}  // namespace
-
 double MovingCostTokens(int64_t bytes) {
   return kOtherDomainTokens +
          kTokensPerMegabyte * static_cast<double>(bytes) / kBytesPerMegabyte;
--- a/modules/peridotmill_gateway/placement/endpoint_placement.h
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -24,6 +24,11 @@
   int64_t shared_tokens = 0;
 };
 
+// The first endpoint in the rendezvous order of an affinity; null when there is
+// none. All nodes find the same one.
+EndpointPtr FindHolder(const std::vector<EndpointPtr>& endpoints,
+                       uint64_t affinity);
+
 // What it costs to move data between failure domains, in tokens that an engine
 // reads.
 double MovingCostTokens(int64_t bytes);
--- a/modules/peridotmill_gateway/placement/engine_plan.cc
+++ b/modules/peridotmill_gateway/placement/engine_plan.cc
@@ -10,7 +10,10 @@
 
 // Reading a shared prefix again costs this much more than its time: the
 // operators price it beside.
-constexpr double kReadAgainFactor = 1.4;
+constexpr double kReadAgainFactor = 2.2;
+// Share of a shared prefix by which the engine that comes first in order is
+// preferred while it is not known to hold the prefix.
+constexpr double kLikelyHolderShare = 0.5;
 // Streams that run beside slow an engine's reading: each token read lately
 // counts as this much of a waiting one.
 constexpr double kRecentWeight = 0.15;
@@ -50,6 +53,14 @@
   return std::max(tokens, 0.0);
 }
 
+double SharedTokens(const PromptDemand& prompt) {
+  double tokens = 0;
+  for (const SharedPrefix& prefix : prompt.shared) {
+    tokens += static_cast<double>(prefix.tokens);
+  }
+  return tokens;
+}
+
 // Forgets the prefixes that were placed longest ago.
 void FitPrefixes(PlannedEngine& engine, int64_t memory_tokens) {
   const auto limit = static_cast<int64_t>(kPrefixMemoryShare *
@@ -94,6 +105,12 @@
                         Random& random) {
   RemovePrompt(plan, request);
   const auto silent = FindSilent(plan, now);
+  // A coordinator that knows no holder begins where another one, or a node that
+  // places a prompt itself, begins too.
+  const EndpointPtr likely =
+      prompt.shared.empty()
+          ? nullptr
+          : FindHolder(serving, PrefixAffinity(prompt.shared));
   EndpointPtr best;
   bool is_best_silent = false;
   double best_cost = 0;
@@ -105,6 +122,10 @@
                   kReadAgainFactor * TokensToRead(engine, prompt) +
                   kRecentWeight * RecentTokens(engine, now) +
                   kJitterTokens * random.Unit();
+    if (endpoint == likely) {
+      cost -= kLikelyHolderShare *
+              std::min(TokensToRead(engine, prompt), SharedTokens(prompt));
+    }
     if (endpoint->registration.failure_domain != data_domain) {
       cost += MovingCostTokens(data_bytes);
     }
--- a/modules/peridotmill_gateway/placement/prompt_demand.cc
+++ b/modules/peridotmill_gateway/placement/prompt_demand.cc
@@ -21,4 +21,8 @@
   return prefixes;
 }
 
+uint64_t PrefixAffinity(const std::vector<SharedPrefix>& prefixes) {
+  return prefixes.back().hash | 1;
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/placement/prompt_demand.h
+++ b/modules/peridotmill_gateway/placement/prompt_demand.h
@@ -29,6 +29,10 @@
 // its own, unless it is the only one.
 std::vector<SharedPrefix> SharedPrefixesOf(const GenerationDemand& generation);
 
+// Requests with the same affinity begin with the same parts; never 0.
+// @pre !prefixes.empty()
+uint64_t PrefixAffinity(const std::vector<SharedPrefix>& prefixes);
+
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_GATEWAY_PLACEMENT_PROMPT_DEMAND_H_
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -98,7 +98,7 @@
   pool_ = gateway_->ChoosePool(*route_);
   context_.repeats.AddFirst(pool_, accepted_);
   if (!HasStages()) {
-    StartAttempt();
+    StartWithoutStages();
     return;
   }
   if (request_.stage_item_counts.size() != route_->stages.size()) {
@@ -107,10 +107,37 @@
   }
   progress_ = MakeStageProgress(request_.stage_item_counts);
   stage_tasks_.resize(route_->stages.size());
+  if (AreAllDone(progress_)) {
+    StartWithoutStages();
+    return;
+  }
   ChooseWorkDomain();
   SubmitReadyStages();
 }
 
+void GatewayRequest::StartWithoutStages() {
+  if (!request_.generation || !IsStream()) {
+    StartAttempt();
+    return;
+  }
+  StageTask task;
+  task.request = request_.id;
+  task.pool = HasStages() ? route_->stages.front().pool : pool_;
+  task.group = configuration_->StageGroup(task.pool);
+  task.preferred_domain = context_.failure_domain;
+  task.due = accepted_ + route_->target_latency;
+  task.deadline = deadline_;
+  task.priority = priority_;
+  task.prompt = DescribePrompt();
+  placement_task_ = context_.stage_worker.Submit(std::move(task), this);
+}
+
+PromptDemand GatewayRequest::DescribePrompt() const {
+  return {.pool = pool_,
+          .shared = SharedPrefixesOf(*request_.generation),
+          .tokens = request_.generation->prompt_tokens};
+}
+
 Duration GatewayRequest::Patience() const {
   return std::max(
       {kLeastPatience, kTargetPatience * route_->target_latency,
@@ -175,12 +202,11 @@
   if (!request_.generation || request_.generation->parts.empty()) {
     return placement;
   }
-  uint64_t hash = 0;
-  for (const SharedPrefix& prefix : SharedPrefixesOf(*request_.generation)) {
-    hash = prefix.hash;
+  const auto prefixes = SharedPrefixesOf(*request_.generation);
+  for (const SharedPrefix& prefix : prefixes) {
     placement.shared_tokens += prefix.tokens;
   }
-  placement.affinity = hash | 1;
+  placement.affinity = PrefixAffinity(prefixes);
   return placement;
 }
 
@@ -217,9 +243,7 @@
   if (!has_started_ && lost_inputs_ == 0) {
     task.plan = PlanStages();
     if (request_.generation) {
-      task.prompt = {.pool = pool_,
-                     .shared = SharedPrefixesOf(*request_.generation),
-                     .tokens = request_.generation->prompt_tokens};
+      task.prompt = DescribePrompt();
     }
   }
   task.result_bytes = definition.result_bytes;
@@ -250,6 +274,11 @@
 }
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
+  if (placement_task_ != nullptr) {
+    suggested_engine_ = std::move(result.engine);
+    StartAttempt();
+    return;
+  }
   StageProgress::Stage& state = progress_.stages[stage];
   context_.events.Write(
       "stage_end",
@@ -322,7 +351,7 @@
 }
 
 void GatewayRequest::StartAttempt() {
-  if (HasStages() && are_results_released_) {
+  if (are_results_released_) {
     if (!RepeatStages()) {
       Fail(Reason::kStageFailed, kRetryAfter);
     }
@@ -422,8 +451,9 @@
   if (head.status < 300) {
     // The engine has fetched its inputs. A stream that is resumed has them
     // produced again, which is rarer than makers that are short of room.
+    are_results_released_ = HasStages() && placement_task_ == nullptr;
     stage_tasks_.clear();
-    are_results_released_ = true;
+    placement_task_.reset();
   }
   if (IsStream()) {
     ArmSilenceTimer();
@@ -627,6 +657,7 @@
   silence_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
+  placement_task_.reset();
   const TimePoint first =
       first_event_at_ == TimePoint() ? context_.clock.Now() : first_event_at_;
   context_.events.Write(
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -46,6 +46,10 @@
   void OnTimeout();
   void OnSilence();
 
+  // Asks the coordinator for an engine, if the request needs one.
+  void StartWithoutStages();
+  PromptDemand DescribePrompt() const;
+
   // Stages.
   bool HasStages() const { return !route_->stages.empty(); }
   // Prefers the failure domain of the engine that is likely to serve the
@@ -101,6 +105,8 @@
 
   StageProgress progress_;
   std::vector<std::unique_ptr<OpenStageTask>> stage_tasks_;
+  // Asks for an engine only; kept until the engine answers.
+  std::unique_ptr<OpenStageTask> placement_task_;
   FailureDomainId work_domain_;
   // A stage is done, so the request has been let into the stages.
   bool has_started_ = false;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -165,6 +165,12 @@
     return;
   }
   const StageTask& task = found->second.task;
+  if (task.item_count == 0) {
+    // Only an engine is asked for.
+    found->second.end_timer = dependencies_.timers.After(
+        Duration::zero(), [this, id] { EndTask(id, StageItemOutcome::kDone); });
+    return;
+  }
   AddTask(queues_[task.pool].batch, id,
           Describe(task, dependencies_.clock.Now()));
   ScheduleDispatch(task.pool, Duration::zero());
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -70,6 +70,7 @@
     bool is_ended = false;
     FailureDomainId maker_domain;
     std::unique_ptr<Timer> expiry;
+    std::unique_ptr<Timer> end_timer;
   };
 
   // One queue and what works on it.
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -12,7 +12,8 @@
 
 namespace peridotmill {
 
-// All items of one stage of one request.
+// All items of one stage of one request. A task without items only asks for an
+// engine.
 struct StageTask {
   RequestId request;
   PoolId pool;
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -215,6 +215,33 @@
   EXPECT_TRUE(caller->is_finished);
 }
 
+// Guards against nodes that each place prompts without knowing the others':
+// requests without stages ask the coordinator too, and follow it.
+TEST_F(GatewayTest, AsksTheCoordinatorForAnEngine) {
+  CallerRequest request;
+  request.id = RequestId("q1");
+  request.host = "host";
+  request.path = "/chat/x";
+  request.key = "key-1";
+  request.deadline = std::chrono::seconds(8);
+  request.generation =
+      GenerationDemand{"m", 17'000, 100, {{"a", 13'000}, {"b", 4'000}}};
+  std::vector<EndpointId> engines;
+  for (int i = 0; i < 3; ++i) {
+    gateway_.Handle(request, std::make_shared<FakeCallerChannel>());
+    timers_.Advance(1ms);
+    request.id = RequestId("q" + std::to_string(i + 2));
+    ASSERT_EQ(endpoint_caller_.calls.size(), static_cast<size_t>(i + 1));
+    engines.push_back(endpoint_caller_.calls.back()->call.endpoint.id);
+    if (i == 0) {
+      endpoint_caller_.listener(0).OnAnswerHead(FakeEndpointCaller::Stream());
+    }
+  }
+  // The holder of the prefix has answered the first prompt.
+  EXPECT_EQ(engines[1], engines[0]);
+  EXPECT_EQ(coordinator_.task_count(), 2u);
+}
+
 // Guards against makers that run short of room because results are kept for the
 // whole length of a stream, and against resuming one without its inputs.
 TEST_F(GatewayTest, ReleasesResultsWhenTheEngineAnswers) {
