Send slow endpoints only what is in time there; eject silent ones at once

Change: a task that is on time at the usual pace waits for such an endpoint; a call without an answer in its time limit, or without a connection, ejects the endpoint at once.

--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -106,8 +106,13 @@
   if (verdict == CallVerdict::kSuccess) {
     endpoint.failures_in_row = 0;
     endpoint.ejected_until = TimePoint();
-  } else if (verdict == CallVerdict::kFailure) {
+  } else if (verdict == CallVerdict::kFailure ||
+             verdict == CallVerdict::kSilent) {
     ++endpoint.failures_in_row;
+    if (verdict == CallVerdict::kSilent) {
+      endpoint.failures_in_row =
+          std::max(endpoint.failures_in_row, kFailuresToEject);
+    }
     if (endpoint.failures_in_row >= kFailuresToEject) {
       const int doublings = std::min(
           endpoint.failures_in_row - kFailuresToEject, kMaxEjectionDoublings);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -45,7 +45,15 @@
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
 // How a call to an endpoint went, for judging the endpoint.
-enum class CallVerdict : uint8_t { kSuccess, kRefused, kFailure, kCancelled };
+enum class CallVerdict : uint8_t {
+  kSuccess,
+  kRefused,
+  kFailure,
+  kCancelled,
+  // No answer within the time limit, or no connection: the endpoint is dead or
+  // cut off, and the next call would cost as much time.
+  kSilent,
+};
 
 // Endpoints that have registered, by pool.
 class EndpointRegistry {
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -15,6 +15,9 @@
 // that it prefers, and for each megabyte that would be moved.
 constexpr Duration kOtherDomainStep = std::chrono::milliseconds(30);
 constexpr double kStepPerMegabyteMs = 40;
+// An endpoint that takes this many times the stated time is slow; speeds within
+// a pool differ by 1.3.
+constexpr double kSlowPace = 1.7;
 // Tasks that would move less than this take any endpoint.
 constexpr int64_t kMinMovedBytes = 400'000;
 
@@ -48,6 +51,20 @@
          now - task.submitted < MovingDelay(task);
 }
 
+// Whether the task is on time at an endpoint of the stated pace, and late at
+// this slower one.
+bool WaitsForPace(const WaitingTask& task,
+                  const BatchTarget& target,
+                  Duration call_time,
+                  TimePoint now) {
+  if (target.call_time_ratio < kSlowPace || now + call_time > task.due) {
+    return false;
+  }
+  return now + FromMilliseconds(ToMilliseconds(call_time) *
+                                target.call_time_ratio) >
+         task.due;
+}
+
 // Order of tasks in a call.
 enum class BatchRank : uint8_t { kStarted, kOnTime, kLate };
 
@@ -93,7 +110,8 @@
   order.reserve(queue.waiting.size());
   for (auto& [id, task] : queue.waiting) {
     const int items = CountItems(task);
-    if (WaitsForDomain(task, target, CallTime(pool, items), now)) {
+    if (WaitsForDomain(task, target, CallTime(pool, items), now) ||
+        WaitsForPace(task, target, CallTime(pool, pool.batch_size), now)) {
       continue;
     }
     // The call may become a full one.
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -54,6 +54,8 @@
   // Room for results.
   int64_t room_bytes = 0;
   FailureDomainId failure_domain;
+  // Time that its calls take as a multiple of what the pool states.
+  double call_time_ratio = 1;
   // Failure domains with an endpoint that can be used.
   std::set<FailureDomainId> served_domains;
 };
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -88,6 +88,7 @@
   // Room that the call's results will take.
   int64_t result_bytes = 0;
   bool found_no_room = false;
+  bool is_timed_out = false;
   std::unique_ptr<OpenStageCall> open;
   std::unique_ptr<Timer> timeout;
 
@@ -342,6 +343,7 @@
   BatchTarget target;
   target.room_bytes = FreeRoom(*endpoint, pool);
   target.failure_domain = endpoint->registration.failure_domain;
+  target.call_time_ratio = endpoint->call_time_ratio;
   target.served_domains = ServedDomains(id, pool);
   const TimePoint now = dependencies_.clock.Now();
   // A trial on a copy, for a call that carries too little is not sent.
@@ -395,8 +397,10 @@
   endpoint->result_bytes += call->result_bytes;
   BeginCall(*endpoint, now);
   call->open = dependencies_.caller.Start(endpoint->registration, items, raw);
-  call->timeout = dependencies_.timers.After(
-      timeout, [this, raw] { FinishCall(raw, StageAnswer()); });
+  call->timeout = dependencies_.timers.After(timeout, [this, raw] {
+    raw->is_timed_out = true;
+    FinishCall(raw, StageAnswer());
+  });
   calls_.emplace(raw, std::move(call));
   return true;
 }
@@ -479,9 +483,12 @@
   const bool is_refused = answer.outcome == StageCallOutcome::kRefused;
   endpoint.result_bytes -= call.result_bytes;
   EndWaiting(endpoint, call.started);
+  const bool is_silent =
+      call.is_timed_out || answer.outcome == StageCallOutcome::kNotSent;
   EndCall(endpoint,
           is_answered  ? CallVerdict::kSuccess
           : is_refused ? CallVerdict::kRefused
+          : is_silent  ? CallVerdict::kSilent
                        : CallVerdict::kFailure,
           now);
   if (is_refused) {
--- a/modules/peridotmill_gateway/tests/batch_queue_test.cc
+++ b/modules/peridotmill_gateway/tests/batch_queue_test.cc
@@ -35,7 +35,9 @@
 }
 
 BatchTarget MakeTarget(int64_t room = 1'000'000'000) {
-  return {room, kValley, {kValley}};
+  return {.room_bytes = room,
+          .failure_domain = kValley,
+          .served_domains = {kValley}};
 }
 
 // Guards against late tasks taking calls from tasks that can still be on time.
@@ -168,5 +170,24 @@
   EXPECT_GE(on_time, 0.8 * std::min<double>(possible, kTasks));
 }
 
+// Guards against tasks that are late because some of their items went to a slow
+// endpoint while others would have been in time.
+TEST(BatchQueueTest, SlowEndpointsGetOnlyWhatIsInTimeThere) {
+  BatchQueue queue;
+  AddTask(queue, 1, MakeTask(2, 500ms));
+  AddTask(queue, 2, MakeTask(2, 5s));
+  AddTask(queue, 3, MakeTask(2, 100ms));
+  BatchTarget slow;
+  slow.room_bytes = 1'000'000;
+  slow.call_time_ratio = 4;
+  const auto batch = TakeBatch(queue, MakePool(), slow, kStart);
+  std::vector<StageTaskId> taken;
+  for (const BatchPart& part : batch) {
+    taken.push_back(part.task);
+  }
+  // The third is late wherever it goes.
+  EXPECT_EQ(taken, (std::vector<StageTaskId>{2, 3}));
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -160,5 +160,24 @@
   EXPECT_TRUE(events_.Has("stage_call_failed pool=scan"));
 }
 
+// Guards against call after call to an endpoint that is dead or cut off, each
+// of which holds its tasks for the whole time limit.
+TEST_F(StageCoordinatorTest, AvoidsAnEndpointAfterOneSilentCall) {
+  endpoints_.Put(MakeRegistration("s2", "scan", "valley", 1));
+  const auto first = Submit(1);
+  timers_.Advance(1ms);
+  const std::string silent = stage_caller_.calls[0]->endpoint.id.value();
+  // Past the time limit of a call with one item.
+  timers_.Advance(800ms);
+  std::vector<std::unique_ptr<OpenStageTask>> tasks;
+  for (size_t i = 1; i < 4; ++i) {
+    ASSERT_GT(stage_caller_.calls.size(), i);
+    EXPECT_NE(stage_caller_.calls[i]->endpoint.id.value(), silent);
+    stage_caller_.Answer(i);
+    tasks.push_back(Submit(1));
+    timers_.Advance(50ms);
+  }
+}
+
 }  // namespace
 }  // namespace peridotmill
