Let one part of a node at a time try a store that is away

Change: StoreRecovery paces the tries of all followers of a node; the others follow when one succeeds.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -32,9 +32,7 @@
 // Different seeds of the parts' random choices.
 constexpr uint64_t kStageSeed = 1;
 constexpr uint64_t kGatewaySeed = 2;
-constexpr uint64_t kConfigurationSeed = 3;
-constexpr uint64_t kRegistrationSeed = 4;
-constexpr uint64_t kNodeSeed = 5;
+constexpr uint64_t kStoreSeed = 3;
 // Nodes whose registration lapsed while the store was away have renewed it
 // within this time of its return.
 constexpr Duration kNodeReturnTime = std::chrono::seconds(3);
@@ -96,6 +94,7 @@
       loop_(g_main_loop_new(nullptr, FALSE)),
       http_(clock),
       store_(settings.store_address, http_, timers_),
+      store_recovery_(timers_, SeedOf(settings, kStoreSeed)),
       endpoint_adapter_(http_),
       stage_adapter_(http_, timers_),
       repeats_(settings.repeats),
@@ -135,9 +134,9 @@
                  }
                }},
           store_,
+          store_recovery_,
           timers_,
-          log,
-          SeedOf(settings, kConfigurationSeed)),
+          log),
       registration_follower_(
           {.prefix = std::string(platform::kRegistrationPrefix),
            .pause = kRegistrationPause},
@@ -151,9 +150,9 @@
                  OnRegistrationChange(change);
                }},
           store_,
+          store_recovery_,
           timers_,
-          log,
-          SeedOf(settings, kRegistrationSeed)),
+          log),
       node_follower_(
           {.prefix = kNodePrefix, .pause = kNodePause},
           {.on_snapshot =
@@ -164,9 +163,9 @@
            .on_change =
                [this](const StoreChange& change) { nodes_.Apply(change); }},
           store_,
+          store_recovery_,
           timers_,
-          log,
-          SeedOf(settings, kNodeSeed)) {
+          log) {
   settings_changed_at_ = ModificationTime(settings_path_);
 }
 
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -67,6 +67,7 @@
   GlibTimerQueue timers_;
   HttpClient http_;
   platform::StoreAdapter store_;
+  StoreRecovery store_recovery_;
   platform::EndpointAdapter endpoint_adapter_;
   platform::StageAdapter stage_adapter_;
   EndpointRegistry endpoints_;
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -85,7 +85,9 @@
   for (const NodeId& node : dependencies_.nodes.CoordinatorOrder(
            group, dependencies_.self, dependencies_.self_record)) {
     const auto exclusion = exclusions_.find(node);
-    if (exclusion == exclusions_.end() || exclusion->second.until <= now) {
+    const bool is_excluded =
+        exclusion != exclusions_.end() && exclusion->second.until > now;
+    if (!is_excluded) {
       return node;
     }
   }
--- a/modules/peridotmill_gateway/store/prefix_follower.cc
+++ b/modules/peridotmill_gateway/store/prefix_follower.cc
@@ -4,28 +4,19 @@
 #include <utility>
 
 namespace peridotmill {
-namespace {
-
-// First pause after a failed call; doubled up to the longest one. The longest
-// one keeps the time to notice the store's return well below a second.
-constexpr Duration kFirstPause = std::chrono::milliseconds(30);
-constexpr Duration kLongestPause = std::chrono::milliseconds(700);
-constexpr int kMaxDoublings = 5;
-
-}  // namespace
 
 PrefixFollower::PrefixFollower(PrefixFollowerSettings settings,
                                PrefixFollowerEvents events,
                                StoreChannel& store,
+                               StoreRecovery& recovery,
                                TimerQueue& timers,
-                               EventSink& log,
-                               uint64_t seed)
+                               EventSink& log)
     : settings_(std::move(settings)),
       events_(std::move(events)),
       store_(store),
+      recovery_(recovery),
       timers_(timers),
-      log_(log),
-      random_(seed) {}
+      log_(log) {}
 
 void PrefixFollower::Start() {
   entries_.clear();
@@ -52,7 +43,7 @@
   call_.reset();
   if (page.status != StoreCallStatus::kOk) {
     was_unreachable_ = true;
-    RetryLater([this] { Start(); });
+    RetryLater();
     return;
   }
   NoteSuccess();
@@ -90,7 +81,7 @@
   if (changes.status != StoreCallStatus::kOk) {
     // A watch that was cut may have missed changes that the store no longer
     // keeps, and would not tell before the next change.
-    RetryLater([this] { Start(); });
+    RetryLater();
     return;
   }
   NoteSuccess();
@@ -124,22 +115,16 @@
                                   {"failures", std::to_string(failures_)}});
   }
   failures_ = 0;
+  recovery_.NoteAnswer();
 }
 
-void PrefixFollower::RetryLater(std::function<void()> action) {
+void PrefixFollower::RetryLater() {
   ++failures_;
   if (failures_ == 1) {
     log_.Write("store_lost", {{"prefix", settings_.prefix},
                               {"revision", std::to_string(revision_)}});
   }
-  const int doublings = std::min(failures_ - 1, kMaxDoublings);
-  const Duration pause =
-      std::min<Duration>(kFirstPause * (1 << doublings), kLongestPause);
-  // Nodes that lost the store together return spread out.
-  const auto jittered = std::chrono::duration_cast<Duration>(
-      pause * (0.5 + 0.5 * random_.Unit()));
-  pause_timer_ =
-      timers_.After(jittered, [action = std::move(action)] { action(); });
+  recovery_.Await([this] { Start(); });
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/store/prefix_follower.h
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -7,10 +7,10 @@
 #include <string>
 #include <vector>
 
-#include "peridotmill_core/maths/random.h"
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/store/store_channel.h"
+#include "peridotmill_gateway/store/store_recovery.h"
 
 namespace peridotmill {
 
@@ -41,9 +41,9 @@
   PrefixFollower(PrefixFollowerSettings settings,
                  PrefixFollowerEvents events,
                  StoreChannel& store,
+                 StoreRecovery& recovery,
                  TimerQueue& timers,
-                 EventSink& log,
-                 uint64_t seed);
+                 EventSink& log);
 
   void Start();
   // Reads all keys again at the next opportunity.
@@ -58,17 +58,17 @@
   void Watch();
   void WatchAfterPause();
   void OnChanges(const StoreChanges& changes);
-  void RetryLater(std::function<void()> action);
+  void RetryLater();
   void NoteSuccess();
 
   PrefixFollowerSettings settings_;
   PrefixFollowerEvents events_;
   StoreChannel& store_;
+  StoreRecovery& recovery_;
   TimerQueue& timers_;
   EventSink& log_;
-  Random random_;
   std::unique_ptr<OpenStoreCall> call_;
-  // The pause before a retry or before the next watch.
+  // The pause before the next watch.
   std::unique_ptr<Timer> pause_timer_;
   std::vector<StoreEntry> entries_;
   int64_t revision_ = 0;
--- a/modules/peridotmill_gateway/tests/store_followers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_followers_test.cc
@@ -15,6 +15,7 @@
  protected:
   PrefixFollowerTest()
       : timers_(clock_),
+        recovery_(timers_, 1),
         follower_({.prefix = "p/"},
                   {.on_snapshot =
                        [this](const std::vector<StoreEntry>& entries,
@@ -24,9 +25,9 @@
                        },
                    .on_change = [this](const StoreChange&) { ++changes_; }},
                   store_,
+                  recovery_,
                   timers_,
-                  events_,
-                  1) {
+                  events_) {
     follower_.Start();
   }
 
@@ -37,6 +38,7 @@
   std::vector<size_t> snapshots_;
   bool was_unreachable_ = false;
   int changes_ = 0;
+  StoreRecovery recovery_;
   PrefixFollower follower_;
 };
 
@@ -93,6 +95,42 @@
   EXPECT_TRUE(events_.Has("store_regained"));
 }
 
+// Guards against a call from each part of each node in every interval while the
+// store is away: one tries, and the others follow when it succeeds.
+TEST_F(PrefixFollowerTest, FollowersShareTheTriesOfAnOutage) {
+  FakeStoreChannel others[2];
+  std::vector<std::unique_ptr<PrefixFollower>> followers;
+  for (FakeStoreChannel& store : others) {
+    followers.push_back(std::make_unique<PrefixFollower>(
+        PrefixFollowerSettings{.prefix = "o/"},
+        PrefixFollowerEvents{
+            .on_snapshot = [](const std::vector<StoreEntry>&, bool) {},
+            .on_change = [](const StoreChange&) {}},
+        store, recovery_, timers_, events_));
+    followers.back()->Start();
+  }
+  const auto fail_all = [&] {
+    for (FakeStoreChannel* const store : {&store_, &others[0], &others[1]}) {
+      if (store->on_page) {
+        store->FailRead();
+      }
+    }
+  };
+  for (int i = 0; i < 60; ++i) {
+    fail_all();
+    timers_.Advance(100ms);
+  }
+  EXPECT_LE(store_.reads + others[0].reads + others[1].reads, 25);
+  for (int i = 0; i < 10 && !store_.on_page; ++i) {
+    fail_all();
+    timers_.Advance(500ms);
+  }
+  ASSERT_TRUE(store_.on_page);
+  store_.AnswerRead({"p/a"}, 5);
+  EXPECT_TRUE(others[0].on_page);
+  EXPECT_TRUE(others[1].on_page);
+}
+
 // Guards against a waiting watch that a silent store never answers.
 TEST_F(PrefixFollowerTest, ReadsAgainOnRequestWhileWatching) {
   store_.AnswerRead({"p/a"}, 10);
@@ -109,7 +147,7 @@
       {.prefix = "p/", .pause = 400ms},
       {.on_snapshot = [](const std::vector<StoreEntry>&, bool) {},
        .on_change = [&](const StoreChange&) { ++changes; }},
-      store, timers_, events_, 1);
+      store, recovery_, timers_, events_);
   follower.Start();
   store.AnswerRead({}, 10);
   for (int64_t round = 1; round <= 2; ++round) {
