--- a/modules/peridotmill_gateway/tests/batch_queue_test.cc
+++ b/modules/peridotmill_gateway/tests/batch_queue_test.cc
@@ -182,6 +182,7 @@
   slow.call_time_ratio = 4;
   const auto batch = TakeBatch(queue, MakePool(), slow, kStart);
   std::vector<StageTaskId> taken;
+  taken.reserve(batch.size());
   for (const BatchPart& part : batch) {
     taken.push_back(part.task);
   }
