Pass the store's contents on among nodes; few watch it

Ruled out: shorter waits alone (195 nodes with waits of 2 s are 200 calls/s); peridotmill_membership as it is (its digests carry publications in parts and endpoint reports, and no store revision).

Change: modules/peridotmill_gateway/replication. When no source is in touch with the store but the node is, it watches itself; during an outage only the watchers try the store.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "daemons/peridotmill-gateway/settings_file.h"
@@ -38,11 +39,15 @@
 constexpr Duration kNodeReturnTime = std::chrono::seconds(3);
 
 // Changes that come within these times share one answer of the store. Endpoints
-// that leave go on for 2 s and more, and a configuration is due after 2 s, of
-// which a watch may lose one; a node that comes or goes is found by its links.
-constexpr Duration kRegistrationPause = std::chrono::milliseconds(800);
-constexpr Duration kConfigurationPause = std::chrono::milliseconds(500);
-constexpr Duration kNodePause = std::chrono::milliseconds(1500);
+// that leave go on for 2 s and more, and a configuration is due after 2 s; a
+// node that comes or goes is found by its links.
+constexpr Duration kRegistrationPause = std::chrono::milliseconds(300);
+constexpr Duration kConfigurationPause = std::chrono::milliseconds(200);
+constexpr Duration kNodePause = std::chrono::seconds(3);
+// A watch may stay silent although there are changes; no bound may hang on it
+// for longer than this.
+constexpr Duration kBoundedWatchWait = std::chrono::seconds(2);
+constexpr Duration kNodeWatchWait = std::chrono::seconds(5);
 
 uint64_t SeedOf(const GatewaySettings& settings, uint64_t part) {
   return Hash64(settings.node.value(), part);
@@ -51,7 +56,23 @@
 NodeRecord RecordOf(const GatewaySettings& settings) {
   return {.peer_address = settings.peer_address,
           .failure_domain = settings.failure_domain,
-          .processor_share = settings.processor_share};
+          .processor_share = settings.processor_share,
+          .replica_address = settings.replica_address};
+}
+
+std::array<PrefixFollowerSettings, kReplicaPartCount> FollowedPrefixes() {
+  std::array<PrefixFollowerSettings, kReplicaPartCount> prefixes;
+  prefixes[static_cast<size_t>(ReplicaPart::kConfiguration)] = {
+      .prefix = std::string(platform::kConfigurationKey),
+      .watch_wait = kBoundedWatchWait,
+      .pause = kConfigurationPause};
+  prefixes[static_cast<size_t>(ReplicaPart::kRegistrations)] = {
+      .prefix = std::string(platform::kRegistrationPrefix),
+      .watch_wait = kBoundedWatchWait,
+      .pause = kRegistrationPause};
+  prefixes[static_cast<size_t>(ReplicaPart::kNodes)] = {
+      .prefix = kNodePrefix, .watch_wait = kNodeWatchWait, .pause = kNodePause};
+  return prefixes;
 }
 
 // The endpoint's id, which is the rest of its registration's key.
@@ -105,67 +126,39 @@
       stages_({clock, timers_, dialer_, coordinator_, nodes_, repeats_, log,
                settings.node, RecordOf(settings)}),
       stage_service_(coordinator_, clock, timers_),
-      node_registration_(settings.node,
-                         RecordOf(settings),
-                         store_,
-                         timers_,
-                         log,
-                         [this] { OnStoreSilent(); }),
+      node_registration_(
+          settings.node,
+          RecordOf(settings),
+          store_,
+          timers_,
+          log,
+          {.on_answer = [this] { sources_.NoteOwnContact(); },
+           .on_silence = [this] { OnStoreSilent(); },
+           .is_watching = [this] { return replica_.is_watching(); }}),
       gateway_({clock, timers_, endpoint_adapter_, stage_adapter_, stages_,
                 endpoints_, repeats_, log, settings.failure_domain},
                SeedOf(settings, kGatewaySeed)),
-      registrations_(endpoints_,
-                     timers_,
-                     log,
-                     [this] { registration_follower_.ReadAgain(); }),
-      configuration_follower_(
-          {.prefix = std::string(platform::kConfigurationKey),
-           .pause = kConfigurationPause},
-          {.on_snapshot =
-               [this](const std::vector<StoreEntry>& entries, bool) {
-                 for (const StoreEntry& entry : entries) {
-                   OnConfigurationEntry(entry);
-                 }
-               },
-           .on_change =
-               [this](const StoreChange& change) {
-                 if (!change.is_removed) {
-                   OnConfigurationEntry(change.entry);
-                 }
-               }},
-          store_,
-          store_recovery_,
-          timers_,
-          log),
-      registration_follower_(
-          {.prefix = std::string(platform::kRegistrationPrefix),
-           .pause = kRegistrationPause},
-          {.on_snapshot =
-               [this](const std::vector<StoreEntry>& entries,
-                      bool was_unreachable) {
-                 OnRegistrations(entries, was_unreachable);
-               },
-           .on_change =
-               [this](const StoreChange& change) {
-                 OnRegistrationChange(change);
-               }},
-          store_,
-          store_recovery_,
-          timers_,
-          log),
-      node_follower_(
-          {.prefix = kNodePrefix, .pause = kNodePause},
-          {.on_snapshot =
-               [this](const std::vector<StoreEntry>& entries,
-                      bool was_unreachable) {
-                 OnNodes(entries, was_unreachable);
-               },
-           .on_change =
-               [this](const StoreChange& change) { nodes_.Apply(change); }},
-          store_,
-          store_recovery_,
+      registrations_(
+          endpoints_,
           timers_,
-          log) {
+          log,
+          [this] { replica_.ReadAgain(ReplicaPart::kRegistrations); }),
+      replica_({clock, timers_, store_, store_recovery_, log},
+               FollowedPrefixes(),
+               {.on_snapshot =
+                    [this](ReplicaPart part,
+                           const std::vector<StoreEntry>& entries,
+                           bool was_unreachable) {
+                      OnSnapshot(part, entries, was_unreachable);
+                    },
+                .on_change =
+                    [this](ReplicaPart part, const StoreChange& change) {
+                      OnChange(part, change);
+                    }}),
+      replica_service_(replica_, clock, timers_, log),
+      sources_({clock, timers_, dialer_, nodes_, replica_, replica_service_,
+                log, settings.node, RecordOf(settings),
+                [this] { node_registration_.RenewNow(); }}) {
   settings_changed_at_ = ModificationTime(settings_path_);
 }
 
@@ -207,28 +200,71 @@
     return tl::unexpected(peers.error());
   }
   peers_ = *std::move(peers);
+  auto subscribers =
+      TcpListener::Create(settings_.replica_address, [this](int fd) {
+        replica_service_.Accept([fd](PeerLinkListener* listener) {
+          return FrameLink::Accepted(fd, listener);
+        });
+      });
+  if (!subscribers) {
+    return tl::unexpected(subscribers.error());
+  }
+  subscribers_ = *std::move(subscribers);
   return {};
 }
 
 void GatewayProcess::OnStoreSilent() {
-  configuration_follower_.ReadAgain();
-  registration_follower_.ReadAgain();
-  node_follower_.ReadAgain();
+  sources_.NoteOwnSilence();
+  replica_.ReadAllAgain();
+}
+
+void GatewayProcess::OnSnapshot(ReplicaPart part,
+                                const std::vector<StoreEntry>& entries,
+                                bool was_unreachable) {
+  switch (part) {
+    case ReplicaPart::kConfiguration:
+      for (const StoreEntry& entry : entries) {
+        OnConfigurationEntry(entry);
+      }
+      break;
+    case ReplicaPart::kRegistrations:
+      OnRegistrations(entries, was_unreachable);
+      break;
+    case ReplicaPart::kNodes:
+      OnNodes(entries, was_unreachable);
+      break;
+  }
+}
+
+void GatewayProcess::OnChange(ReplicaPart part, const StoreChange& change) {
+  switch (part) {
+    case ReplicaPart::kConfiguration:
+      if (!change.is_removed) {
+        OnConfigurationEntry(change.entry);
+      }
+      break;
+    case ReplicaPart::kRegistrations:
+      OnRegistrationChange(change);
+      break;
+    case ReplicaPart::kNodes:
+      nodes_.Apply(change);
+      sources_.OnNodesChanged();
+      break;
+  }
 }
 
 void GatewayProcess::OnNodes(const std::vector<StoreEntry>& entries,
                              bool was_unreachable) {
   nodes_.Replace(entries, was_unreachable);
+  sources_.OnNodesChanged();
   if (was_unreachable) {
-    node_read_timer_ =
-        timers_.After(kNodeReturnTime, [this] { node_follower_.ReadAgain(); });
+    node_read_timer_ = timers_.After(
+        kNodeReturnTime, [this] { replica_.ReadAgain(ReplicaPart::kNodes); });
   }
 }
 
 int GatewayProcess::Run() {
-  configuration_follower_.Start();
-  registration_follower_.Start();
-  node_follower_.Start();
+  replica_.Start();
   node_registration_.Start();
   settings_timer_ =
       timers_.After(kSettingsInterval, [this] { CheckSettingsFile(); });
@@ -244,7 +280,7 @@
 
 bool GatewayProcess::IsReady() const {
   return !is_stopping_ && gateway_.configuration() != nullptr &&
-         registration_follower_.has_snapshot();
+         replica_.knows(ReplicaPart::kRegistrations);
 }
 
 void GatewayProcess::OnReadinessCheck(
@@ -401,6 +437,10 @@
   add("stage_requests_started", coordinator_.started_requests());
   add("stage_tasks_reassigned_total", stages_.reassigned_count());
   add("nodes", nodes_.size());
+  add("store_watching", replica_.is_watching() ? 1 : 0);
+  add("replica_sources", sources_.link_count());
+  add("replica_subscribers", replica_service_.subscriber_count());
+  add("replica_frames_malformed_total", replica_service_.malformed_count());
   add("endpoints", endpoints_.size());
   add("caller_connections", callers_->connection_count());
   add("callers_malformed_total", callers_->counters().malformed);
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_gateway/peridotmill_gateway.h"
@@ -46,6 +47,10 @@
   void OnCallerRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnReadinessCheck(const std::shared_ptr<HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
+  void OnSnapshot(ReplicaPart part,
+                  const std::vector<StoreEntry>& entries,
+                  bool was_unreachable);
+  void OnChange(ReplicaPart part, const StoreChange& change);
   void OnConfigurationEntry(const StoreEntry& entry);
   void OnRegistrations(const std::vector<StoreEntry>& entries,
                        bool was_unreachable);
@@ -81,10 +86,11 @@
   NodeRegistration node_registration_;
   Gateway gateway_;
   RegistrationKeeper registrations_;
-  PrefixFollower configuration_follower_;
-  PrefixFollower registration_follower_;
-  PrefixFollower node_follower_;
+  StoreReplica replica_;
+  ReplicaService replica_service_;
+  ReplicaSources sources_;
   std::unique_ptr<TcpListener> peers_;
+  std::unique_ptr<TcpListener> subscribers_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> readiness_;
   std::unique_ptr<HttpServer> metrics_;
--- a/modules/peridotmill_gateway/peers/node_directory.cc
+++ b/modules/peridotmill_gateway/peers/node_directory.cc
@@ -52,14 +52,22 @@
     const PoolId& group,
     const NodeId& self,
     const NodeRecord& self_record) const {
-  double largest = self_record.processor_share;
-  for (const auto& [node, record] : nodes_) {
-    largest = std::max(largest, record.processor_share);
-  }
-  std::vector<std::tuple<bool, uint64_t, NodeId>> order;
+  return OrderOf(group.value(), self, self_record,
+                 [](const NodeRecord&) { return true; });
+}
+
+std::vector<NodeId> NodeDirectory::OrderOf(
+    std::string_view duty,
+    const NodeId& self,
+    const NodeRecord& self_record,
+    const std::function<bool(const NodeRecord&)>& accepts) const {
+  double largest = 0;
+  std::vector<std::pair<NodeId, const NodeRecord*>> accepted;
   const auto add = [&](const NodeId& node, const NodeRecord& record) {
-    order.emplace_back(record.processor_share >= kLargeHostShare * largest,
-                       RendezvousScore(group.value(), node.value()), node);
+    if (accepts(record)) {
+      accepted.emplace_back(node, &record);
+      largest = std::max(largest, record.processor_share);
+    }
   };
   add(self, self_record);
   for (const auto& [node, record] : nodes_) {
@@ -67,6 +75,12 @@
       add(node, record);
     }
   }
+  std::vector<std::tuple<bool, uint64_t, NodeId>> order;
+  order.reserve(accepted.size());
+  for (auto& [node, record] : accepted) {
+    order.emplace_back(record->processor_share >= kLargeHostShare * largest,
+                       RendezvousScore(duty, node.value()), std::move(node));
+  }
   std::sort(order.begin(), order.end(), std::greater<>());
   std::vector<NodeId> nodes;
   nodes.reserve(order.size());
@@ -76,6 +90,14 @@
   return nodes;
 }
 
+std::set<FailureDomainId> NodeDirectory::FailureDomains() const {
+  std::set<FailureDomainId> domains;
+  for (const auto& [node, record] : nodes_) {
+    domains.insert(record.failure_domain);
+  }
+  return domains;
+}
+
 const NodeRecord* NodeDirectory::Find(const NodeId& node) const {
   const auto found = nodes_.find(node);
   return found == nodes_.end() ? nullptr : &found->second;
--- a/modules/peridotmill_gateway/peers/node_directory.h
+++ b/modules/peridotmill_gateway/peers/node_directory.h
@@ -1,7 +1,9 @@
 #ifndef PERIDOTMILL_GATEWAY_PEERS_NODE_DIRECTORY_H_
 #define PERIDOTMILL_GATEWAY_PEERS_NODE_DIRECTORY_H_
 
+#include <functional>
 #include <map>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -29,6 +31,18 @@
                                        const NodeId& self,
                                        const NodeRecord& self_record) const;
 
+  // Order in which the nodes that `accepts` selects are asked for a duty, this
+  // node among them: the larger hosts before the others, each by rendezvous
+  // hash of the duty's name.
+  std::vector<NodeId> OrderOf(
+      std::string_view duty,
+      const NodeId& self,
+      const NodeRecord& self_record,
+      const std::function<bool(const NodeRecord&)>& accepts) const;
+
+  // Those of all registered nodes.
+  std::set<FailureDomainId> FailureDomains() const;
+
   const NodeRecord* Find(const NodeId& node) const;
   size_t size() const { return nodes_.size(); }
 
--- a/modules/peridotmill_gateway/peers/node_registration.h
+++ b/modules/peridotmill_gateway/peers/node_registration.h
@@ -13,6 +13,15 @@
 
 namespace peridotmill {
 
+// Is told whether the store answers this node.
+struct StoreContactListener {
+  std::function<void()> on_answer;
+  // A renewal has got no answer, or a refusal, after one that was answered.
+  std::function<void()> on_silence;
+  // Whether other nodes learn from this one if the store is silent.
+  std::function<bool()> is_watching;
+};
+
 // Keeps this node registered in the store under a lease, so that the other
 // nodes find it and forget it when it dies.
 class NodeRegistration {
@@ -22,9 +31,11 @@
                    StoreChannel& store,
                    TimerQueue& timers,
                    EventSink& log,
-                   std::function<void()> on_store_silent);
+                   StoreContactListener listener);
 
   void Start();
+  // Renews the lease now, to learn whether the store answers.
+  void RenewNow();
   // Ends the registration; the other nodes give this one no further work.
   void Stop();
 
@@ -32,6 +43,7 @@
   void Grant();
   void Put();
   void Keep();
+  Duration KeepInterval() const;
   void After(Duration delay, void (NodeRegistration::*step)());
 
   NodeId node_;
@@ -39,12 +51,14 @@
   StoreChannel& store_;
   TimerQueue& timers_;
   EventSink& log_;
-  std::function<void()> on_store_silent_;
+  StoreContactListener listener_;
   int64_t lease_ = 0;
   bool is_store_reachable_ = true;
   bool is_stopped_ = false;
   std::unique_ptr<OpenStoreCall> call_;
   std::unique_ptr<Timer> timer_;
+  // What the timer is for.
+  void (NodeRegistration::*next_step_)() = nullptr;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -741,7 +741,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PEER_ADDRESS = 4,
     VT_FAILURE_DOMAIN = 6,
-    VT_PROCESSOR_SHARE = 8
+    VT_PROCESSOR_SHARE = 8,
+    VT_REPLICA_ADDRESS = 10
   };
   const flatbuffers::String *peer_address() const {
     return GetPointer<const flatbuffers::String *>(VT_PEER_ADDRESS);
@@ -752,6 +753,9 @@
   float processor_share() const {
     return GetField<float>(VT_PROCESSOR_SHARE, 0.0f);
   }
+  const flatbuffers::String *replica_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_REPLICA_ADDRESS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PEER_ADDRESS) &&
@@ -759,6 +763,8 @@
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<float>(verifier, VT_PROCESSOR_SHARE, 4) &&
+           VerifyOffset(verifier, VT_REPLICA_ADDRESS) &&
+           verifier.VerifyString(replica_address()) &&
            verifier.EndTable();
   }
 };
@@ -776,6 +782,9 @@
   void add_processor_share(float processor_share) {
     fbb_.AddElement<float>(NodeRecord::VT_PROCESSOR_SHARE, processor_share, 0.0f);
   }
+  void add_replica_address(flatbuffers::Offset<flatbuffers::String> replica_address) {
+    fbb_.AddOffset(NodeRecord::VT_REPLICA_ADDRESS, replica_address);
+  }
   explicit NodeRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -791,8 +800,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> peer_address = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    float processor_share = 0.0f) {
+    float processor_share = 0.0f,
+    flatbuffers::Offset<flatbuffers::String> replica_address = 0) {
   NodeRecordBuilder builder_(_fbb);
+  builder_.add_replica_address(replica_address);
   builder_.add_processor_share(processor_share);
   builder_.add_failure_domain(failure_domain);
   builder_.add_peer_address(peer_address);
@@ -803,14 +814,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *peer_address = nullptr,
     const char *failure_domain = nullptr,
-    float processor_share = 0.0f) {
+    float processor_share = 0.0f,
+    const char *replica_address = nullptr) {
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto replica_address__ = replica_address ? _fbb.CreateString(replica_address) : 0;
   return peridotmill::stagewire::CreateNodeRecord(
       _fbb,
       peer_address__,
       failure_domain__,
-      processor_share);
+      processor_share,
+      replica_address__);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -238,8 +238,10 @@
   flatbuffers::FlatBufferBuilder builder;
   const auto address = builder.CreateString(record.peer_address);
   const auto domain = builder.CreateString(record.failure_domain.value());
+  const auto replica_address = builder.CreateString(record.replica_address);
   builder.Finish(stagewire::CreateNodeRecord(
-      builder, address, domain, static_cast<float>(record.processor_share)));
+      builder, address, domain, static_cast<float>(record.processor_share),
+      replica_address));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
 }
@@ -256,6 +258,7 @@
   record.peer_address = TextOf(wire->peer_address());
   record.failure_domain = FailureDomainId(TextOf(wire->failure_domain()));
   record.processor_share = wire->processor_share();
+  record.replica_address = TextOf(wire->replica_address());
   if (record.peer_address.empty()) {
     return tl::unexpected(make_error_code(Error::kMalformed));
   }
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -51,6 +51,8 @@
   FailureDomainId failure_domain;
   // Share of a processor core that the node has.
   double processor_share = 0;
+  // Where it passes on what it knows of the store; empty if it does not.
+  std::string replica_address;
 };
 
 std::string EncodeNodeRecord(const NodeRecord& record);
--- a/modules/peridotmill_gateway/peridotmill_gateway.h
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -1,7 +1,8 @@
 // peridotmill_gateway: the transparent path of an entry node.
 //
 // Routes of callers' requests onto pools, placement of attempts, batched stage
-// calls, streams, the budget of repeats and the followers of the store. Calls,
+// calls, streams, the budget of repeats, and the parts of the store that nodes
+// follow and pass on to one another. Calls,
 // callers, timers and the store are interfaces, so that a test drives
 // everything without a socket.
 //
@@ -18,6 +19,9 @@
 #include "peridotmill_gateway/peers/stage_service.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/repeats/repeat_budget.h"
+#include "peridotmill_gateway/replication/replica_service.h"
+#include "peridotmill_gateway/replication/replica_sources.h"
+#include "peridotmill_gateway/replication/store_replica.h"
 #include "peridotmill_gateway/requests/gateway.h"
 #include "peridotmill_gateway/settings/gateway_settings.h"
 #include "peridotmill_gateway/stages/stage_coordinator.h"
--- a/modules/peridotmill_gateway/settings/gateway_settings.h
+++ b/modules/peridotmill_gateway/settings/gateway_settings.h
@@ -22,6 +22,8 @@
   std::string metrics_address;
   // "ip:port" on which other nodes reach this one.
   std::string peer_address;
+  // "ip:port" on which this node passes on what it knows of the store.
+  std::string replica_address;
   std::string store_address;
   // Descriptors that the process may have open.
   size_t max_descriptors = 1024;
--- a/modules/peridotmill_gateway/store/prefix_follower.cc
+++ b/modules/peridotmill_gateway/store/prefix_follower.cc
@@ -19,13 +19,23 @@
       log_(log) {}
 
 void PrefixFollower::Start() {
+  is_started_ = true;
   entries_.clear();
   Read("");
 }
 
+void PrefixFollower::Stop() {
+  is_started_ = false;
+  is_read_wanted_ = false;
+  failures_ = 0;
+  call_.reset();
+  pause_timer_.reset();
+  entries_.clear();
+}
+
 void PrefixFollower::ReadAgain() {
   is_read_wanted_ = true;
-  if (failures_ == 0) {
+  if (is_started_ && failures_ == 0) {
     // Replaces the waiting watch.
     Start();
   }
@@ -58,10 +68,12 @@
     Read(last);
     return;
   }
-  has_snapshot_ = true;
   const auto entries = std::exchange(entries_, {});
   events_.on_snapshot(entries, std::exchange(was_unreachable_, false));
-  Watch();
+  // The callback may have stopped the follower or begun another reading.
+  if (is_started_ && call_ == nullptr) {
+    Watch();
+  }
 }
 
 void PrefixFollower::Watch() {
@@ -85,9 +97,13 @@
     return;
   }
   NoteSuccess();
+  const int64_t after = revision_;
   revision_ = std::max(revision_, changes.store_revision);
-  for (const StoreChange& change : changes.changes) {
-    events_.on_change(change);
+  events_.on_changes({.after_revision = after,
+                      .revision = revision_,
+                      .changes = changes.changes});
+  if (!is_started_ || call_ != nullptr) {
+    return;
   }
   if (is_read_wanted_) {
     Start();
@@ -124,7 +140,11 @@
     log_.Write("store_lost", {{"prefix", settings_.prefix},
                               {"revision", std::to_string(revision_)}});
   }
-  recovery_.Await([this] { Start(); });
+  recovery_.Await([this] {
+    if (is_started_ && call_ == nullptr) {
+      Start();
+    }
+  });
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/store/prefix_follower.h
+++ b/modules/peridotmill_gateway/store/prefix_follower.h
@@ -9,6 +9,7 @@
 
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/replication/prefix_image.h"
 #include "peridotmill_gateway/store/store_channel.h"
 #include "peridotmill_gateway/store/store_recovery.h"
 
@@ -16,8 +17,8 @@
 
 struct PrefixFollowerSettings {
   std::string prefix;
-  // How long a watch waits for changes; bounds the time for which one that the
-  // store has forgotten goes unnoticed.
+  // How long a watch waits for changes. A store may leave a watch without an
+  // answer although there are changes; the next one brings them.
   Duration watch_wait = std::chrono::seconds(20);
   // Time between the answer to a watch and the next watch. Changes that come
   // meanwhile share one answer, so that a burst of changes costs a large fleet
@@ -31,7 +32,9 @@
   // `was_unreachable` tells that the store had not answered before it.
   std::function<void(const std::vector<StoreEntry>&, bool was_unreachable)>
       on_snapshot;
-  std::function<void(const StoreChange&)> on_change;
+  // Everything that has changed since the last call of either kind; no changes
+  // when a watch has run out.
+  std::function<void(const PrefixChanges&)> on_changes;
 };
 
 // Keeps up with the keys of one prefix: reads them, then watches for changes,
@@ -46,11 +49,14 @@
                  EventSink& log);
 
   void Start();
+  // Gives up following until the next Start.
+  void Stop();
   // Reads all keys again at the next opportunity.
   void ReadAgain();
 
-  bool has_snapshot() const { return has_snapshot_; }
-  bool is_reachable() const { return failures_ == 0; }
+  bool is_started() const { return is_started_; }
+  // Everything up to this store revision has been reported.
+  int64_t revision() const { return revision_; }
 
  private:
   void Read(const std::string& after_key);
@@ -73,7 +79,7 @@
   std::vector<StoreEntry> entries_;
   int64_t revision_ = 0;
   int failures_ = 0;
-  bool has_snapshot_ = false;
+  bool is_started_ = false;
   // A whole reading has failed since the last snapshot.
   bool was_unreachable_ = false;
   bool is_read_wanted_ = false;
--- a/modules/peridotmill_gateway/store/registration_keeper.cc
+++ b/modules/peridotmill_gateway/store/registration_keeper.cc
@@ -4,12 +4,6 @@
 #include <utility>
 
 namespace peridotmill {
-namespace {
-
-// Endpoints register again within about two seconds of the store's return.
-constexpr Duration kReturnGrace = std::chrono::milliseconds(2200);
-
-}  // namespace
 
 RegistrationKeeper::RegistrationKeeper(EndpointRegistry& registry,
                                        TimerQueue& timers,
--- a/modules/peridotmill_gateway/store/registration_keeper.h
+++ b/modules/peridotmill_gateway/store/registration_keeper.h
@@ -12,6 +12,10 @@
 
 namespace peridotmill {
 
+// Endpoints whose registration lapsed while the store was away register again
+// within about two seconds of its return.
+inline constexpr Duration kReturnGrace = std::chrono::milliseconds(2200);
+
 // Decides which registrations hold. Registrations may lapse while the store is
 // away; endpoints that live are back shortly after its return, so that what is
 // missing then is believed gone only after a grace time.
--- a/modules/peridotmill_gateway/tests/store_followers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_followers_test.cc
@@ -23,7 +23,10 @@
                          snapshots_.push_back(entries.size());
                          was_unreachable_ = was_unreachable;
                        },
-                   .on_change = [this](const StoreChange&) { ++changes_; }},
+                   .on_changes =
+                       [this](const PrefixChanges& changes) {
+                         changes_ += static_cast<int>(changes.changes.size());
+                       }},
                   store_,
                   recovery_,
                   timers_,
@@ -105,7 +108,7 @@
         PrefixFollowerSettings{.prefix = "o/"},
         PrefixFollowerEvents{
             .on_snapshot = [](const std::vector<StoreEntry>&, bool) {},
-            .on_change = [](const StoreChange&) {}},
+            .on_changes = [](const PrefixChanges&) {}},
         store, recovery_, timers_, events_));
     followers.back()->Start();
   }
@@ -146,7 +149,10 @@
   PrefixFollower follower(
       {.prefix = "p/", .pause = 400ms},
       {.on_snapshot = [](const std::vector<StoreEntry>&, bool) {},
-       .on_change = [&](const StoreChange&) { ++changes; }},
+       .on_changes =
+           [&](const PrefixChanges& batch) {
+             changes += static_cast<int>(batch.changes.size());
+           }},
       store, recovery_, timers_, events_);
   follower.Start();
   store.AnswerRead({}, 10);
@@ -215,9 +221,12 @@
   FakeStoreChannel store;
   RecordingEvents events;
   int silent = 0;
-  NodeRegistration registration(NodeId("n1"),
-                                {"10.0.0.1:7", FailureDomainId("d")}, store,
-                                timers, events, [&] { ++silent; });
+  int answers = 0;
+  NodeRegistration registration(
+      NodeId("n1"), {"10.0.0.1:7", FailureDomainId("d")}, store, timers, events,
+      {.on_answer = [&] { ++answers; },
+       .on_silence = [&] { ++silent; },
+       .is_watching = [] { return true; }});
   registration.Start();
   store.on_lease({StoreCallStatus::kOk, 9, 6s});
   ASSERT_EQ(store.puts.size(), 1u);
@@ -227,6 +236,7 @@
   EXPECT_EQ(store.keeps, 1);
   store.on_keep({StoreCallStatus::kUnknown, 0, 0s});
   EXPECT_EQ(silent, 1);
+  EXPECT_EQ(answers, 0);
   timers.Advance(800ms);
   store.on_keep({StoreCallStatus::kRefused, 0, 0s});
   EXPECT_EQ(silent, 1);
--- a/modules/peridotmill_http/peers/frame_link.cc
+++ b/modules/peridotmill_http/peers/frame_link.cc
@@ -7,17 +7,15 @@
 namespace peridotmill {
 namespace {
 
-// Messages about stage tasks take a few KB.
-constexpr size_t kMaxFrame = size_t{256} << 10;
 // A peer that does not read is given up beyond this.
-constexpr size_t kMaxUnsent = size_t{1} << 20;
+constexpr size_t kMaxUnsent = size_t{3} << 20;
 
 }  // namespace
 
 class FrameLink::Connection final : public StreamSocket::Listener {
  public:
   explicit Connection(PeerLinkListener* listener)
-      : listener_(listener), frames_(kMaxFrame) {}
+      : listener_(listener), frames_(kMaxPeerFrame) {}
   ~Connection() override {
     if (failure_source_ != 0) {
       g_source_remove(failure_source_);
