Avoid a failure domain that stops answering as a whole

Change: DomainHealth, shared by the endpoints of a domain: three silent endpoints and 200 ms without any answer make it suspected; probes find its return. A coordinator gives up overdue calls there, tells the other nodes with its reports, and they skip coordinators behind the cut. Coordinators report every 300 ms, so that a silent one is passed over after 900 ms.

--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -582,14 +582,21 @@
 struct TaskAccepted FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TaskAcceptedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TASK = 4
+    VT_TASK = 4,
+    VT_SUSPECTED_DOMAINS = 8
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *suspected_domains() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SUSPECTED_DOMAINS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTED_DOMAINS) &&
+           verifier.VerifyVector(suspected_domains()) &&
+           verifier.VerifyVectorOfStrings(suspected_domains()) &&
            verifier.EndTable();
   }
 };
@@ -601,6 +608,9 @@
   void add_task(uint64_t task) {
     fbb_.AddElement<uint64_t>(TaskAccepted::VT_TASK, task, 0);
   }
+  void add_suspected_domains(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected_domains) {
+    fbb_.AddOffset(TaskAccepted::VT_SUSPECTED_DOMAINS, suspected_domains);
+  }
   explicit TaskAcceptedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -614,12 +624,25 @@
 
 inline flatbuffers::Offset<TaskAccepted> CreateTaskAccepted(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t task = 0) {
+    uint64_t task = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> suspected_domains = 0) {
   TaskAcceptedBuilder builder_(_fbb);
   builder_.add_task(task);
+  builder_.add_suspected_domains(suspected_domains);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<TaskAccepted> CreateTaskAcceptedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t task = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *suspected_domains = nullptr) {
+  auto suspected_domains__ = suspected_domains ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*suspected_domains) : 0;
+  return peridotmill::stagewire::CreateTaskAccepted(
+      _fbb,
+      task,
+      suspected_domains__);
+}
+
 struct TaskEnded FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef TaskEndedBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -126,8 +126,14 @@
   }
   flatbuffers::Offset<stagewire::Message> operator()(
       const TaskAcceptedMessage& message) {
-    return Wrap(stagewire::Body::TaskAccepted,
-                stagewire::CreateTaskAccepted(builder, message.id).Union());
+    std::vector<flatbuffers::Offset<flatbuffers::String>> domains;
+    for (const FailureDomainId& domain : message.suspected_domains) {
+      domains.push_back(builder.CreateString(domain.value()));
+    }
+    const auto vector = builder.CreateVector(domains);
+    return Wrap(
+        stagewire::Body::TaskAccepted,
+        stagewire::CreateTaskAccepted(builder, message.id, vector).Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
       const TaskEndedMessage& message) {
@@ -184,6 +190,16 @@
   return message;
 }
 
+TaskAcceptedMessage DecodeAccepted(const stagewire::TaskAccepted& wire) {
+  TaskAcceptedMessage message = {.id = wire.task()};
+  if (wire.suspected_domains() != nullptr) {
+    for (const flatbuffers::String* const domain : *wire.suspected_domains()) {
+      message.suspected_domains.emplace_back(TextOf(domain));
+    }
+  }
+  return message;
+}
+
 TaskEndedMessage DecodeEnded(const stagewire::TaskEnded& wire) {
   TaskEndedMessage message;
   message.id = wire.task();
@@ -226,7 +242,7 @@
     case stagewire::Body::CancelTask:
       return CancelTaskMessage{message->body_as_CancelTask()->task()};
     case stagewire::Body::TaskAccepted:
-      return TaskAcceptedMessage{message->body_as_TaskAccepted()->task()};
+      return DecodeAccepted(*message->body_as_TaskAccepted());
     case stagewire::Body::TaskEnded:
       return DecodeEnded(*message->body_as_TaskEnded());
     default:
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -27,6 +27,8 @@
 
 struct TaskAcceptedMessage {
   RemoteTaskId id = 0;
+  // Failure domains that answer the coordinator no more.
+  std::vector<FailureDomainId> suspected_domains;
 };
 
 struct TaskEndedMessage {
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -11,10 +11,10 @@
 // A coordinator that has not accepted a task after this time is passed over.
 // Nodes answer within a few milliseconds; slowed down five times they still do.
 constexpr Duration kAcceptTimeout = std::chrono::milliseconds(250);
-// A coordinator reports on unfinished tasks every 500 ms; one that is silent
+// A coordinator reports on unfinished tasks every 300 ms; one that is silent
 // for longer than two reports is passed over.
-constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1300);
-constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(400);
+constexpr Duration kSilenceTimeout = std::chrono::milliseconds(900);
+constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(200);
 // For how long a node that did not answer gets no further task; doubled with
 // each further failure, up to three times, the length of a partition.
 constexpr Duration kFirstExclusion = std::chrono::milliseconds(1000);
@@ -87,13 +87,21 @@
     const auto exclusion = exclusions_.find(node);
     const bool is_excluded =
         exclusion != exclusions_.end() && exclusion->second.until > now;
-    if (!is_excluded) {
+    if (!is_excluded && !IsBehindPartition(node, now)) {
       return node;
     }
   }
   return dependencies_.self;
 }
 
+bool StageRelay::IsBehindPartition(const NodeId& node, TimePoint now) const {
+  const NodeRecord* const record = dependencies_.nodes.Find(node);
+  return record != nullptr && node != dependencies_.self &&
+         record->failure_domain != dependencies_.self_record.failure_domain &&
+         IsDomainSuspected(
+             dependencies_.endpoints.Domain(record->failure_domain), now);
+}
+
 std::unique_ptr<OpenStageTask> StageRelay::Submit(StageTask task,
                                                   StageTaskListener* listener) {
   if (ChooseCoordinator(task.group) == dependencies_.self) {
@@ -148,6 +156,12 @@
 }
 
 void StageRelay::OnAccepted(const TaskAcceptedMessage& message) {
+  for (const FailureDomainId& domain : message.suspected_domains) {
+    if (domain != dependencies_.self_record.failure_domain) {
+      NoteDomainHint(dependencies_.endpoints.Domain(domain),
+                     dependencies_.clock.Now());
+    }
+  }
   const auto found = tasks_.find(message.id);
   if (found == tasks_.end() || found->second.local != nullptr ||
       found->second.is_ended) {
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -11,6 +11,7 @@
 #include "peridotmill_gateway/peers/node_directory.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 #include "peridotmill_gateway/peers/stage_message.h"
+#include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/repeats/repeat_budget.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
@@ -30,6 +31,8 @@
     StageWorker& local;
     const NodeDirectory& nodes;
     RepeatBudget& repeats;
+    // Told of failure domains that answer a coordinator no more.
+    EndpointRegistry& endpoints;
     EventSink& events;
     NodeId self;
     NodeRecord self_record;
@@ -67,6 +70,8 @@
   };
 
   NodeId ChooseCoordinator(const PoolId& group) const;
+  // A task sent there would wait for an answer that does not come.
+  bool IsBehindPartition(const NodeId& node, TimePoint now) const;
   void Assign(RemoteTaskId id);
   void OnFrame(const NodeId& node, std::string_view frame);
   void OnAccepted(const TaskAcceptedMessage& message);
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Time between reports on unfinished tasks.
-constexpr Duration kReportInterval = std::chrono::milliseconds(500);
+constexpr Duration kReportInterval = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -55,7 +55,7 @@
       RemoteListener* const raw = task.get();
       tasks_[submit->id] = std::move(task);
       raw->Start(std::move(submit->task));
-      Send(TaskAcceptedMessage{submit->id});
+      Send(TaskAcceptedMessage{submit->id, service_->suspected_domains_()});
       ReportLater();
     } else if (const auto* const cancel =
                    std::get_if<CancelTaskMessage>(&*message)) {
@@ -74,7 +74,7 @@
       report_timer_.reset();
       for (const auto& [id, task] : tasks_) {
         if (!task->is_ended()) {
-          Send(TaskAcceptedMessage{id});
+          Send(TaskAcceptedMessage{id, service_->suspected_domains_()});
           ReportLater();
           return;
         }
@@ -92,10 +92,15 @@
   std::unique_ptr<Timer> report_timer_;
 };
 
-StageService::StageService(StageWorker& worker,
-                           const Clock& clock,
-                           TimerQueue& timers)
-    : worker_(worker), clock_(clock), timers_(timers) {}
+StageService::StageService(
+    StageWorker& worker,
+    const Clock& clock,
+    TimerQueue& timers,
+    std::function<std::vector<FailureDomainId>()> suspected_domains)
+    : worker_(worker),
+      clock_(clock),
+      timers_(timers),
+      suspected_domains_(std::move(suspected_domains)) {}
 
 StageService::~StageService() = default;
 
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
@@ -19,7 +20,11 @@
   using LinkMaker =
       std::function<std::unique_ptr<PeerLink>(PeerLinkListener* listener)>;
 
-  StageService(StageWorker& worker, const Clock& clock, TimerQueue& timers);
+  // `suspected_domains` tells which failure domains no longer answer this node.
+  StageService(StageWorker& worker,
+               const Clock& clock,
+               TimerQueue& timers,
+               std::function<std::vector<FailureDomainId>()> suspected_domains);
   ~StageService();
   StageService(const StageService&) = delete;
   StageService& operator=(const StageService&) = delete;
@@ -36,6 +41,7 @@
   StageWorker& worker_;
   const Clock& clock_;
   TimerQueue& timers_;
+  std::function<std::vector<FailureDomainId>()> suspected_domains_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -67,7 +67,7 @@
 }
 
 bool IsTrusted(const Endpoint& endpoint, TimePoint now, Duration longest_wait) {
-  if (endpoint.ejected_until > now) {
+  if (endpoint.ejected_until > now || IsDomainAvoided(*endpoint.domain, now)) {
     return false;
   }
   return endpoint.unanswered_since.empty() ||
--- a/modules/peridotmill_gateway/placement/endpoint_placement.h
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -37,8 +37,8 @@
 // calls that this node has open there, whichever is more; above 1 work waits.
 double EstimateLoad(const Endpoint& endpoint, TimePoint now);
 
-// Whether the endpoint may be used: not ejected, and no call without an answer
-// for longer than `longest_wait`.
+// Whether the endpoint may be used: not ejected, in a failure domain that
+// answers, and no call without an answer for longer than `longest_wait`.
 bool IsTrusted(const Endpoint& endpoint, TimePoint now, Duration longest_wait);
 
 // Chooses an endpoint for one call, or null when `serving` is empty but for
--- a/modules/peridotmill_gateway/placement/engine_plan.cc
+++ b/modules/peridotmill_gateway/placement/engine_plan.cc
@@ -117,7 +117,8 @@
   for (const EndpointPtr& endpoint : serving) {
     const PlannedEngine& engine = EngineOf(plan, *endpoint);
     const bool is_silent = silent.contains(endpoint->registration.id) ||
-                           endpoint->ejected_until > now;
+                           endpoint->ejected_until > now ||
+                           IsDomainAvoided(*endpoint->domain, now);
     double cost = engine.unread_tokens +
                   kReadAgainFactor * TokensToRead(engine, prompt) +
                   kRecentWeight * RecentTokens(engine, now) +
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -34,6 +34,8 @@
     }
     endpoint = std::make_shared<Endpoint>();
   }
+  Domain(registration.failure_domain);
+  endpoint->domain = domains_.at(registration.failure_domain);
   endpoint->registration = std::move(registration);
   if (!old_pool.empty() && old_pool != pool) {
     Rebuild(old_pool);
@@ -77,6 +79,24 @@
   return found == serving_.end() ? none : found->second;
 }
 
+DomainHealth& EndpointRegistry::Domain(const FailureDomainId& domain) {
+  std::shared_ptr<DomainHealth>& health = domains_[domain];
+  if (health == nullptr) {
+    health = std::make_shared<DomainHealth>();
+  }
+  return *health;
+}
+
+std::vector<FailureDomainId> EndpointRegistry::SuspectedDomains() const {
+  std::vector<FailureDomainId> suspected;
+  for (const auto& [domain, health] : domains_) {
+    if (health->is_suspected) {
+      suspected.push_back(domain);
+    }
+  }
+  return suspected;
+}
+
 void EndpointRegistry::Rebuild(const PoolId& pool) {
   std::vector<EndpointPtr>& serving = serving_[pool];
   serving.clear();
@@ -91,6 +111,12 @@
 void BeginCall(Endpoint& endpoint, TimePoint now) {
   ++endpoint.open_calls;
   endpoint.unanswered_since.push_back(now);
+  NoteDomainCall(*endpoint.domain, now);
+}
+
+void NoteAnswer(Endpoint& endpoint, TimePoint started, TimePoint now) {
+  EndWaiting(endpoint, started);
+  NoteDomainAnswer(*endpoint.domain, now);
 }
 
 void EndWaiting(Endpoint& endpoint, TimePoint started) {
@@ -103,6 +129,11 @@
 
 void EndCall(Endpoint& endpoint, CallVerdict verdict, TimePoint now) {
   --endpoint.open_calls;
+  if (verdict == CallVerdict::kSuccess || verdict == CallVerdict::kRefused) {
+    NoteDomainAnswer(*endpoint.domain, now);
+  } else if (verdict == CallVerdict::kSilent) {
+    NoteDomainSilence(*endpoint.domain, endpoint.registration.id, now);
+  }
   if (verdict == CallVerdict::kSuccess) {
     endpoint.failures_in_row = 0;
     endpoint.ejected_until = TimePoint();
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "peridotmill_gateway/registry/domain_health.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
 
 namespace peridotmill {
@@ -15,6 +16,8 @@
 // An endpoint and what this node has seen of it.
 struct Endpoint {
   EndpointRegistration registration;
+  // Shared by all endpoints of its failure domain.
+  std::shared_ptr<DomainHealth> domain = std::make_shared<DomainHealth>();
   // Calls of this node that have not ended.
   int open_calls = 0;
   // Load that the endpoint reported last, and when.
@@ -69,17 +72,25 @@
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
+  // Whether the failure domain answers this node.
+  DomainHealth& Domain(const FailureDomainId& domain);
+  // Domains that this node itself believes to be cut off.
+  std::vector<FailureDomainId> SuspectedDomains() const;
+
  private:
   void Rebuild(const PoolId& pool);
 
   std::map<EndpointId, EndpointPtr> by_id_;
   std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
+  std::map<FailureDomainId, std::shared_ptr<DomainHealth>> domains_;
 };
 
 // Notes the start of a call.
 void BeginCall(Endpoint& endpoint, TimePoint now);
-// Notes the first byte of a call's answer, or that none will come.
+// Notes that a call waits for its answer no longer.
 void EndWaiting(Endpoint& endpoint, TimePoint started);
+// Notes the first byte of a call's answer.
+void NoteAnswer(Endpoint& endpoint, TimePoint started, TimePoint now);
 // Notes the end of a call.
 void EndCall(Endpoint& endpoint, CallVerdict verdict, TimePoint now);
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -54,6 +54,9 @@
 // Endpoint without an answer to some call for this long is avoided.
 constexpr Duration kPlainLongestWait = std::chrono::milliseconds(600);
 constexpr Duration kEngineLongestWait = std::chrono::milliseconds(1500);
+// A connection that is not established for this long gets no answer at all; an
+// endpoint that is full or restarting refuses it sooner.
+constexpr Duration kSilentConnect = std::chrono::milliseconds(400);
 // Callers whose request found no free endpoint come back after about one call.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(300);
 
@@ -440,7 +443,7 @@
 
 void GatewayRequest::OnAnswerHead(const EndpointAnswerHead& head) {
   const TimePoint now = context_.clock.Now();
-  EndWaiting(*endpoint_, attempt_started_);
+  NoteAnswer(*endpoint_, attempt_started_, now);
   answer_ = head;
   has_answer_head_ = true;
   if (head.load) {
@@ -592,7 +595,11 @@
        {"reason", std::string(ToString(reason))},
        {"status", std::to_string(has_answer_head_ ? answer_.status : 0)},
        {"ms", Milliseconds(context_.clock.Now() - attempt_started_)}});
+  const bool is_silent =
+      outcome == AttemptOutcome::kNotSent &&
+      context_.clock.Now() - attempt_started_ >= kSilentConnect;
   EndAttempt(outcome == AttemptOutcome::kRefused ? CallVerdict::kRefused
+             : is_silent                         ? CallVerdict::kSilent
                                                  : CallVerdict::kFailure,
              outcome);
   if (TakeRepeat(outcome)) {
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -35,6 +35,11 @@
 constexpr double kLeastPace = 0.3;
 constexpr double kMostPace = 8;
 
+// A call that takes this many times its predicted time is overdue. A failure
+// domain of which several endpoints are overdue, and none answers, is cut off.
+constexpr double kOverdueFactor = 1.5;
+constexpr Duration kReviewInterval = std::chrono::milliseconds(100);
+
 WaitingTask Describe(const StageTask& task, TimePoint submitted) {
   WaitingTask waiting;
   waiting.submitted = submitted;
@@ -402,9 +407,66 @@
     FinishCall(raw, StageAnswer());
   });
   calls_.emplace(raw, std::move(call));
+  ScheduleReview();
   return true;
 }
 
+void StageCoordinator::ScheduleReview() {
+  if (review_timer_ == nullptr && !calls_.empty()) {
+    review_timer_ = dependencies_.timers.After(kReviewInterval, [this] {
+      review_timer_.reset();
+      ReviewOverdueCalls();
+      ScheduleReview();
+    });
+  }
+}
+
+void StageCoordinator::ReviewOverdueCalls() {
+  const TimePoint now = dependencies_.clock.Now();
+  std::set<FailureDomainId> lost;
+  std::vector<Call*> given_up;
+  for (const auto& [raw, call] : calls_) {
+    if (!IsOverdue(*call, now)) {
+      continue;
+    }
+    const EndpointRegistration& registration = call->endpoint->registration;
+    DomainHealth& domain = *call->endpoint->domain;
+    if (domain.is_suspected) {
+      // A probe, or a call that began before.
+      given_up.push_back(raw);
+    } else if (NoteDomainSilence(domain, registration.id, now)) {
+      lost.insert(registration.failure_domain);
+    }
+  }
+  for (const FailureDomainId& domain : lost) {
+    dependencies_.events.Write("domain_suspected",
+                               {{"domain", domain.value()}});
+    for (const auto& [raw, call] : calls_) {
+      if (call->endpoint->registration.failure_domain == domain) {
+        given_up.push_back(raw);
+      }
+    }
+  }
+  for (Call* const call : given_up) {
+    // Finishing one may have ended others.
+    if (calls_.contains(call)) {
+      call->is_timed_out = true;
+      FinishCall(call, StageAnswer());
+    }
+  }
+}
+
+bool StageCoordinator::IsOverdue(const Call& call, TimePoint now) const {
+  const StagePoolDefinition* const pool = FindStagePool(call.pool);
+  if (pool == nullptr) {
+    return false;
+  }
+  const double predicted_ms =
+      ToMilliseconds(CallTime(*pool, static_cast<int>(call.item_count))) *
+      std::max(1.0, call.endpoint->call_time_ratio);
+  return ToMilliseconds(now - call.started) > kOverdueFactor * predicted_ms;
+}
+
 void StageCoordinator::FinishCall(Call* call, StageAnswer answer) {
   const auto found = calls_.find(call);
   const std::unique_ptr<Call> owned = std::move(found->second);
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -98,6 +98,10 @@
   std::set<FailureDomainId> ServedDomains(
       const PoolId& id,
       const StagePoolDefinition& pool) const;
+  // Gives up the calls to failure domains that have stopped to answer.
+  void ReviewOverdueCalls();
+  void ScheduleReview();
+  bool IsOverdue(const Call& call, TimePoint now) const;
   void FinishCall(Call* call, StageAnswer answer);
   // Notes at the endpoint that a call has ended.
   void CloseCall(Call& call, const StageAnswer& answer);
@@ -143,6 +147,7 @@
   std::map<PoolId, Queue> queues_;
   std::map<StageTaskId, Task> tasks_;
   std::map<Call*, std::unique_ptr<Call>> calls_;
+  std::unique_ptr<Timer> review_timer_;
   StageEntrance entrance_;
   // Prompts of requests that are not yet placed at an engine.
   std::unordered_map<RequestId, PromptDemand> prompts_;
--- a/modules/peridotmill_gateway/tests/stage_peers_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -86,9 +86,12 @@
         other_({clock_, timers_, other_caller_, other_endpoints_,
                 other_repeats_, events_},
                9),
-        service_(other_, clock_, timers_),
+        service_(other_,
+                 clock_,
+                 timers_,
+                 [this] { return other_endpoints_.SuspectedDomains(); }),
         relay_({clock_, timers_, network_, coordinator_, nodes_, repeats_,
-                events_, FindSelf(), NodeRecord()}) {
+                endpoints_, events_, FindSelf(), NodeRecord()}) {
     network_.service = &service_;
     other_endpoints_.Put(MakeRegistration("s1", "scan", "valley", 1));
     other_.SetConfiguration(gateway_.configuration());
