Bound bytes without end and answers that nobody reads

A body of one byte now and then held a connection for good, and comment lines kept a stalled stream. An idempotent answer over 64 KiB that broke off was followed by a second endpoint's whole answer on the same response.

Change: limits in the HTTP client (16 skipped answers, 256 KiB of their bodies, max_answer_bytes for each call), one event up to 256 KiB, unsealed answers up to 64 KiB; reading from an endpoint pauses while 64 KiB wait for the caller; a body must come at 1 KB/s on average beyond the idle time; only events with content count as progress; only streams go on at a second endpoint once a part was passed on.

--- a/modules/peridotmill_core/http/caller_channel.h
+++ b/modules/peridotmill_core/http/caller_channel.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_CORE_HTTP_CALLER_CHANNEL_H_
 #define PERIDOTMILL_CORE_HTTP_CALLER_CHANNEL_H_
 
+#include <cstddef>
 #include <functional>
 #include <string_view>
 
@@ -20,6 +21,10 @@
   virtual void Abort() = 0;
   // Called once if the caller closes its connection before the answer ends.
   virtual void set_on_caller_gone(std::function<void()> callback) = 0;
+  // Bytes that wait because the caller reads slowly.
+  virtual size_t unsent_bytes() const = 0;
+  // Called each time that no byte waits any more.
+  virtual void set_on_drained(std::function<void()> callback) = 0;
 };
 
 // Sends a whole answer.
--- a/modules/peridotmill_core/http/http_call.h
+++ b/modules/peridotmill_core/http/http_call.h
@@ -37,6 +37,9 @@
   // have closed them, which leaves open whether it ran the call.
   Duration max_connection_idle = std::chrono::seconds(10);
   Duration connect_timeout = std::chrono::milliseconds(500);
+  // An answer with a longer body ends the call as kTruncated. 0: no limit, for
+  // bodies that are passed on as they come.
+  size_t max_answer_bytes = 0;
 };
 
 // Receives an answer. Callbacks come from the main loop, never within Start.
@@ -55,6 +58,10 @@
 class OpenHttpCall {
  public:
   virtual ~OpenHttpCall() = default;
+  // Stops and resumes taking bytes from the server, which then has to wait.
+  // While paused the end of the connection is not noticed.
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
 };
 
 // Makes calls to HTTP servers.
--- a/modules/peridotmill_gateway/calls/endpoint_call.h
+++ b/modules/peridotmill_gateway/calls/endpoint_call.h
@@ -69,6 +69,9 @@
 class OpenEndpointCall {
  public:
   virtual ~OpenEndpointCall() = default;
+  // Stops and resumes taking the answer, so that the endpoint has to wait.
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
 };
 
 // Sends requests to endpoints.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -17,6 +17,11 @@
 // Answers of plain services up to this size are checked as a whole before they
 // are passed on; larger ones are passed on as they arrive.
 constexpr size_t kMaxBufferedAnswer = 65536;
+// An event of a stream that is longer has no end.
+constexpr size_t kMaxEventBytes = size_t{256} << 10;
+// Bytes that may wait for a caller that reads slowly before the endpoint has to
+// wait too.
+constexpr size_t kMaxUnsentAnswer = 65536;
 // Calls that must not run twice use connections that were idle for less than
 // this: a server may close one at any time and leave open what it has run.
 constexpr Duration kFreshConnection = std::chrono::milliseconds(300);
@@ -92,6 +97,7 @@
 
 void GatewayRequest::Start() {
   channel_->set_on_caller_gone([this] { OnCallerGone(); });
+  channel_->set_on_drained([this] { ResumeAnswer(); });
   if (deadline_ <= accepted_) {
     Fail(Reason::kDeadlineExpired, kRetryAfter);
     return;
@@ -388,6 +394,7 @@
   has_answer_head_ = false;
   answer_body_.clear();
   events_.DropRest();
+  is_paused_ = false;
   attempt_started_ = now;
   BeginCall(*endpoint_, now);
   call_ = context_.endpoint_caller.Start(call, this);
@@ -471,18 +478,49 @@
   }
   if (is_head_sent_) {
     channel_->SendBody(bytes);
+    PauseAnswerIfUnread();
     return;
   }
   answer_body_.append(bytes);
-  if (answer_body_.size() > kMaxBufferedAnswer && answer_.is_authentic &&
-      !answer_.is_stated_not_run && answer_.content_length) {
-    SendAnswerHead(answer_.content_length);
-    channel_->SendBody(std::exchange(answer_body_, std::string()));
+  if (answer_body_.size() <= kMaxBufferedAnswer) {
+    return;
+  }
+  if (!answer_.is_authentic || answer_.is_stated_not_run) {
+    // No answer of an endpoint; its bytes may come without end.
+    HandleFailedAttempt(AttemptOutcome::kSentUnknown, Reason::kAnswerMismatch);
+    return;
+  }
+  // Without a length the answer is complete only at an orderly close, and is
+  // cut otherwise.
+  SendAnswerHead(answer_.content_length);
+  channel_->SendBody(std::exchange(answer_body_, std::string()));
+  PauseAnswerIfUnread();
+}
+
+void GatewayRequest::PauseAnswerIfUnread() {
+  if (!is_paused_ && call_ != nullptr &&
+      channel_->unsent_bytes() > kMaxUnsentAnswer) {
+    is_paused_ = true;
+    call_->PauseReading();
+    // The endpoint is not silent; it is not listened to.
+    silence_timer_.reset();
+  }
+}
+
+void GatewayRequest::ResumeAnswer() {
+  if (std::exchange(is_paused_, false) && call_ != nullptr) {
+    call_->ResumeReading();
+    ArmSilenceTimer();
   }
 }
 
 void GatewayRequest::ForwardStreamBytes(std::string_view bytes) {
+  const uint64_t events_before = events_.event_count();
   const std::string whole = events_.Add(bytes);
+  if (events_.rest().size() > kMaxEventBytes) {
+    HandleFailedAttempt(AttemptOutcome::kSentUnknown, Reason::kStreamBroken);
+    return;
+  }
   if (whole.empty()) {
     return;
   }
@@ -491,7 +529,11 @@
     SendAnswerHead(std::nullopt);
   }
   channel_->SendBody(whole);
-  ArmSilenceTimer();
+  // A stalled stream that sends comments now and then is still stalled.
+  if (events_.event_count() > events_before) {
+    ArmSilenceTimer();
+  }
+  PauseAnswerIfUnread();
 }
 
 void GatewayRequest::SendAnswerHead(std::optional<uint64_t> content_length) {
@@ -571,7 +613,8 @@
 }
 
 bool GatewayRequest::TakeRepeat(AttemptOutcome outcome) {
-  if (!history_.MayTryAgain(*route_)) {
+  // Only a stream goes on where a part of the answer has been passed on.
+  if (!history_.MayTryAgain(*route_) || (is_head_sent_ && !IsStream())) {
     return false;
   }
   if (outcome == AttemptOutcome::kNotSent) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -76,6 +76,9 @@
   // The engine that the stages' coordinator chose, once, if it can be used.
   EndpointPtr TakeSuggestedEngine(TimePoint now);
   void ArmSilenceTimer();
+  // Lets the endpoint wait while its caller does not read.
+  void PauseAnswerIfUnread();
+  void ResumeAnswer();
   void EndAttempt(CallVerdict verdict, AttemptOutcome outcome);
   void HandleFailedAttempt(AttemptOutcome outcome, Reason reason);
   bool TakeRepeat(AttemptOutcome outcome);
@@ -125,6 +128,7 @@
   std::string answer_body_;
   EventSplitter events_;
   bool is_head_sent_ = false;
+  bool is_paused_ = false;
   TimePoint first_event_at_;
   std::unique_ptr<Timer> timeout_;
   std::unique_ptr<Timer> silence_timer_;
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -15,8 +15,14 @@
   return crlf < lf ? crlf + 4 : lf + 2;
 }
 
-std::optional<std::string_view> FindEventId(std::string_view event) {
+struct EventFields {
   std::optional<std::string_view> id;
+  // The event has a line that is no comment.
+  bool has_content = false;
+};
+
+EventFields ReadFields(std::string_view event) {
+  EventFields fields;
   while (!event.empty()) {
     const size_t end = std::min(event.find('\n'), event.size());
     std::string_view line = event.substr(0, end);
@@ -24,15 +30,17 @@
     if (line.ends_with('\r')) {
       line.remove_suffix(1);
     }
+    fields.has_content =
+        fields.has_content || (!line.empty() && !line.starts_with(':'));
     if (line.starts_with("id:")) {
       line.remove_prefix(3);
       if (line.starts_with(' ')) {
         line.remove_prefix(1);
       }
-      id = line;
+      fields.id = line;
     }
   }
-  return id;
+  return fields;
 }
 
 }  // namespace
@@ -46,11 +54,11 @@
     if (end == std::string::npos) {
       break;
     }
-    const auto id = FindEventId(text.substr(start, end - start));
-    if (id) {
-      last_event_id_ = *id;
+    const EventFields fields = ReadFields(text.substr(start, end - start));
+    if (fields.id) {
+      last_event_id_ = *fields.id;
     }
-    ++event_count_;
+    event_count_ += fields.has_content ? 1 : 0;
     start = end;
   }
   std::string whole = rest_.substr(0, start);
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -22,6 +22,7 @@
 
   // The id of the last whole event that had one.
   const std::string& last_event_id() const { return last_event_id_; }
+  // Whole events that carried something; comments only keep a connection alive.
   uint64_t event_count() const { return event_count_; }
 
  private:
--- a/modules/peridotmill_gateway/tests/fake_caller_channel.h
+++ b/modules/peridotmill_gateway/tests/fake_caller_channel.h
@@ -15,20 +15,39 @@
   void SendHead(const HttpResponseHead& head) override {
     heads.push_back(head);
   }
-  void SendBody(std::string_view bytes) override { body += bytes; }
+  void SendBody(std::string_view bytes) override {
+    body += bytes;
+    unsent += is_reading ? 0 : bytes.size();
+  }
   void Finish() override { is_finished = true; }
   void Abort() override { is_aborted = true; }
   void set_on_caller_gone(std::function<void()> callback) override {
     on_gone = std::move(callback);
   }
 
+  size_t unsent_bytes() const override { return unsent; }
+  void set_on_drained(std::function<void()> callback) override {
+    on_drained = std::move(callback);
+  }
+  // The caller reads again, and takes everything that waited.
+  void Drain() {
+    is_reading = true;
+    unsent = 0;
+    if (on_drained) {
+      on_drained();
+    }
+  }
+
   int status() const { return heads.empty() ? 0 : heads.front().status; }
 
   std::vector<HttpResponseHead> heads;
   std::string body;
   bool is_finished = false;
   bool is_aborted = false;
+  bool is_reading = true;
+  size_t unsent = 0;
   std::function<void()> on_gone;
+  std::function<void()> on_drained;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/fake_endpoint_caller.h
+++ b/modules/peridotmill_gateway/tests/fake_endpoint_caller.h
@@ -16,6 +16,7 @@
     EndpointCall call;
     EndpointCallListener* listener = nullptr;
     bool is_open = true;
+    bool is_paused = false;
   };
 
   std::unique_ptr<OpenEndpointCall> Start(
@@ -54,6 +55,8 @@
    public:
     explicit Open(std::shared_ptr<Call> call) : call_(std::move(call)) {}
     ~Open() override { call_->is_open = false; }
+    void PauseReading() override { call_->is_paused = true; }
+    void ResumeReading() override { call_->is_paused = false; }
 
    private:
     std::shared_ptr<Call> call_;
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -111,6 +111,98 @@
   EXPECT_TRUE(caller->is_finished);
 }
 
+// Guards against an answer whose first part is of one endpoint and whose rest
+// is of another.
+TEST_F(GatewayTest, NeverJoinsAnswersOfTwoEndpoints) {
+  const auto caller = Send("look");
+  endpoint_caller_.listener(0).OnAnswerHead(FakeEndpointCaller::Success());
+  endpoint_caller_.listener(0).OnAnswerBody(std::string(100'000, 'a'));
+  ASSERT_EQ(caller->status(), 200);
+  endpoint_caller_.listener(0).OnAnswerEnd(HttpCallEnd::kTruncated);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
+  EXPECT_TRUE(caller->is_aborted);
+}
+
+// Guards against memory filled by bytes that are no answer and have no end: a
+// body without its maker's seal, and an event without an end.
+TEST_F(GatewayTest, GivesUpAnswersWithoutEnd) {
+  constexpr size_t kEndless = size_t{64} << 20;
+  struct Case {
+    const char* route;
+    EndpointAnswerHead head;
+  };
+  EndpointAnswerHead unsealed = FakeEndpointCaller::Success();
+  unsealed.is_authentic = false;
+  for (const Case& test : {Case{"book", unsealed}, Case{"chat", unsealed},
+                           Case{"chat", FakeEndpointCaller::Stream()}}) {
+    const auto caller = Send(test.route);
+    const auto call = endpoint_caller_.calls.back();
+    call->listener->OnAnswerHead(test.head);
+    const std::string piece(16384, 'x');
+    size_t taken = 0;
+    while (call->is_open && taken < kEndless) {
+      call->listener->OnAnswerBody(piece);
+      taken += piece.size();
+    }
+    EXPECT_FALSE(call->is_open) << test.route;
+    EXPECT_LT(taken, size_t{1} << 20) << test.route;
+    EXPECT_EQ(caller->status(), 502) << test.route;
+  }
+}
+
+// Guards against memory filled by answers whose callers do not read, and
+// against a paused stream that is taken for a silent one.
+TEST_F(GatewayTest, LetsTheEndpointWaitForASlowCaller) {
+  const auto caller = Send("resume");
+  caller->is_reading = false;
+  const auto call = endpoint_caller_.calls.back();
+  call->listener->OnAnswerHead(FakeEndpointCaller::Stream());
+  size_t sent = 0;
+  while (!call->is_paused && sent < 10'000) {
+    ++sent;
+    call->listener->OnAnswerBody("id: " + std::to_string(sent) +
+                                 "\ndata: abc\n\n");
+  }
+  EXPECT_TRUE(call->is_paused);
+  EXPECT_LT(caller->unsent, 70'000u);
+  timers_.Advance(5s);
+  EXPECT_TRUE(call->is_open);
+  caller->Drain();
+  EXPECT_FALSE(call->is_paused);
+  call->listener->OnAnswerEnd(HttpCallEnd::kComplete);
+  EXPECT_TRUE(caller->is_finished);
+}
+
+// Guards against a stalled stream that looks alive because its engine sends
+// comments now and then.
+TEST_F(GatewayTest, CommentsDoNotKeepAStalledStream) {
+  const auto caller = Send("resume");
+  endpoint_caller_.listener(0).OnAnswerHead(FakeEndpointCaller::Stream());
+  endpoint_caller_.listener(0).OnAnswerBody("id: 1\ndata: a\n\n");
+  for (int i = 0; i < 10 && endpoint_caller_.calls.size() == 1; ++i) {
+    timers_.Advance(400ms);
+    if (endpoint_caller_.calls.size() == 1) {
+      endpoint_caller_.listener(0).OnAnswerBody(": still here\n\n");
+    }
+  }
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EXPECT_EQ(endpoint_caller_.calls[1]->call.resume_after_event, "1");
+}
+
+// Guards against a sound stream that is moved or cut because it is slow.
+TEST_F(GatewayTest, ASlowStreamIsLeftAlone) {
+  const auto caller = Send("resume");
+  endpoint_caller_.listener(0).OnAnswerHead(FakeEndpointCaller::Stream());
+  for (int i = 1; i <= 6; ++i) {
+    endpoint_caller_.listener(0).OnAnswerBody("id: " + std::to_string(i) +
+                                              "\ndata: a\n\n");
+    timers_.Advance(1100ms);
+  }
+  endpoint_caller_.listener(0).OnAnswerEnd(HttpCallEnd::kComplete);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
+  EXPECT_TRUE(caller->is_finished);
+}
+
 // Guards against a stream that may not be resumed ending as if it were
 // complete.
 TEST_F(GatewayTest, CutsABrokenStreamThatMayNotBeResumed) {
--- a/modules/peridotmill_http/client/http_client.cc
+++ b/modules/peridotmill_http/client/http_client.cc
@@ -30,6 +30,17 @@
     }
   }
 
+  void PauseReading() override {
+    if (connection_ != nullptr) {
+      connection_->PauseReading();
+    }
+  }
+  void ResumeReading() override {
+    if (connection_ != nullptr) {
+      connection_->ResumeReading();
+    }
+  }
+
   void Begin(HttpClient* client,
              HttpCall call,
              void (HttpClient::*keep)(std::unique_ptr<HttpClientConnection>)) {
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -17,6 +17,11 @@
 // Announced timeouts are whole seconds, rounded either way by the server.
 constexpr Duration kIdleSafetyMargin = std::chrono::milliseconds(1200);
 
+// Interim answers and answers of other calls that one call may meet, and what
+// their bodies may take; a server in trouble may send them without end.
+constexpr int kMaxSkippedAnswers = 16;
+constexpr uint64_t kMaxSkippedBytes = uint64_t{256} << 10;
+
 HttpClientConnection* From(http_parser* parser) {
   return static_cast<HttpClientConnection*>(parser->data);
 }
@@ -52,6 +57,9 @@
   listener_ = listener;
   head_ = HttpResponseHead();
   is_head_delivered_ = false;
+  answer_bytes_ = 0;
+  skipped_answers_ = 0;
+  skipped_bytes_ = 0;
   StartParsing();
   if (socket_ != nullptr) {
     socket_->Write(EncodeRequest());
@@ -77,6 +85,18 @@
   }
 }
 
+void HttpClientConnection::PauseReading() {
+  if (socket_ != nullptr) {
+    socket_->PauseReading();
+  }
+}
+
+void HttpClientConnection::ResumeReading() {
+  if (socket_ != nullptr) {
+    socket_->ResumeReading();
+  }
+}
+
 void HttpClientConnection::StopTimer() {
   if (timer_ != 0) {
     g_source_remove(timer_);
@@ -170,7 +190,9 @@
                            http_should_keep_alive(&parser_) != 0;
   idle_limit_ = AnnouncedIdleLimit(head_.headers);
   idle_since_ = client_->clock_.Now();
-  if (!is_reusable) {
+  if (is_reusable) {
+    socket_->ResumeReading();
+  } else {
     socket_->Close();
   }
   listener->OnCallEnd(HttpCallEnd::kComplete);
@@ -275,6 +297,9 @@
   if (self->listener_ == nullptr) {
     return -1;
   }
+  if (self->is_skipped_ && ++self->skipped_answers_ > kMaxSkippedAnswers) {
+    return -1;
+  }
   if (is_interim || parser->status_code == 204 || parser->status_code == 304 ||
       self->call_.method == "HEAD") {
     return kNoBody;
@@ -292,9 +317,16 @@
                                  const char* data,
                                  size_t size) {
   auto* const self = From(parser);
-  if (!self->is_skipped_) {
-    self->listener_->OnCallBody({data, size});
+  if (self->is_skipped_) {
+    self->skipped_bytes_ += size;
+    return self->skipped_bytes_ > kMaxSkippedBytes ? -1 : 0;
+  }
+  self->answer_bytes_ += size;
+  const size_t limit = self->call_.max_answer_bytes;
+  if (limit > 0 && self->answer_bytes_ > limit) {
+    return -1;
   }
+  self->listener_->OnCallBody({data, size});
   return self->listener_ == nullptr ? -1 : 0;
 }
 
--- a/modules/peridotmill_http/client/http_client_connection.h
+++ b/modules/peridotmill_http/client/http_client_connection.h
@@ -26,6 +26,8 @@
   void Begin(HttpCall call, HttpCallListener* listener);
   // Ends the call without a callback and closes the connection.
   void Cancel();
+  void PauseReading();
+  void ResumeReading();
 
   const std::string& address() const { return call_.address; }
   bool is_open() const { return socket_ != nullptr && socket_->is_open(); }
@@ -71,6 +73,11 @@
   bool is_skipped_ = false;
   bool is_message_complete_ = false;
   bool is_unsized_ = false;
+  // Body bytes of the call's own answer.
+  uint64_t answer_bytes_ = 0;
+  // Interim answers and those of other calls, and the bytes of their bodies.
+  int skipped_answers_ = 0;
+  uint64_t skipped_bytes_ = 0;
   TimePoint idle_since_;
   Duration idle_limit_ = Duration::zero();
 };
--- a/modules/peridotmill_http/server/http_exchange.cc
+++ b/modules/peridotmill_http/server/http_exchange.cc
@@ -39,6 +39,10 @@
   connection_->FinishAnswer();
 }
 
+size_t HttpExchange::unsent_bytes() const {
+  return connection_ == nullptr ? 0 : connection_->unsent_bytes();
+}
+
 void HttpExchange::Abort() {
   if (connection_ != nullptr) {
     connection_->AbortAnswer();
--- a/modules/peridotmill_http/server/http_exchange.h
+++ b/modules/peridotmill_http/server/http_exchange.h
@@ -29,6 +29,10 @@
   void set_on_caller_gone(std::function<void()> callback) override {
     on_caller_gone_ = std::move(callback);
   }
+  size_t unsent_bytes() const override;
+  void set_on_drained(std::function<void()> callback) override {
+    on_drained_ = std::move(callback);
+  }
 
  private:
   friend class HttpServerConnection;
@@ -39,6 +43,7 @@
   HttpServerConnection* connection_;
   HttpRequest request_;
   std::function<void()> on_caller_gone_;
+  std::function<void()> on_drained_;
   bool is_chunked_ = false;
 };
 
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_http/server/http_server.h"
 #include "peridotmill_http/server/request_head_check.h"
 
@@ -12,6 +13,10 @@
 // A caller that sends further requests before it has its answer is read no
 // further beyond this many bytes.
 constexpr size_t kMaxPipelinedBytes = 32768;
+// A body that comes more slowly than this on average, after the time for which
+// a caller may be idle, is given up: bytes that come now and then would hold
+// the connection for good.
+constexpr double kLeastBodyBytesPerMs = 1;
 
 HttpServerConnection* From(http_parser* parser) {
   return static_cast<HttpServerConnection*>(parser->data);
@@ -45,7 +50,14 @@
   const HttpLimits& limits = server_->settings_.limits;
   const bool is_in_head = state_ == State::kHead && !received_.empty();
   const Duration limit = is_in_head ? limits.head_timeout : limits.idle_timeout;
-  if (state_ == State::kAnswering || now - waiting_since_ < limit) {
+  const bool is_too_slow =
+      state_ == State::kBody &&
+      now - body_since_ >
+          limits.idle_timeout +
+              FromMilliseconds(static_cast<double>(request_.body.size()) /
+                               kLeastBodyBytesPerMs);
+  if (state_ == State::kAnswering ||
+      (now - waiting_since_ < limit && !is_too_slow)) {
     return;
   }
   if (is_in_head || state_ == State::kBody) {
@@ -76,6 +88,10 @@
 void HttpServerConnection::OnSocketDrained() {
   if (state_ == State::kClosing) {
     End();
+  } else if (state_ == State::kAnswering && exchange_->on_drained_) {
+    // Keeps the exchange alive while its handler may end the answer.
+    const std::shared_ptr<HttpExchange> exchange = exchange_;
+    exchange->on_drained_();
   }
 }
 
@@ -129,6 +145,7 @@
   is_body_too_large_ = false;
   state_ = State::kBody;
   waiting_since_ = server_->clock_.Now();
+  body_since_ = waiting_since_;
   return true;
 }
 
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -29,6 +29,7 @@
     return state_ == State::kHead && received_.empty() &&
            socket_->unsent_bytes() == 0;
   }
+  size_t unsent_bytes() const { return socket_->unsent_bytes(); }
   // Closes and releases the connection.
   void End();
 
@@ -83,6 +84,8 @@
   bool is_http_1_0_ = false;
   // Start of the current head, or of the last byte otherwise.
   TimePoint waiting_since_;
+  // Since when the current body is read.
+  TimePoint body_since_;
   std::shared_ptr<HttpExchange> exchange_;
 };
 
--- a/modules/peridotmill_http/tests/http_client_test.cc
+++ b/modules/peridotmill_http/tests/http_client_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <optional>
+#include <string>
+#include <utility>
 
 #include "peridotmill_http/tests/socket_peer.h"
 
@@ -175,5 +177,70 @@
   EXPECT_FALSE(listener.end);
 }
 
+// Guards against memory and time spent on bytes that never become an answer,
+// or never end, at each place where they may come.
+TEST_F(HttpClientTest, GivesUpBytesWithoutEnd) {
+  struct Case {
+    const char* start;
+    const char* repeated;
+  };
+  const Case cases[] = {
+      {"HTTP/1.1 200 ", "xxxxxxxxxxxxxxxx"},
+      {"HTTP/1.1 200 OK\r\n", "X-Field: value\r\n"},
+      {"HTTP/1.1 200 OK\r\nX-Name", "-and-more-of-it"},
+      {"HTTP/1.1 200 OK\r\nX-Name: ", "value-without-end"},
+      {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+      {"", "HTTP/1.1 200 OK\r\nX-Id: foreign\r\nContent-Length: 3\r\n\r\nbad"},
+      {"HTTP/1.1 200 OK\r\nX-Id: foreign\r\n\r\n", "a body without end"},
+      {"HTTP/1.1 200 OK\r\n\r\n", "a body without end"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "too long"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;", "extension="},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+       "X-Trailer: value\r\n"}};
+  constexpr size_t kEnough = size_t{4} << 20;
+  for (const Case& test : cases) {
+    server_.peers.clear();
+    HttpClient client(clock_);
+    CollectingListener listener;
+    HttpCall call = MakeCall();
+    call.max_answer_bytes = size_t{1} << 20;
+    const auto open = client.Start(call, &listener);
+    ASSERT_TRUE(server_.WaitFor(0, "question"));
+    std::string piece(test.start);
+    size_t sent = 0;
+    while (!listener.end && sent < kEnough) {
+      while (piece.size() < 60'000) {
+        piece += test.repeated;
+      }
+      server_.peers[0]->Send(piece);
+      sent += std::exchange(piece, std::string()).size();
+      RunLoopFor(2ms);
+    }
+    RunLoopUntil([&] { return listener.end.has_value(); });
+    ASSERT_TRUE(listener.end) << test.start << test.repeated;
+    EXPECT_NE(*listener.end, HttpCallEnd::kComplete) << test.repeated;
+    EXPECT_LE(listener.body.size(), call.max_answer_bytes);
+    EXPECT_TRUE(RunLoopUntil([&] { return server_.peers[0]->end.has_value(); }))
+        << "the connection stays open";
+  }
+}
+
+// Guards against a server that fills memory while nobody takes its answer.
+TEST_F(HttpClientTest, APausedCallTakesNoBytes) {
+  CollectingListener listener;
+  const auto call = client_.Start(MakeCall(), &listener);
+  ASSERT_TRUE(server_.WaitFor(0, "question"));
+  server_.peers[0]->Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\na");
+  ASSERT_TRUE(RunLoopUntil([&] { return listener.body == "a"; }));
+  call->PauseReading();
+  server_.peers[0]->Send("bc");
+  RunLoopFor(30ms);
+  EXPECT_EQ(listener.body, "a");
+  call->ResumeReading();
+  ASSERT_TRUE(RunLoopUntil([&] { return listener.end.has_value(); }));
+  EXPECT_EQ(listener.body, "abc");
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -220,6 +220,48 @@
   EXPECT_TRUE(caller.Has("answer to /"));
 }
 
+// Guards against a request body that comes a byte now and then and holds its
+// connection for good.
+TEST_F(HttpServerTest, GivesUpABodyThatTrickles) {
+  SocketPeer caller(server_->port());
+  caller.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+  for (int i = 0; i < 200 && !caller.end; ++i) {
+    caller.Send("x");
+    RunLoopFor(20ms);
+  }
+  ASSERT_TRUE(caller.end);
+  EXPECT_TRUE(caller.Has(" 408 ")) << caller.received;
+  EXPECT_TRUE(requests_.empty());
+}
+
+// Guards against memory filled for callers who do not read, unseen by whoever
+// sends.
+TEST_F(HttpServerTest, TellsHowMuchWaitsForACaller) {
+  answers_at_once_ = false;
+  SocketPeer caller(server_->port());
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunLoopUntil([&] { return !exchanges_.empty(); }));
+  int drained = 0;
+  exchanges_[0]->set_on_drained([&] { ++drained; });
+  HttpResponseHead head;
+  head.status = 200;
+  exchanges_[0]->SendHead(head);
+  caller.PauseReading();
+  const std::string piece(1 << 20, 'x');
+  size_t sent = 0;
+  while (exchanges_[0]->unsent_bytes() == 0 && sent < (size_t{64} << 20)) {
+    exchanges_[0]->SendBody(piece);
+    sent += piece.size();
+  }
+  EXPECT_GT(exchanges_[0]->unsent_bytes(), 0u);
+  EXPECT_EQ(drained, 0);
+  caller.ResumeReading();
+  ASSERT_TRUE(RunLoopUntil([&] { return drained > 0; }));
+  EXPECT_EQ(exchanges_[0]->unsent_bytes(), 0u);
+  exchanges_[0]->Finish();
+  EXPECT_TRUE(RunLoopUntil([&] { return caller.Has("0\r\n\r\n"); }));
+}
+
 // Plays random damage to a request; the server must answer or close, and never
 // crash or hang.
 TEST_F(HttpServerTest, SurvivesDamagedRequests) {
--- a/modules/peridotmill_http/tests/socket_peer.h
+++ b/modules/peridotmill_http/tests/socket_peer.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "peridotmill_core/time/clock.h"
 #include "peridotmill_http/sockets/stream_socket.h"
 #include "peridotmill_http/sockets/tcp_listener.h"
 
@@ -27,6 +28,12 @@
   return is_done();
 }
 
+// Runs the main loop for a while.
+inline void RunLoopFor(Duration time) {
+  const auto end = std::chrono::steady_clock::now() + time;
+  RunLoopUntil([&] { return std::chrono::steady_clock::now() >= end; });
+}
+
 // One end of a TCP connection that sends bytes, right or wrong, and collects
 // what comes back.
 class SocketPeer final : public StreamSocket::Listener {
@@ -42,6 +49,8 @@
   void Send(std::string_view bytes) { socket_->Write(bytes); }
   void Close() { socket_->Close(); }
   void Abort() { socket_->Abort(); }
+  void PauseReading() { socket_->PauseReading(); }
+  void ResumeReading() { socket_->ResumeReading(); }
 
   bool Has(std::string_view text) const {
     return received.find(text) != std::string::npos;
