Count the time of a suspended host; give up what ran out in a pause

Cause: deadlines, leases and beliefs were aged by the steady clock, which does not count a suspended host's time, and a coordinator that woke went on with tasks that their owners had handed to another one.

Change: BootClock for the gateway; timers follow it, so that those that ran out are due when the loop turns again; the timer queue tells of a pause before any overdue timer runs. After 900 ms, the time after which owners give a coordinator up, the node drops the tasks of other nodes and gives its own links time to be read.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 #include "daemons/peridotmill-gateway/settings_file.h"
@@ -113,6 +114,7 @@
       clock_(clock),
       log_(log),
       loop_(g_main_loop_new(nullptr, FALSE)),
+      timers_(clock),
       http_(clock),
       store_(settings.store_address, http_, timers_),
       store_recovery_(timers_, SeedOf(settings, kStoreSeed)),
@@ -163,6 +165,8 @@
                 log, settings.node, RecordOf(settings),
                 [this] { node_registration_.RenewNow(); }}) {
   settings_changed_at_ = ModificationTime(settings_path_);
+  timers_.set_on_pause(StageRelay::kSilenceTimeout,
+                       [this](Duration pause) { OnPause(pause); });
 }
 
 GatewayProcess::~GatewayProcess() {
@@ -216,6 +220,15 @@
   return {};
 }
 
+void GatewayProcess::OnPause(Duration pause) {
+  log_.Write("process_paused",
+             {{"ms", std::to_string(std::lround(ToMilliseconds(pause)))},
+              {"sessions", std::to_string(stage_service_.session_count())}});
+  stage_service_.ReleaseAll();
+  stages_.NotePause();
+  sources_.NotePause();
+}
+
 void GatewayProcess::OnStoreSilent() {
   sources_.NoteOwnSilence();
   replica_.ReadAllAgain();
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -56,6 +56,8 @@
                        bool was_unreachable);
   void OnRegistrationChange(const StoreChange& change);
   void OnNodes(const std::vector<StoreEntry>& entries, bool was_unreachable);
+  // The process or its host was paused for this long.
+  void OnPause(Duration pause);
   // Watches of a store that does not answer may never return.
   void OnStoreSilent();
   bool IsReady() const;
--- a/daemons/peridotmill-gateway/main.cc
+++ b/daemons/peridotmill-gateway/main.cc
@@ -11,6 +11,7 @@
 
 #include "daemons/peridotmill-gateway/gateway_process.h"
 #include "daemons/peridotmill-gateway/settings_file.h"
+#include "peridotmill_core/time/boot_clock.h"
 #include "platform/settings_codec.h"
 
 DEFINE_string(settings,
@@ -65,7 +66,8 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  const SystemClock clock;
+  // Counts the time of a suspended host: nothing is done on what ran out then.
+  const BootClock clock;
   OutputLog log(STDOUT_FILENO, clock);
   auto process = GatewayProcess::Create(settings, path, clock, log);
   if (!process) {
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -11,9 +11,6 @@
 // A coordinator that has not accepted a task after this time is passed over.
 // Nodes answer within a few milliseconds; slowed down five times they still do.
 constexpr Duration kAcceptTimeout = std::chrono::milliseconds(250);
-// A coordinator reports on unfinished tasks every 300 ms; one that is silent
-// for longer than two reports is passed over.
-constexpr Duration kSilenceTimeout = std::chrono::milliseconds(900);
 constexpr Duration kSilenceCheckInterval = std::chrono::milliseconds(200);
 // For how long a node that did not answer gets no further task; doubled with
 // each further failure, up to three times, the length of a partition.
@@ -94,6 +91,12 @@
   return dependencies_.self;
 }
 
+void StageRelay::NotePause() {
+  for (const auto& [node, link] : links_) {
+    link->NoteFrame(dependencies_.clock.Now());
+  }
+}
+
 bool StageRelay::IsBehindPartition(const NodeId& node, TimePoint now) const {
   const NodeRecord* const record = dependencies_.nodes.Find(node);
   return record != nullptr && node != dependencies_.self &&
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -23,6 +23,10 @@
 // passed over. Two coordinators at a time cost shared calls, not correctness.
 class StageRelay final : public StageWorker {
  public:
+  // A coordinator that is silent for longer is given up, and its tasks go to
+  // another one.
+  static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(900);
+
   struct Dependencies {
     const Clock& clock;
     TimerQueue& timers;
@@ -44,7 +48,10 @@
   std::unique_ptr<OpenStageTask> Submit(StageTask task,
                                         StageTaskListener* listener) override;
 
-  size_t link_count() const { return links_.size(); }
+  // This process was paused; what coordinators sent meanwhile is still to be
+  // read.
+  void NotePause();
+
   uint64_t reassigned_count() const { return reassigned_; }
 
  private:
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -110,6 +110,10 @@
   sessions_.emplace(raw, std::move(session));
 }
 
+void StageService::ReleaseAll() {
+  sessions_.clear();
+}
+
 void StageService::Release(Session* session) {
   sessions_.erase(session);
 }
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -31,6 +31,10 @@
 
   void Accept(const LinkMaker& make_link);
 
+  // Gives up all tasks of other nodes: this process was paused for so long that
+  // their owners have handed them to another node.
+  void ReleaseAll();
+
   size_t session_count() const { return sessions_.size(); }
 
  private:
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -105,6 +105,12 @@
   own_contact_since_.reset();
 }
 
+void ReplicaSources::NotePause() {
+  for (const auto& [node, link] : links_) {
+    link->NoteFrame(dependencies_.clock.Now());
+  }
+}
+
 void ReplicaSources::ChooseRole() {
   role_ = ChooseReplicaRole(dependencies_.nodes, dependencies_.self,
                             dependencies_.self_record);
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -47,6 +47,8 @@
   // The store has answered this node, if only to renew its lease.
   void NoteOwnContact();
   void NoteOwnSilence();
+  // This process was paused; what sources sent meanwhile is still to be read.
+  void NotePause();
 
   size_t link_count() const { return links_.size(); }
 
--- a/modules/peridotmill_gateway/tests/stage_peers_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -344,5 +344,20 @@
   EXPECT_EQ(directory.size(), 3u);
 }
 
+// Guards against a coordinator that goes on with tasks after a pause in which
+// their owners have handed them to another node.
+TEST_F(StagePeersTest, APausedCoordinatorGivesUpForeignTasks) {
+  const auto task = Submit();
+  timers_.Advance(5ms);
+  ASSERT_EQ(other_caller_.calls.size(), 1u);
+  const auto second = Submit();
+  timers_.Advance(5ms);
+  service_.ReleaseAll();
+  timers_.Advance(50ms);
+  EXPECT_EQ(service_.session_count(), 0u);
+  EXPECT_EQ(other_.task_count(), 0u);
+  EXPECT_EQ(other_caller_.calls.size(), 1u);
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_http/timers/glib_timer_queue.cc
+++ b/modules/peridotmill_http/timers/glib_timer_queue.cc
@@ -1,48 +1,90 @@
 #include "peridotmill_http/timers/glib_timer_queue.h"
 
-#include <glib.h>
-
 #include <algorithm>
 #include <cmath>
-#include <utility>
+#include <limits>
 
 #include "peridotmill_core/time/milliseconds.h"
 
 namespace peridotmill {
-namespace {
 
-class GlibTimer final : public Timer {
+class GlibTimerQueue::PendingTimer final : public Timer {
  public:
-  GlibTimer(Duration delay, std::function<void()> callback)
-      : callback_(std::move(callback)) {
-    const double milliseconds = std::max(0.0, std::ceil(ToMilliseconds(delay)));
-    source_ = g_timeout_add(static_cast<guint>(milliseconds), OnExpired, this);
-  }
-  ~GlibTimer() override {
-    if (source_ != 0) {
-      g_source_remove(source_);
-    }
-  }
+  PendingTimer(std::shared_ptr<Pending> pending, Key key)
+      : pending_(std::move(pending)), key_(key) {}
+  ~PendingTimer() override { pending_->erase(key_); }
 
  private:
-  static gboolean OnExpired(gpointer data) {
-    auto* const self = static_cast<GlibTimer*>(data);
-    self->source_ = 0;
-    // The callback may destroy the timer.
-    const std::function<void()> callback = std::move(self->callback_);
-    callback();
-    return G_SOURCE_REMOVE;
-  }
+  std::shared_ptr<Pending> pending_;
+  Key key_;
+};
 
-  std::function<void()> callback_;
-  guint source_ = 0;
+struct GlibTimerQueue::Source {
+  GSource base;
+  GlibTimerQueue* queue;
 };
 
-}  // namespace
+GlibTimerQueue::GlibTimerQueue(const Clock& clock) : clock_(clock) {
+  static GSourceFuncs functions = {OnPrepare, OnCheck, OnDispatch,
+                                   nullptr,   nullptr, nullptr};
+  source_ = g_source_new(&functions, sizeof(Source));
+  reinterpret_cast<Source*>(source_)->queue = this;
+  g_source_attach(source_, nullptr);
+}
+
+GlibTimerQueue::~GlibTimerQueue() {
+  g_source_destroy(source_);
+  g_source_unref(source_);
+}
 
 std::unique_ptr<Timer> GlibTimerQueue::After(Duration delay,
                                              std::function<void()> callback) {
-  return std::make_unique<GlibTimer>(delay, std::move(callback));
+  const Key key(clock_.Now() + std::max(delay, Duration::zero()), next_++);
+  pending_->emplace(key, std::move(callback));
+  return std::make_unique<PendingTimer>(pending_, key);
+}
+
+bool GlibTimerQueue::IsDue() const {
+  return !pending_->empty() && pending_->begin()->first.first <= clock_.Now();
+}
+
+gboolean GlibTimerQueue::OnPrepare(GSource* source, gint* timeout_ms) {
+  const GlibTimerQueue* const queue = reinterpret_cast<Source*>(source)->queue;
+  if (queue->pending_->empty()) {
+    *timeout_ms = -1;
+    return FALSE;
+  }
+  const double wait_ms = std::ceil(ToMilliseconds(
+      queue->pending_->begin()->first.first - queue->clock_.Now()));
+  constexpr double kLongestMs = std::numeric_limits<gint>::max();
+  *timeout_ms = static_cast<gint>(std::clamp(wait_ms, 0.0, kLongestMs));
+  return wait_ms <= 0 ? TRUE : FALSE;
+}
+
+gboolean GlibTimerQueue::OnCheck(GSource* source) {
+  return reinterpret_cast<Source*>(source)->queue->IsDue() ? TRUE : FALSE;
+}
+
+gboolean GlibTimerQueue::OnDispatch(GSource* source, GSourceFunc, gpointer) {
+  reinterpret_cast<Source*>(source)->queue->RunDue();
+  return G_SOURCE_CONTINUE;
+}
+
+void GlibTimerQueue::RunDue() {
+  // Timers that callbacks add wait for the next turn, so that sockets are not
+  // starved by timers without a delay.
+  const TimePoint now = clock_.Now();
+  if (!pending_->empty() && on_pause_) {
+    const Duration overdue = now - pending_->begin()->first.first;
+    if (overdue >= least_pause_) {
+      on_pause_(overdue);
+    }
+  }
+  const Key end(now, next_);
+  while (!pending_->empty() && pending_->begin()->first < end) {
+    const auto entry = pending_->extract(pending_->begin());
+    entry.mapped()();
+  }
 }
 
 }  // namespace peridotmill
