Fill the calls of a saturated stage pool with tasks of other domains

Change: when at most an eighth of a pool's endpoints is idle, what such tasks leave of a call is filled with them. A head with a bare line feed beyond its first line is refused at once.

--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -66,7 +66,7 @@
 }
 
 // Order of tasks in a call.
-enum class BatchRank : uint8_t { kStarted, kOnTime, kLate };
+enum class BatchRank : uint8_t { kStarted, kOnTime, kOnTimeElsewhere, kLate };
 
 int CountItems(const WaitingTask& task) {
   return static_cast<int>(task.items.size());
@@ -110,7 +110,9 @@
   order.reserve(queue.waiting.size());
   for (auto& [id, task] : queue.waiting) {
     const int items = CountItems(task);
-    if (WaitsForDomain(task, target, CallTime(pool, items), now) ||
+    const bool prefers_other =
+        WaitsForDomain(task, target, CallTime(pool, items), now);
+    if ((prefers_other && !target.is_pool_saturated) ||
         WaitsForPace(task, target, CallTime(pool, pool.batch_size), now)) {
       continue;
     }
@@ -118,6 +120,7 @@
     const bool is_late = now + CallTime(pool, pool.batch_size) > task.due;
     const BatchRank rank = task.is_started ? BatchRank::kStarted
                            : is_late       ? BatchRank::kLate
+                           : prefers_other ? BatchRank::kOnTimeElsewhere
                                            : BatchRank::kOnTime;
     order.push_back({rank, OrderingTime(task, target), id, &task});
   }
@@ -136,8 +139,10 @@
           std::min<int64_t>(taken, room_bytes / entry.task->result_bytes));
     }
     // A task whose second call would end late takes no part of this one.
+    const bool is_on_time = entry.rank == BatchRank::kOnTime ||
+                            entry.rank == BatchRank::kOnTimeElsewhere;
     const bool ends_late =
-        taken < items && entry.rank == BatchRank::kOnTime &&
+        taken < items && is_on_time &&
         now + 2 * CallTime(pool, pool.batch_size) > entry.task->due;
     if (taken <= 0 || ends_late) {
       continue;
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -58,12 +58,16 @@
   double call_time_ratio = 1;
   // Failure domains with an endpoint that can be used.
   std::set<FailureDomainId> served_domains;
+  // Hardly any other endpoint of the pool is idle.
+  bool is_pool_saturated = false;
 };
 
 // Takes the next call's items. Answers
 // bursts above the pool's capacity: tasks that can still be on time go first,
 // the most urgent one leading, so that the excess gathers in tasks that are
-// late already, which take what is left.
+// late already, which take what is left. In a saturated pool a call is filled
+// with tasks that prefer another domain: moving their results costs less than
+// the places that would stay empty while tasks wait.
 std::vector<BatchPart> TakeBatch(BatchQueue& queue,
                                  const StagePoolDefinition& pool,
                                  const BatchTarget& target,
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -71,6 +71,8 @@
 // A call that could carry this many times what the endpoint has room for waits
 // for room, since the fixed time of a call exceeds that of its items.
 constexpr int kLeastFillDivisor = 2;
+// A pool is saturated when at most this part of its endpoints is idle.
+constexpr ptrdiff_t kIdleDivisorOfSaturated = 8;
 // Longest wait for room, about one call.
 constexpr Duration kLongestRoomWait = std::chrono::milliseconds(200);
 
@@ -281,6 +283,17 @@
   return idle;
 }
 
+bool StageCoordinator::IsSaturated(const PoolId& id,
+                                   const StagePoolDefinition& pool) const {
+  const auto& serving = dependencies_.endpoints.Serving(id);
+  const auto idle = std::count_if(
+      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
+        return endpoint->open_calls < pool.concurrent_calls;
+      });
+  return idle <=
+         std::max<ptrdiff_t>(1, std::ssize(serving) / kIdleDivisorOfSaturated);
+}
+
 std::set<FailureDomainId> StageCoordinator::ServedDomains(
     const PoolId& id,
     const StagePoolDefinition& pool) const {
@@ -350,6 +363,7 @@
   target.failure_domain = endpoint->registration.failure_domain;
   target.call_time_ratio = endpoint->call_time_ratio;
   target.served_domains = ServedDomains(id, pool);
+  target.is_pool_saturated = IsSaturated(id, pool);
   const TimePoint now = dependencies_.clock.Now();
   // A trial on a copy, for a call that carries too little is not sent.
   BatchQueue rest = queue.batch;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -89,6 +89,8 @@
   void ScheduleDispatch(const PoolId& id, Duration delay);
   void Dispatch(const PoolId& id);
   // Sends the next call to an endpoint; false when no task fits it.
+  // Whether hardly any endpoint of a pool is idle.
+  bool IsSaturated(const PoolId& id, const StagePoolDefinition& pool) const;
   bool StartCall(const PoolId& id,
                  Queue& queue,
                  const StagePoolDefinition& pool,
--- a/modules/peridotmill_gateway/tests/batch_queue_test.cc
+++ b/modules/peridotmill_gateway/tests/batch_queue_test.cc
@@ -102,6 +102,31 @@
   }
 }
 
+// Guards against calls that leave half empty while tasks wait for endpoints of
+// another domain: a saturated pool lost a third of its capacity so in bursts.
+// The tasks of the endpoint's own domain still go first.
+TEST(BatchQueueTest, ASaturatedPoolFillsItsCalls) {
+  BatchQueue queue;
+  for (StageTaskId id = 1; id <= 6; ++id) {
+    WaitingTask task = MakeTask(2, 2s);
+    task.moved_bytes = 6'000'000;
+    if (id <= 4) {
+      task.preferred_domain = FailureDomainId("summit");
+    }
+    AddTask(queue, id, task);
+  }
+  BatchTarget target = MakeTarget();
+  target.served_domains.insert(FailureDomainId("summit"));
+  BatchQueue unsaturated = queue;
+  EXPECT_EQ(TakeBatch(unsaturated, MakePool(), target, kStart).size(), 2u);
+  target.is_pool_saturated = true;
+  const auto batch = TakeBatch(queue, MakePool(), target, kStart);
+  ASSERT_EQ(batch.size(), 4u);
+  EXPECT_EQ(batch[0].task, 5u);
+  EXPECT_EQ(batch[1].task, 6u);
+  EXPECT_EQ(queue.waiting_items, 4);
+}
+
 // Guards against waiting for a domain that has no endpoint left.
 TEST(BatchQueueTest, TasksDoNotWaitForADomainWithoutEndpoints) {
   BatchQueue queue;
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -18,6 +18,16 @@
 // the connection for good.
 constexpr double kLeastBodyBytesPerMs = 1;
 
+bool HasBareLineFeed(std::string_view text) {
+  for (size_t at = text.find('\n'); at != std::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    if (at == 0 || text[at - 1] != '\r') {
+      return true;
+    }
+  }
+  return false;
+}
+
 HttpServerConnection* From(http_parser* parser) {
   return static_cast<HttpServerConnection*>(parser->data);
 }
@@ -126,9 +136,7 @@
   }
   if (end == std::string::npos) {
     // Bytes that cannot become a head are refused without waiting for more.
-    const size_t bare = received_.find('\n');
-    if (bare != std::string::npos &&
-        (bare == 0 || received_[bare - 1] != '\r')) {
+    if (HasBareLineFeed(received_)) {
       ++server_->counters_.malformed;
       Reject(400, "line that does not end with CR LF");
     }
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -220,6 +220,17 @@
   EXPECT_TRUE(caller.Has("answer to /"));
 }
 
+// Guards against a head that can never end correctly and is not refused before
+// its time limit: a bare line feed beyond the first line.
+TEST_F(HttpServerTest, RefusesABareLineFeedAtOnce) {
+  SocketPeer caller(server_->port());
+  const TimePoint start = clock_.Now();
+  caller.Send("GET / HTTP/1.1\r\nHost: h\nX: y\r\n");
+  ASSERT_TRUE(RunLoopUntil([&] { return caller.end.has_value(); }));
+  EXPECT_TRUE(caller.Has(" 400 ")) << caller.received;
+  EXPECT_LT(clock_.Now() - start, 250ms);
+}
+
 // Guards against a request body that comes a byte now and then and holds its
 // connection for good.
 TEST_F(HttpServerTest, GivesUpABodyThatTrickles) {
