Tell the coordinator of engines that refuse connections; wait for others at a cold start

Change: a node whose engine cannot be connected to asks the coordinator for another one and names the failed one, which is left alone for 800 ms. A node that finds fewer than two others gives them 700 ms to register.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -163,7 +163,8 @@
       replica_service_(replica_, clock, timers_, log),
       sources_({clock, timers_, dialer_, nodes_, replica_, replica_service_,
                 log, settings.node, RecordOf(settings),
-                [this] { node_registration_.RenewNow(); }}) {
+                [this] { node_registration_.RenewNow(); },
+                [this] { replica_.ReadNodes(); }}) {
   settings_changed_at_ = ModificationTime(settings_path_);
   timers_.set_on_pause(StageRelay::kSilenceTimeout,
                        [this](Duration pause) { OnPause(pause); });
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -121,7 +121,8 @@
     VT_GROUP = 30,
     VT_PLAN = 32,
     VT_IS_RETURNING = 34,
-    VT_PROMPT = 36
+    VT_PROMPT = 36,
+    VT_FAILED_ENGINE = 38
   };
   uint64_t task() const {
     return GetField<uint64_t>(VT_TASK, 0);
@@ -174,6 +175,9 @@
   const peridotmill::stagewire::Prompt *prompt() const {
     return GetPointer<const peridotmill::stagewire::Prompt *>(VT_PROMPT);
   }
+  const flatbuffers::String *failed_engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILED_ENGINE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_TASK, 8) &&
@@ -203,6 +207,8 @@
            VerifyField<uint8_t>(verifier, VT_IS_RETURNING, 1) &&
            VerifyOffset(verifier, VT_PROMPT) &&
            verifier.VerifyTable(prompt()) &&
+           VerifyOffset(verifier, VT_FAILED_ENGINE) &&
+           verifier.VerifyString(failed_engine()) &&
            verifier.EndTable();
   }
 };
@@ -262,6 +268,9 @@
   void add_prompt(flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt) {
     fbb_.AddOffset(SubmitTask::VT_PROMPT, prompt);
   }
+  void add_failed_engine(flatbuffers::Offset<flatbuffers::String> failed_engine) {
+    fbb_.AddOffset(SubmitTask::VT_FAILED_ENGINE, failed_engine);
+  }
   explicit SubmitTaskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -291,11 +300,13 @@
     flatbuffers::Offset<flatbuffers::String> group = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>> plan = 0,
     bool is_returning = false,
-    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0) {
+    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0,
+    flatbuffers::Offset<flatbuffers::String> failed_engine = 0) {
   SubmitTaskBuilder builder_(_fbb);
   builder_.add_moved_bytes(moved_bytes);
   builder_.add_result_bytes(result_bytes);
   builder_.add_task(task);
+  builder_.add_failed_engine(failed_engine);
   builder_.add_prompt(prompt);
   builder_.add_plan(plan);
   builder_.add_group(group);
@@ -331,7 +342,8 @@
     const char *group = nullptr,
     const std::vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *plan = nullptr,
     bool is_returning = false,
-    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0) {
+    flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0,
+    const char *failed_engine = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto preferred_domain__ = preferred_domain ? _fbb.CreateString(preferred_domain) : 0;
@@ -339,6 +351,7 @@
   auto inputs__ = inputs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*inputs) : 0;
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto plan__ = plan ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>(*plan) : 0;
+  auto failed_engine__ = failed_engine ? _fbb.CreateString(failed_engine) : 0;
   return peridotmill::stagewire::CreateSubmitTask(
       _fbb,
       task,
@@ -357,7 +370,8 @@
       group__,
       plan__,
       is_returning,
-      prompt);
+      prompt,
+      failed_engine__);
 }
 
 struct Prompt FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -109,6 +109,7 @@
     if (task.prompt) {
       prompt = AddPrompt(builder, *task.prompt);
     }
+    const auto failed_engine = builder.CreateString(task.failed_engine.value());
     const auto body = stagewire::CreateSubmitTask(
         builder, message.id, request, pool, domain,
         static_cast<uint16_t>(task.stage),
@@ -116,7 +117,7 @@
         RelativeMilliseconds(task.due, now),
         RelativeMilliseconds(task.deadline, now), task.priority,
         task.result_bytes, task.moved_bytes, group, plan_vector,
-        task.is_returning, prompt);
+        task.is_returning, prompt, failed_engine);
     return Wrap(stagewire::Body::SubmitTask, body.Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
@@ -184,6 +185,7 @@
     }
   }
   message.task.is_returning = wire.is_returning();
+  message.task.failed_engine = EndpointId(TextOf(wire.failed_engine()));
   if (wire.prompt() != nullptr) {
     message.task.prompt = DecodePrompt(*wire.prompt());
   }
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -13,6 +13,9 @@
 // First ejection; doubled with each further failure up to the maximum.
 constexpr Duration kFirstEjection = std::chrono::milliseconds(500);
 constexpr int kMaxEjectionDoublings = 3;
+// Ejection of an endpoint to which another node could not connect; it is
+// reported again while that is so.
+constexpr Duration kReportedEjection = std::chrono::milliseconds(800);
 
 }  // namespace
 
@@ -79,6 +82,16 @@
   return found == serving_.end() ? none : found->second;
 }
 
+void EndpointRegistry::NoteReportedFailure(const EndpointId& id,
+                                           TimePoint now) {
+  const auto found = by_id_.find(id);
+  if (found != by_id_.end()) {
+    Endpoint& endpoint = *found->second;
+    endpoint.ejected_until =
+        std::max(endpoint.ejected_until, now + kReportedEjection);
+  }
+}
+
 DomainHealth& EndpointRegistry::Domain(const FailureDomainId& domain) {
   std::shared_ptr<DomainHealth>& health = domains_[domain];
   if (health == nullptr) {
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -72,6 +72,9 @@
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
+  // Leaves an endpoint alone for a while: another node could not connect to it.
+  void NoteReportedFailure(const EndpointId& id, TimePoint now);
+
   // Whether the failure domain answers this node.
   DomainHealth& Domain(const FailureDomainId& domain);
   // Domains that this node itself believes to be cut off.
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -23,6 +23,9 @@
 constexpr Duration kFirstNewsTimeout = std::chrono::milliseconds(700);
 // A node that watches without being asked to goes on for this long.
 constexpr Duration kWatchLinger = std::chrono::seconds(3);
+// A node that finds fewer others gives them this time to register.
+constexpr size_t kFewestOthers = 2;
+constexpr Duration kColdStartDelay = std::chrono::milliseconds(700);
 constexpr size_t kWantedSources = 2;
 // Sources asked at a time while none of them is in touch with the store.
 constexpr size_t kMostSources = 4;
@@ -82,6 +85,16 @@
 ReplicaSources::~ReplicaSources() = default;
 
 void ReplicaSources::OnNodesChanged() {
+  // All nodes of a fleet that starts together would watch for want of others.
+  if (!started_ && !has_waited_for_others_ && IsAlone()) {
+    if (cold_start_timer_ == nullptr) {
+      cold_start_timer_ = dependencies_.timers.After(kColdStartDelay, [this] {
+        has_waited_for_others_ = true;
+        dependencies_.read_nodes();
+      });
+    }
+    return;
+  }
   if (!started_) {
     started_ = dependencies_.clock.Now();
   }
@@ -91,6 +104,13 @@
   }
 }
 
+bool ReplicaSources::IsAlone() const {
+  const size_t others =
+      dependencies_.nodes.size() -
+      (dependencies_.nodes.Find(dependencies_.self) != nullptr ? 1 : 0);
+  return others < kFewestOthers;
+}
+
 void ReplicaSources::NoteOwnContact() {
   own_contact_ = dependencies_.clock.Now();
   if (!own_contact_since_) {
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -35,6 +35,8 @@
     NodeRecord self_record;
     // Asks the store for any answer, to learn whether this node reaches it.
     std::function<void()> probe_store;
+    // Reads the nodes from the store again.
+    std::function<void()> read_nodes;
   };
 
   explicit ReplicaSources(const Dependencies& dependencies);
@@ -67,6 +69,8 @@
   bool MustWatch();
   bool OwnContactHolds() const;
   size_t FreshLinks() const;
+  // Hardly any other node is known.
+  bool IsAlone() const;
   bool IsExcluded(const NodeId& node) const;
   void OnFrame(Link& link, std::string_view frame);
   // The name is a copy, since the link's own goes with the link.
@@ -84,6 +88,9 @@
   std::optional<TimePoint> stale_since_;
   // Since when the reason to watch is gone.
   std::optional<TimePoint> idle_since_;
+  // Runs while a fleet that starts together registers.
+  std::unique_ptr<Timer> cold_start_timer_;
+  bool has_waited_for_others_ = false;
   // When a role was first chosen.
   std::optional<TimePoint> started_;
   std::unique_ptr<Timer> review_timer_;
--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -41,6 +41,10 @@
 }
 
 void StoreReplica::Start() {
+  ReadNodes();
+}
+
+void StoreReplica::ReadNodes() {
   follower(ReplicaPart::kNodes).Start();
 }
 
--- a/modules/peridotmill_gateway/replication/store_replica.h
+++ b/modules/peridotmill_gateway/replication/store_replica.h
@@ -71,6 +71,8 @@
   // Reads a part from the store again; a node that does not watch tells its
   // consumer what it knows by now.
   void ReadAgain(ReplicaPart part);
+  // Reads the nodes from the store, whether this node watches or not.
+  void ReadNodes();
   // Reads all parts again if this node watches.
   void ReadAllAgain();
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -129,15 +129,24 @@
     StartAttempt();
     return;
   }
+  AskForEngine(EndpointId());
+}
+
+void GatewayRequest::AskForEngine(const EndpointId& failed_engine) {
+  const PlacementRequest placement = DescribePlacement();
   StageTask task;
   task.request = request_.id;
   task.pool = HasStages() ? route_->stages.front().pool : pool_;
   task.group = configuration_->StageGroup(task.pool);
-  task.preferred_domain = context_.failure_domain;
+  task.preferred_domain = placement.data_domain;
+  task.moved_bytes = placement.data_bytes;
   task.due = accepted_ + route_->target_latency;
   task.deadline = deadline_;
   task.priority = priority_;
   task.prompt = DescribePrompt();
+  task.failed_engine = failed_engine;
+  placement_task_.reset();
+  is_awaiting_engine_ = true;
   placement_task_ = context_.stage_worker.Submit(std::move(task), this);
 }
 
@@ -283,7 +292,7 @@
 }
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
-  if (placement_task_ != nullptr) {
+  if (std::exchange(is_awaiting_engine_, false)) {
     suggested_engine_ = std::move(result.engine);
     StartAttempt();
     return;
@@ -351,7 +360,9 @@
 EndpointPtr GatewayRequest::TakeSuggestedEngine(TimePoint now) {
   const EndpointId id = std::exchange(suggested_engine_, EndpointId());
   for (const EndpointPtr& endpoint : context_.endpoints.Serving(pool_)) {
+    const auto& tried = history_.tried();
     if (endpoint->registration.id == id &&
+        std::find(tried.begin(), tried.end(), id) == tried.end() &&
         IsTrusted(*endpoint, now, kEngineLongestWait)) {
       return endpoint;
     }
@@ -461,7 +472,7 @@
   if (head.status < 300) {
     // The engine has fetched its inputs. A stream that is resumed has them
     // produced again, which is rarer than makers that are short of room.
-    are_results_released_ = HasStages() && placement_task_ == nullptr;
+    are_results_released_ = HasStages() && has_started_;
     stage_tasks_.clear();
     placement_task_.reset();
   }
@@ -646,6 +657,13 @@
                                                  : CallVerdict::kFailure,
              outcome);
   if (TakeRepeat(outcome)) {
+    if (outcome == AttemptOutcome::kNotSent && !is_head_sent_ && IsStream() &&
+        request_.generation && !are_results_released_) {
+      // The coordinator learns of the engine, and knows which one has read the
+      // shared parts of the prompt.
+      AskForEngine(endpoint_->registration.id);
+      return;
+    }
     if (is_head_sent_) {
       ++gateway_->counters_.resumed_streams;
     }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -75,6 +75,8 @@
   void StartAttempt();
   // The engine that the stages' coordinator chose, once, if it can be used.
   EndpointPtr TakeSuggestedEngine(TimePoint now);
+  // Asks the coordinator where to send the prompt.
+  void AskForEngine(const EndpointId& failed_engine);
   void ArmSilenceTimer();
   // Lets the endpoint wait while its caller does not read.
   void PauseAnswerIfUnread();
@@ -129,6 +131,8 @@
   EventSplitter events_;
   bool is_head_sent_ = false;
   bool is_paused_ = false;
+  // The coordinator has been asked for an engine and has not answered.
+  bool is_awaiting_engine_ = false;
   TimePoint first_event_at_;
   std::unique_ptr<Timer> timeout_;
   std::unique_ptr<Timer> silence_timer_;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -157,6 +157,10 @@
   entry.results.resize(static_cast<size_t>(task.item_count));
   entry.listener = listener;
   entry.task = std::move(task);
+  if (!entry.task.failed_engine.empty()) {
+    dependencies_.endpoints.NoteReportedFailure(entry.task.failed_engine,
+                                                dependencies_.clock.Now());
+  }
   if (entry.task.prompt) {
     prompts_[entry.task.request] = *entry.task.prompt;
   }
@@ -175,6 +179,7 @@
   const StageTask& task = found->second.task;
   if (task.item_count == 0) {
     // Only an engine is asked for.
+    found->second.maker_domain = task.preferred_domain;
     found->second.end_timer = dependencies_.timers.After(
         Duration::zero(), [this, id] { EndTask(id, StageItemOutcome::kDone); });
     return;
@@ -195,7 +200,8 @@
   const EndpointPtr engine = PlacePrompt(
       engines_, dependencies_.endpoints.Serving(prompt->second.pool),
       task.task.request, prompt->second, task.maker_domain,
-      task.task.item_count * task.task.result_bytes,
+      task.task.item_count > 0 ? task.task.item_count * task.task.result_bytes
+                               : task.task.moved_bytes,
       pool != nullptr && pool->engines ? pool->engines->memory_tokens
                                        : kDefaultEngineMemory,
       dependencies_.clock.Now(), random_);
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -42,6 +42,8 @@
   bool is_returning = false;
   // What an engine reads when all stages are done, if a plan is given.
   std::optional<PromptDemand> prompt;
+  // An engine that could not be connected to, if another one is asked for.
+  EndpointId failed_engine;
 };
 
 struct StageTaskResult {
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -111,6 +111,61 @@
   EXPECT_TRUE(caller->is_finished);
 }
 
+// Guards against a crashed engine that is found by one node after another: the
+// coordinator is told, and gives it no further prompts.
+TEST_F(GatewayTest, TellsTheCoordinatorOfAnEngineThatRefusesConnections) {
+  const auto with_prompt = [&](const std::string& id) {
+    CallerRequest request;
+    request.id = RequestId(id);
+    request.host = "host";
+    request.path = "/resume/x";
+    request.key = "key-1";
+    request.deadline = 8s;
+    request.generation = GenerationDemand{
+        .prompt_tokens = 4000, .parts = {{"shared", 3000}, {"own", 1000}}};
+    auto channel = std::make_shared<FakeCallerChannel>();
+    gateway_.Handle(std::move(request), channel);
+    timers_.Advance(5ms);
+    return channel;
+  };
+  const auto caller = with_prompt("g1");
+  ASSERT_EQ(endpoint_caller_.calls.size(), 1u);
+  const EndpointId failed = endpoint_caller_.calls[0]->call.endpoint.id;
+  endpoint_caller_.listener(0).OnAnswerEnd(HttpCallEnd::kNotSent);
+  timers_.Advance(5ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EXPECT_NE(endpoint_caller_.calls[1]->call.endpoint.id, failed);
+  for (int i = 0; i < 10; ++i) {
+    const auto next = with_prompt("n" + std::to_string(i));
+    EXPECT_NE(endpoint_caller_.calls.back()->call.endpoint.id, failed);
+  }
+}
+
+// Guards against stages that are produced again after an engine refused the
+// connection being taken for the coordinator's choice of another engine.
+TEST_F(GatewayTest, ProducesLostInputsAgainAfterAFailedConnection) {
+  const auto caller = Send("staged");
+  const auto serve_stages = [&](size_t first) {
+    timers_.Advance(5ms);
+    ASSERT_GT(stage_caller_.calls.size(), first);
+    stage_caller_.Answer(first);
+    timers_.Advance(5ms);
+    ASSERT_GT(stage_caller_.calls.size(), first + 1);
+    stage_caller_.Answer(first + 1);
+    timers_.Advance(5ms);
+  };
+  serve_stages(0);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 1u);
+  endpoint_caller_.listener(0).OnAnswerEnd(HttpCallEnd::kNotSent);
+  timers_.Advance(5ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  endpoint_caller_.listener(1).OnAnswerHead(FakeEndpointCaller::Refusal(409));
+  endpoint_caller_.listener(1).OnAnswerEnd(HttpCallEnd::kComplete);
+  timers_.Advance(5ms);
+  serve_stages(2);
+  EXPECT_EQ(stage_caller_.calls.size(), 4u);
+}
+
 // Guards against an answer whose first part is of one endpoint and whose rest
 // is of another.
 TEST_F(GatewayTest, NeverJoinsAnswersOfTwoEndpoints) {
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -210,7 +210,7 @@
         service(replica, clock, timers, events),
         dialer(network, name),
         sources({clock, timers, dialer, directory, replica, service, events, id,
-                 record, [this] { Renew(); }}),
+                 record, [this] { Renew(); }, [this] { replica.ReadNodes(); }}),
         registration(
             id,
             record,
@@ -469,6 +469,14 @@
   EXPECT_LT(store_.reading_calls() - before, 20);
 }
 
+// Guards against a fleet in which every node watches and reads everything
+// because all start together and find no others.
+TEST_F(ReplicaFleetTest, AFleetThatStartsTogetherReadsLittle) {
+  // For each node two readings of the nodes; the watchers' readings and their
+  // watches in 15 s.
+  EXPECT_LE(store_.reading_calls(), 24 * 2 + 6 * 40);
+}
+
 // Guards against a peer whose frames cannot be read.
 TEST_F(ReplicaFleetTest, AMalformedFrameClosesItsLinkOnly) {
   network_.SendToAll("not a frame");
