--- a/modules/peridotmill_gateway/replication/prefix_image.cc
+++ b/modules/peridotmill_gateway/replication/prefix_image.cc
@@ -10,9 +10,9 @@
 
 // Changes kept for nodes that subscribe again. One that needs more gets a
 // snapshot.
-constexpr size_t kMaxHistory = 128;
+constexpr size_t kMaxHistory = 512;
 // Bytes of values that the kept changes may hold.
-constexpr size_t kMaxHistoryBytes = size_t{64} << 10;
+constexpr size_t kMaxHistoryBytes = size_t{128} << 10;
 
 size_t HistoryBytes(const std::deque<StoreChange>& history) {
   size_t bytes = 0;
--- a/modules/peridotmill_gateway/replication/replica_message.cc
+++ b/modules/peridotmill_gateway/replication/replica_message.cc
@@ -70,12 +70,12 @@
       entries.push_back(AddEntry(builder, change.entry, change.is_removed));
     }
     const auto vector = builder.CreateVector(entries);
-    return Wrap(
-        replicawire::Body::Changes,
-        replicawire::CreateChanges(builder, static_cast<uint8_t>(message.part),
-                                   message.changes.after_revision,
-                                   message.changes.revision, vector)
-            .Union());
+    return Wrap(replicawire::Body::Changes,
+                replicawire::CreateChanges(
+                    builder, static_cast<uint8_t>(message.part),
+                    message.changes.after_revision, message.changes.revision,
+                    vector, message.is_after_outage)
+                    .Union());
   }
   Offset<replicawire::Message> operator()(const FreshnessMessage& message) {
     const auto revisions = builder.CreateVector(message.revisions.data(),
@@ -142,7 +142,8 @@
       wire.revision() < wire.after_revision()) {
     return std::nullopt;
   }
-  ChangesMessage message = {.part = *part};
+  ChangesMessage message = {.part = *part,
+                            .is_after_outage = wire.is_after_outage()};
   message.changes.after_revision = wire.after_revision();
   message.changes.revision = wire.revision();
   if (wire.entries() != nullptr) {
--- a/modules/peridotmill_gateway/replication/replica_message.h
+++ b/modules/peridotmill_gateway/replication/replica_message.h
@@ -39,6 +39,9 @@
 struct ChangesMessage {
   ReplicaPart part = ReplicaPart::kConfiguration;
   PrefixChanges changes;
+  // The store has just come back; removals may be entries that lapsed
+  // meanwhile.
+  bool is_after_outage = false;
 };
 
 // Of the sender: the latest change of each part, and how long ago the store
--- a/modules/peridotmill_gateway/replication/replica_service.cc
+++ b/modules/peridotmill_gateway/replication/replica_service.cc
@@ -16,7 +16,7 @@
 // Links that other nodes may have open here at a time.
 constexpr size_t kMaxSessions = 512;
 
-std::vector<std::string> SnapshotFrames(const StoreReplica& replica,
+std::vector<std::string> EncodeSnapshot(const StoreReplica& replica,
                                         ReplicaPart part) {
   std::vector<std::string> frames;
   SnapshotMessage message = {.part = part,
@@ -81,7 +81,7 @@
           ChangesMessage{.part = part, .changes = *std::move(changes)}));
       return;
     }
-    for (const std::string& frame : SnapshotFrames(replica, part)) {
+    for (const std::string& frame : service_->SnapshotFrames(part)) {
       link_->Send(frame);
     }
   }
@@ -120,27 +120,38 @@
       [](const auto& entry) { return entry.second->is_subscribed(); }));
 }
 
+const std::vector<std::string>& ReplicaService::SnapshotFrames(
+    ReplicaPart part) {
+  CachedSnapshot& cached = snapshots_[static_cast<size_t>(part)];
+  const int64_t changed = replica_.image(part).changed_revision;
+  const bool is_after_outage = replica_.is_after_outage(part);
+  if (cached.changed_revision != changed ||
+      cached.is_after_outage != is_after_outage) {
+    cached = {.changed_revision = changed,
+              .is_after_outage = is_after_outage,
+              .frames = EncodeSnapshot(replica_, part)};
+  }
+  return cached.frames;
+}
+
 void ReplicaService::OnReplicaSnapshot(ReplicaPart part) {
   if (subscriber_count() == 0) {
     return;
   }
-  const auto frames = SnapshotFrames(replica_, part);
-  for (const auto& [raw, session] : sessions_) {
-    if (session->is_subscribed()) {
-      for (const std::string& frame : frames) {
-        session->Send(frame);
-      }
-    }
+  for (const std::string& frame : SnapshotFrames(part)) {
+    SendToSubscribers(frame);
   }
 }
 
-void ReplicaService::OnReplicaChanges(ReplicaPart part,
-                                      const PrefixChanges& changes) {
-  if (subscriber_count() == 0) {
-    return;
+void ReplicaService::OnReplicaChanges(const ChangesMessage& message) {
+  // Out of date, and large.
+  snapshots_[static_cast<size_t>(message.part)] = CachedSnapshot();
+  if (subscriber_count() > 0) {
+    SendToSubscribers(EncodeReplicaMessage(message));
   }
-  const std::string frame =
-      EncodeReplicaMessage(ChangesMessage{.part = part, .changes = changes});
+}
+
+void ReplicaService::SendToSubscribers(const std::string& frame) {
   for (const auto& [raw, session] : sessions_) {
     if (session->is_subscribed()) {
       session->Send(frame);
@@ -168,12 +179,7 @@
     if (subscriber_count() == 0) {
       return;
     }
-    const std::string frame = FreshnessFrame();
-    for (const auto& [raw, session] : sessions_) {
-      if (session->is_subscribed()) {
-        session->Send(frame);
-      }
-    }
+    SendToSubscribers(FreshnessFrame());
     ReportFreshness();
   });
 }
--- a/modules/peridotmill_gateway/replication/replica_service.h
+++ b/modules/peridotmill_gateway/replication/replica_service.h
@@ -1,10 +1,12 @@
 #ifndef PERIDOTMILL_GATEWAY_REPLICATION_REPLICA_SERVICE_H_
 #define PERIDOTMILL_GATEWAY_REPLICATION_REPLICA_SERVICE_H_
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
@@ -40,8 +42,10 @@
   class Session;
 
   void OnReplicaSnapshot(ReplicaPart part) override;
-  void OnReplicaChanges(ReplicaPart part,
-                        const PrefixChanges& changes) override;
+  void OnReplicaChanges(const ChangesMessage& message) override;
+  // Made once for all nodes that need them.
+  const std::vector<std::string>& SnapshotFrames(ReplicaPart part);
+  void SendToSubscribers(const std::string& frame);
   void OnMalformed(Session* session);
   void Release(Session* session);
   // Tells all subscribers how fresh this node's knowledge is.
@@ -53,6 +57,12 @@
   TimerQueue& timers_;
   EventSink& log_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
+  struct CachedSnapshot {
+    int64_t changed_revision = 0;
+    bool is_after_outage = false;
+    std::vector<std::string> frames;
+  };
+  std::array<CachedSnapshot, kReplicaPartCount> snapshots_;
   std::unique_ptr<Timer> report_timer_;
   uint64_t malformed_ = 0;
 };
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -20,7 +20,9 @@
 // node reads in their place.
 constexpr Duration kWatcherHeadStart = std::chrono::milliseconds(1500);
 // A new node reads from the store if no source has told it anything by then.
-constexpr Duration kFirstNewsTimeout = std::chrono::milliseconds(700);
+constexpr Duration kFirstNewsTimeout = std::chrono::milliseconds(1500);
+// Time for the first source to send everything before another one is asked.
+constexpr Duration kFirstSourceTime = std::chrono::milliseconds(600);
 // A node that watches without being asked to goes on for this long.
 constexpr Duration kWatchLinger = std::chrono::seconds(3);
 // A node that finds fewer others gives them this time to register.
@@ -43,12 +45,14 @@
   Link(ReplicaSources* owner, NodeId node, const std::string& address)
       : owner_(owner),
         node_(std::move(node)),
-        last_frame_(owner->dependencies_.clock.Now()) {
+        opened_(owner->dependencies_.clock.Now()),
+        last_frame_(opened_) {
     link_ = owner->dependencies_.dialer.Dial(address, this);
     Subscribe(owner->dependencies_.replica.revisions());
   }
 
   const NodeId& node() const { return node_; }
+  TimePoint opened() const { return opened_; }
   TimePoint last_frame() const { return last_frame_; }
   std::optional<TimePoint> contact() const { return contact_; }
   bool IsFresh(TimePoint now) const {
@@ -73,6 +77,7 @@
 
   ReplicaSources* owner_;
   NodeId node_;
+  TimePoint opened_;
   TimePoint last_frame_;
   // When the store last answered the source, or the one it learns from.
   std::optional<TimePoint> contact_;
@@ -182,11 +187,7 @@
   if (dependencies_.replica.is_watching()) {
     return true;
   }
-  const auto revisions = dependencies_.replica.revisions();
-  const bool knows_all =
-      std::all_of(revisions.begin(), revisions.end(),
-                  [](int64_t revision) { return revision > 0; });
-  if (!knows_all) {
+  if (!KnowsAllParts()) {
     return started_ && now - *started_ > kFirstNewsTimeout;
   }
   // With the store away for all nodes, the watchers alone try it.
@@ -202,6 +203,12 @@
          *own_contact_ - *own_contact_since_ > kWatcherHeadStart;
 }
 
+bool ReplicaSources::KnowsAllParts() const {
+  const auto revisions = dependencies_.replica.revisions();
+  return std::all_of(revisions.begin(), revisions.end(),
+                     [](int64_t revision) { return revision > 0; });
+}
+
 size_t ReplicaSources::FreshLinks() const {
   const TimePoint now = dependencies_.clock.Now();
   return static_cast<size_t>(std::count_if(
@@ -219,11 +226,17 @@
   const TimePoint now = dependencies_.clock.Now();
   size_t linked = 0;
   size_t fresh = 0;
+  const bool knows_all = KnowsAllParts();
   std::vector<NodeId> kept;
   for (const NodeId& node : role_.sources) {
     if (fresh >= kWantedSources || linked >= kMostSources) {
       break;
     }
+    // One source sends everything; the others only what is new then.
+    if (!knows_all && linked > 0 &&
+        now - links_.at(kept.back())->opened() < kFirstSourceTime) {
+      break;
+    }
     const NodeRecord* const record = dependencies_.nodes.Find(node);
     if (IsExcluded(node) || record == nullptr ||
         record->replica_address.empty()) {
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -68,6 +68,7 @@
   void ChooseLinks();
   bool MustWatch();
   bool OwnContactHolds() const;
+  bool KnowsAllParts() const;
   size_t FreshLinks() const;
   // Hardly any other node is known.
   bool IsAlone() const;
--- a/modules/peridotmill_gateway/replication/schema/replica_generated.h
+++ b/modules/peridotmill_gateway/replication/schema/replica_generated.h
@@ -354,7 +354,8 @@
     VT_PART = 4,
     VT_AFTER_REVISION = 6,
     VT_REVISION = 8,
-    VT_ENTRIES = 10
+    VT_ENTRIES = 10,
+    VT_IS_AFTER_OUTAGE = 12
   };
   uint8_t part() const {
     return GetField<uint8_t>(VT_PART, 0);
@@ -368,6 +369,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *>(VT_ENTRIES);
   }
+  bool is_after_outage() const {
+    return GetField<uint8_t>(VT_IS_AFTER_OUTAGE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -376,6 +380,7 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_AFTER_OUTAGE, 1) &&
            verifier.EndTable();
   }
 };
@@ -396,6 +401,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries) {
     fbb_.AddOffset(Changes::VT_ENTRIES, entries);
   }
+  void add_is_after_outage(bool is_after_outage) {
+    fbb_.AddElement<uint8_t>(Changes::VT_IS_AFTER_OUTAGE, static_cast<uint8_t>(is_after_outage), 0);
+  }
   explicit ChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -412,11 +420,13 @@
     uint8_t part = 0,
     int64_t after_revision = 0,
     int64_t revision = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries = 0,
+    bool is_after_outage = false) {
   ChangesBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_after_revision(after_revision);
   builder_.add_entries(entries);
+  builder_.add_is_after_outage(is_after_outage);
   builder_.add_part(part);
   return builder_.Finish();
 }
@@ -426,14 +436,16 @@
     uint8_t part = 0,
     int64_t after_revision = 0,
     int64_t revision = 0,
-    const std::vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries = nullptr,
+    bool is_after_outage = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::replicawire::Entry>>(*entries) : 0;
   return peridotmill::replicawire::CreateChanges(
       _fbb,
       part,
       after_revision,
       revision,
-      entries__);
+      entries__,
+      is_after_outage);
 }
 
 struct Freshness FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -82,7 +82,7 @@
 }
 
 bool StoreReplica::ApplyPeerChanges(const ChangesMessage& message) {
-  return ApplyAndTell(message.part, message.changes);
+  return ApplyAndTell(message);
 }
 
 void StoreReplica::ApplyPeerSnapshot(const SnapshotMessage& message) {
@@ -128,7 +128,7 @@
 void StoreReplica::OnStoreChanges(ReplicaPart part,
                                   const PrefixChanges& changes) {
   NoteContact(dependencies_.clock.Now());
-  if (!ApplyAndTell(part, changes)) {
+  if (!ApplyAndTell({.part = part, .changes = changes})) {
     // Only a reading can tell what the follower did not report.
     follower(part).ReadAgain();
   }
@@ -152,33 +152,47 @@
   consumer_.on_snapshot(part, entries, was_unreachable);
   // What others may know as well is not passed on: nodes subscribe to one
   // another, and would send it round without end.
-  const bool is_news = is_newer && !changes->changes.empty();
-  for (ReplicaObserver* const observer : observers_) {
-    if (is_first || (is_news && was_unreachable)) {
+  if (is_first) {
+    for (ReplicaObserver* const observer : observers_) {
       observer->OnReplicaSnapshot(part);
-    } else if (is_news) {
-      observer->OnReplicaChanges(part, *changes);
     }
+  } else if (is_newer && !changes->changes.empty()) {
+    Tell({.part = part,
+          .changes = *changes,
+          .is_after_outage = was_unreachable});
   }
 }
 
-bool StoreReplica::ApplyAndTell(ReplicaPart part,
-                                const PrefixChanges& changes) {
-  const auto applied = ApplyChanges(mutable_image(part), changes);
+bool StoreReplica::ApplyAndTell(const ChangesMessage& message) {
+  const ReplicaPart part = message.part;
+  auto applied = ApplyChanges(mutable_image(part), message.changes);
   if (!applied) {
     return false;
   }
-  for (const StoreChange& change : applied->changes) {
-    consumer_.on_change(part, change);
+  if (applied->changes.empty()) {
+    return true;
   }
-  if (!applied->changes.empty()) {
-    for (ReplicaObserver* const observer : observers_) {
-      observer->OnReplicaChanges(part, *applied);
+  if (message.is_after_outage) {
+    outage_ended_[static_cast<size_t>(part)] = dependencies_.clock.Now();
+    consumer_.on_snapshot(part, EntriesOf(image(part)),
+                          /*was_unreachable=*/true);
+  } else {
+    for (const StoreChange& change : applied->changes) {
+      consumer_.on_change(part, change);
     }
   }
+  Tell({.part = part,
+        .changes = *std::move(applied),
+        .is_after_outage = message.is_after_outage});
   return true;
 }
 
+void StoreReplica::Tell(const ChangesMessage& message) {
+  for (ReplicaObserver* const observer : observers_) {
+    observer->OnReplicaChanges(message);
+  }
+}
+
 void StoreReplica::NoteContact(TimePoint contact) {
   last_contact_ = last_contact_ ? std::max(*last_contact_, contact) : contact;
 }
--- a/modules/peridotmill_gateway/replication/store_replica.h
+++ b/modules/peridotmill_gateway/replication/store_replica.h
@@ -35,11 +35,10 @@
 class ReplicaObserver {
  public:
   virtual ~ReplicaObserver() = default;
-  // The first knowledge of a part, or the first after an outage.
+  // The first knowledge of a part.
   virtual void OnReplicaSnapshot(ReplicaPart part) = 0;
   // Begins at the latest revision that was told before.
-  virtual void OnReplicaChanges(ReplicaPart part,
-                                const PrefixChanges& changes) = 0;
+  virtual void OnReplicaChanges(const ChangesMessage& message) = 0;
 };
 
 // This node's copy of the parts of the store that all nodes need. It follows
@@ -111,7 +110,8 @@
                     const std::vector<StoreEntry>& entries,
                     bool was_unreachable);
   // Returns false if changes in between are missing.
-  bool ApplyAndTell(ReplicaPart part, const PrefixChanges& changes);
+  bool ApplyAndTell(const ChangesMessage& message);
+  void Tell(const ChangesMessage& message);
   void NoteContact(TimePoint contact);
   PrefixFollower& follower(ReplicaPart part) {
     return *followers_[static_cast<size_t>(part)];
--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -29,6 +29,12 @@
     history_.push_back({.entry = entry});
     AnswerWatches();
   }
+  // Removes a key, as when its lease lapses while the store is away; watches
+  // are not told.
+  void Lapse(const std::string& key) {
+    entries_.erase(key);
+    ++revision_;
+  }
   void SetDown(bool is_down) { is_down_ = is_down; }
   // Calls of this node get no answer from now on.
   void CutOff(const std::string& node) { cut_off_.insert(node); }
