Leave room at all makers when one shows another coordinator's results

Change: a coordinator that has just begun assumes that other makers are as short of room as the first one found so. Calls are filled with tasks of other domains only while a quarter of what all endpoints carry in a call waits.

--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -71,8 +71,14 @@
 // A call that could carry this many times what the endpoint has room for waits
 // for room, since the fixed time of a call exceeds that of its items.
 constexpr int kLeastFillDivisor = 2;
-// A pool is saturated when at most this part of its endpoints is idle.
+// A pool is saturated when at most this part of its endpoints is idle, and this
+// part of what they carry in a call waits.
 constexpr ptrdiff_t kIdleDivisorOfSaturated = 8;
+constexpr ptrdiff_t kBacklogDivisorOfSaturated = 4;
+// Share of a maker's room that results of another coordinator are assumed to
+// take when this one has just begun and found some; it comes free over their
+// retention.
+constexpr double kAssumedForeignShare = 0.6;
 // Longest wait for room, about one call.
 constexpr Duration kLongestRoomWait = std::chrono::milliseconds(200);
 
@@ -150,6 +156,7 @@
 std::unique_ptr<OpenStageTask> StageCoordinator::Submit(
     StageTask task,
     StageTaskListener* listener) {
+  NoteTaskOf(task.pool);
   const StageTaskId id = next_task_++;
   dependencies_.repeats.AddFirst(task.pool, dependencies_.clock.Now(),
                                  kCoordinatingShare);
@@ -171,6 +178,37 @@
   return std::make_unique<Ticket>(this, id);
 }
 
+void StageCoordinator::NoteTaskOf(const PoolId& id) {
+  const StagePoolDefinition* const pool = FindStagePool(id);
+  if (pool == nullptr) {
+    return;
+  }
+  const TimePoint now = dependencies_.clock.Now();
+  Queue& queue = queues_[id];
+  if (now - queue.last_task > pool->result_retention) {
+    queue.began = now;
+  }
+  queue.last_task = now;
+}
+
+void StageCoordinator::AssumeForeignResults(const PoolId& id,
+                                            const StagePoolDefinition& pool) {
+  const TimePoint now = dependencies_.clock.Now();
+  Queue& queue = queues_[id];
+  if (now - queue.began > pool.result_retention) {
+    return;
+  }
+  queue.began = TimePoint();
+  const auto assumed = static_cast<int64_t>(
+      kAssumedForeignShare * static_cast<double>(pool.result_room_bytes));
+  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
+    if (endpoint->foreign_bytes < assumed) {
+      endpoint->foreign_bytes = assumed;
+      endpoint->foreign_since = now;
+    }
+  }
+}
+
 void StageCoordinator::Enqueue(StageTaskId id) {
   const auto found = tasks_.find(id);
   if (found == tasks_.end() || found->second.is_ended) {
@@ -296,8 +334,13 @@
       serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
         return endpoint->open_calls < pool.concurrent_calls;
       });
-  return idle <=
-         std::max<ptrdiff_t>(1, std::ssize(serving) / kIdleDivisorOfSaturated);
+  const auto queue = queues_.find(id);
+  const ptrdiff_t waiting =
+      queue == queues_.end() ? 0 : queue->second.batch.waiting_items;
+  return idle <= std::max<ptrdiff_t>(
+                     1, std::ssize(serving) / kIdleDivisorOfSaturated) &&
+         waiting * kBacklogDivisorOfSaturated >=
+             std::ssize(serving) * pool.batch_size;
 }
 
 std::set<FailureDomainId> StageCoordinator::ServedDomains(
@@ -349,6 +392,8 @@
   if (pool == nullptr || pool->result_room_bytes == 0) {
     return;
   }
+  // Where one maker is short of room, the others will be.
+  AssumeForeignResults(call.pool, *pool);
   Endpoint& endpoint = *call.endpoint;
   endpoint.foreign_bytes =
       std::max<int64_t>(0, pool->result_room_bytes - endpoint.result_bytes);
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -77,6 +77,9 @@
   struct Queue {
     BatchQueue batch;
     std::unique_ptr<Timer> dispatch_timer;
+    // When tasks came again after none for as long as results are kept.
+    TimePoint began;
+    TimePoint last_task;
   };
 
   // Puts a task into the queue of its pool.
@@ -89,7 +92,11 @@
   void ScheduleDispatch(const PoolId& id, Duration delay);
   void Dispatch(const PoolId& id);
   // Sends the next call to an endpoint; false when no task fits it.
-  // Whether hardly any endpoint of a pool is idle.
+  void NoteTaskOf(const PoolId& id);
+  // Another coordinator, or this node before its restart, has left results at
+  // the makers of a pool.
+  void AssumeForeignResults(const PoolId& id, const StagePoolDefinition& pool);
+  // Whether hardly any endpoint of a pool is idle while much work waits.
   bool IsSaturated(const PoolId& id, const StagePoolDefinition& pool) const;
   bool StartCall(const PoolId& id,
                  Queue& queue,
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -100,6 +100,32 @@
   ASSERT_EQ(stage_caller_.calls.size(), 3u);
 }
 
+// Guards against a node that takes over as coordinator and fills makers which
+// hold the results of the one before: each item that finds no room costs a
+// repeat, and one maker that is short of room speaks for all.
+TEST_F(StageCoordinatorTest, ANewCoordinatorLeavesRoomAtAllMakers) {
+  GatewayConfig config = MakeConfig(2);
+  config.pools[2].stage->result_room_bytes = 4000;
+  coordinator_.SetConfiguration(
+      std::make_shared<const ActiveConfiguration>(config));
+  endpoints_.Put(MakeRegistration("s2", "scan", "valley", 1));
+  const auto first = Submit(4, 1000);
+  timers_.Advance(1ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 1u);
+  StageAnswer no_room;
+  no_room.outcome = StageCallOutcome::kAnswered;
+  no_room.results.resize(4);
+  for (StageItemResult& result : no_room.results) {
+    result.outcome = StageItemOutcome::kNoRoom;
+  }
+  stage_caller_.Answer(0, no_room);
+  timers_.Advance(500ms);
+  for (size_t i = 1; i < stage_caller_.calls.size(); ++i) {
+    EXPECT_LE(stage_caller_.calls[i]->items.size(), 2u);
+  }
+  ASSERT_GT(stage_caller_.calls.size(), 1u);
+}
+
 // Guards against counting the room of results that their maker has dropped, as
 // when requests hang at a dead engine.
 TEST_F(StageCoordinatorTest, ResultsTakeNoRoomAfterTheirRetention) {
