--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -98,7 +98,8 @@
                    .changes = ChangesFor(*watch),
                    .store_revision = revision_});
   }
-  void Finish(const std::shared_ptr<Watch>& watch, StoreChanges changes) {
+  void Finish(const std::shared_ptr<Watch>& watch,
+              const StoreChanges& changes) {
     watch->timer = timers_.After(kAnswerTime, [watch, changes] {
       if (const auto answer = std::exchange(watch->answer, nullptr)) {
         answer(changes);
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -198,7 +198,7 @@
         recovery(timers, Hash64(name, 1)),
         replica({clock, timers, channel, recovery, events},
                 {{{.prefix = "config", .watch_wait = 2s, .pause = 200ms},
-                  {.prefix = "servers/", .watch_wait = 2s, .pause = 300ms},
+                  {.prefix = "endpoints/", .watch_wait = 2s, .pause = 300ms},
                   {.prefix = kNodePrefix, .watch_wait = 5s, .pause = 3s}}},
                 {.on_snapshot =
                      [this](ReplicaPart part,
@@ -231,8 +231,9 @@
                    replica.ReadAllAgain();
                  },
              .is_watching = [this] { return replica.is_watching(); }}) {
-    network.AddNode(
-        name, [this](PeerNetwork::MakeLink make) { service.Accept(make); });
+    network.AddNode(name, [this](const PeerNetwork::MakeLink& make) {
+      service.Accept(make);
+    });
   }
 
   void Start() {
@@ -305,8 +306,8 @@
 
   ReplicaFleetTest() : timers_(clock_), store_(timers_), network_(timers_) {
     store_.Write("config", "c100");
-    store_.Write("servers/a", "1");
-    store_.Write("servers/b", "1");
+    store_.Write("endpoints/a", "1");
+    store_.Write("endpoints/b", "1");
     for (int domain = 0; domain < kDomains; ++domain) {
       for (int i = 0; i < kNodesPerDomain; ++i) {
         nodes_.push_back(std::make_unique<ReplicaNode>(
@@ -338,7 +339,7 @@
   Duration TimeToFollow(const std::set<std::string>& excepted = {}) {
     ++revision_;
     const std::string configuration = "c" + std::to_string(revision_);
-    const std::string endpoint = "servers/x" + std::to_string(revision_);
+    const std::string endpoint = "endpoints/x" + std::to_string(revision_);
     store_.Write("config", configuration);
     store_.Write(endpoint, "1");
     const TimePoint start = clock_.Now();
@@ -459,12 +460,12 @@
 TEST_F(ReplicaFleetTest, AllNodesLearnThatRegistrationsMayHaveLapsed) {
   store_.SetDown(true);
   timers_.Advance(6s);
-  store_.Lapse("servers/a");
+  store_.Lapse("endpoints/a");
   timers_.Advance(4s);
   store_.SetDown(false);
   timers_.Advance(2s);
   for (const auto& node : nodes_) {
-    EXPECT_FALSE(node->endpoints.contains("servers/a"));
+    EXPECT_FALSE(node->endpoints.contains("endpoints/a"));
     EXPECT_GE(node->outage_snapshots, 1) << node->id.value();
     EXPECT_LE(node->outage_snapshots, 3) << node->id.value();
   }
