Answer what has arrived when a stop closes idle connections

Change: a connection with unread bytes is not idle. A table test plays second copies of answers in five framings at three times; no copy reaches the next call.

--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -25,9 +25,10 @@
 
   // Applies the time limits for reading.
   void CheckTimeout(TimePoint now);
+  // No request is open, has begun, or waits in the socket.
   bool is_idle() const {
     return state_ == State::kHead && received_.empty() &&
-           socket_->unsent_bytes() == 0;
+           socket_->unsent_bytes() == 0 && !socket_->has_unread_bytes();
   }
   size_t unsent_bytes() const { return socket_->unsent_bytes(); }
   // Closes and releases the connection.
--- a/modules/peridotmill_http/sockets/stream_socket.cc
+++ b/modules/peridotmill_http/sockets/stream_socket.cc
@@ -144,6 +144,12 @@
   Close();
 }
 
+bool StreamSocket::has_unread_bytes() const {
+  char byte = 0;
+  return descriptor_ >= 0 &&
+         recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void StreamSocket::WatchWritable() {
   if (write_source_ == 0) {
     write_source_ = g_unix_fd_add(
--- a/modules/peridotmill_http/sockets/stream_socket.h
+++ b/modules/peridotmill_http/sockets/stream_socket.h
@@ -60,6 +60,8 @@
   bool is_open() const { return descriptor_ >= 0; }
   bool is_connected() const { return is_connected_; }
   size_t unsent_bytes() const { return unsent_.size() - unsent_start_; }
+  // Whether the other side has sent bytes that were not read yet.
+  bool has_unread_bytes() const;
 
  private:
   StreamSocket(int descriptor, bool is_connected, Listener* listener);
--- a/modules/peridotmill_http/tests/http_client_test.cc
+++ b/modules/peridotmill_http/tests/http_client_test.cc
@@ -177,6 +177,63 @@
   EXPECT_FALSE(listener.end);
 }
 
+// Guards against a second copy of an answer that reaches the next caller on the
+// same connection, in each framing and at each time at which it may come.
+TEST_F(HttpClientTest, NoCopyOfAnAnswerReachesTheNextCall) {
+  struct Case {
+    const char* name;
+    const char* copy;
+  };
+  const Case cases[] = {
+      {"length",
+       "HTTP/1.1 200 OK\r\nX-Id: foreign\r\nContent-Length: 3\r\n\r\nbad"},
+      {"chunked",
+       "HTTP/1.1 200 OK\r\nX-Id: foreign\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "3\r\nbad\r\n0\r\n\r\n"},
+      {"no content", "HTTP/1.1 204 No Content\r\nX-Id: foreign\r\n\r\n"},
+      {"not modified", "HTTP/1.1 304 Not Modified\r\nX-Id: foreign\r\n\r\n"},
+      {"interim before it",
+       "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: foreign\r\n"
+       "Content-Length: 3\r\n\r\nbad"}};
+  constexpr char kOwn[] = "HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nok";
+  enum class Arrival { kRightBehind, kWhileIdle, kBeforeTheNextAnswer };
+  for (const Case& test : cases) {
+    for (const Arrival arrival : {Arrival::kRightBehind, Arrival::kWhileIdle,
+                                  Arrival::kBeforeTheNextAnswer}) {
+      SCOPED_TRACE(test.name);
+      SCOPED_TRACE(static_cast<int>(arrival));
+      server_.peers.clear();
+      HttpClient client(clock_);
+      CollectingListener first;
+      const auto first_call = client.Start(MakeCall(), &first);
+      ASSERT_TRUE(server_.WaitFor(0, "question"));
+      server_.peers[0]->received.clear();
+      server_.peers[0]->Send(
+          std::string(kOwn) +
+          (arrival == Arrival::kRightBehind ? test.copy : ""));
+      ASSERT_TRUE(RunLoopUntil([&] { return first.end.has_value(); }));
+      if (arrival == Arrival::kWhileIdle) {
+        server_.peers[0]->Send(test.copy);
+        RunLoopFor(10ms);
+      }
+      CollectingListener second;
+      const auto second_call = client.Start(MakeCall(), &second);
+      ASSERT_TRUE(
+          RunLoopUntil([&] { return server_.peers.back()->Has("question"); }));
+      const bool is_same_connection = server_.peers.size() == 1;
+      EXPECT_EQ(is_same_connection, arrival == Arrival::kBeforeTheNextAnswer);
+      if (arrival == Arrival::kBeforeTheNextAnswer) {
+        server_.peers[0]->Send(test.copy);
+      }
+      server_.peers.back()->Send(kOwn);
+      ASSERT_TRUE(RunLoopUntil([&] { return second.end.has_value(); }));
+      EXPECT_EQ(second.end, HttpCallEnd::kComplete);
+      EXPECT_EQ(second.status, 201);
+      EXPECT_EQ(second.body, "ok");
+    }
+  }
+}
+
 // Guards against memory and time spent on bytes that never become an answer,
 // or never end, at each place where they may come.
 TEST_F(HttpClientTest, GivesUpBytesWithoutEnd) {
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -273,6 +273,22 @@
   EXPECT_TRUE(RunLoopUntil([&] { return caller.Has("0\r\n\r\n"); }));
 }
 
+// Guards against a planned stop that cuts a request which has arrived and was
+// not read yet: closing the connection would reset it without an answer.
+TEST_F(HttpServerTest, AStopAnswersWhatHasJustArrived) {
+  SocketPeer caller(server_->port());
+  caller.Send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunLoopUntil([&] { return caller.Has("answer to /1"); }));
+  // Without a turn of the loop in between.
+  caller.Send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  server_->StopKeepingConnections();
+  server_->CloseIdleConnections();
+  ASSERT_TRUE(RunLoopUntil([&] { return caller.end.has_value(); }));
+  EXPECT_TRUE(caller.Has("answer to /2")) << caller.received;
+  EXPECT_TRUE(caller.Has("Connection: close"));
+  EXPECT_EQ(caller.end, SocketEnd::kOrderly);
+}
+
 // Plays random damage to a request; the server must answer or close, and never
 // crash or hang.
 TEST_F(HttpServerTest, SurvivesDamagedRequests) {
