--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -21,6 +21,8 @@
 constexpr Duration kWatcherHeadStart = std::chrono::milliseconds(1500);
 // A new node reads from the store if no source has told it anything by then.
 constexpr Duration kFirstNewsTimeout = std::chrono::milliseconds(1500);
+// The same while a source is sending.
+constexpr Duration kLongestSnapshotTime = std::chrono::seconds(6);
 // Time for the first source to send everything before another one is asked.
 constexpr Duration kFirstSourceTime = std::chrono::milliseconds(600);
 // A node that watches without being asked to goes on for this long.
@@ -188,7 +190,11 @@
     return true;
   }
   if (!KnowsAllParts()) {
-    return started_ && now - *started_ > kFirstNewsTimeout;
+    // A long snapshot over a small host's link takes its time; a whole fleet
+    // that reads the store instead takes longer.
+    const Duration patience =
+        IsHearing() ? kLongestSnapshotTime : kFirstNewsTimeout;
+    return started_ && now - *started_ > patience;
   }
   // With the store away for all nodes, the watchers alone try it.
   return OwnContactHolds();
@@ -209,6 +215,15 @@
                      [](int64_t revision) { return revision > 0; });
 }
 
+bool ReplicaSources::IsHearing() const {
+  const TimePoint now = dependencies_.clock.Now();
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& entry) {
+    const Link& link = *entry.second;
+    return link.last_frame() > link.opened() &&
+           now - link.last_frame() < kFirstSourceTime;
+  });
+}
+
 size_t ReplicaSources::FreshLinks() const {
   const TimePoint now = dependencies_.clock.Now();
   return static_cast<size_t>(std::count_if(
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -69,6 +69,8 @@
   bool MustWatch();
   bool OwnContactHolds() const;
   bool KnowsAllParts() const;
+  // A source has sent something a moment ago.
+  bool IsHearing() const;
   size_t FreshLinks() const;
   // Hardly any other node is known.
   bool IsAlone() const;
