--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -281,7 +281,7 @@
 }
 
 int GatewayProcess::Run() {
-  replica_.Start();
+  replica_.ReadNodes();
   node_registration_.Start();
   settings_timer_ =
       timers_.After(kSettingsInterval, [this] { CheckSettingsFile(); });
--- a/modules/peridotmill_gateway/replication/prefix_image.cc
+++ b/modules/peridotmill_gateway/replication/prefix_image.cc
@@ -14,19 +14,14 @@
 // Bytes of values that the kept changes may hold.
 constexpr size_t kMaxHistoryBytes = size_t{128} << 10;
 
-size_t HistoryBytes(const std::deque<StoreChange>& history) {
-  size_t bytes = 0;
-  for (const StoreChange& change : history) {
-    bytes += change.entry.value.size();
-  }
-  return bytes;
-}
-
 void Remember(PrefixImage& image, const StoreChange& change) {
   image.history.push_back(change);
+  image.history_bytes += change.entry.value.size();
   while (image.history.size() > kMaxHistory ||
-         HistoryBytes(image.history) > kMaxHistoryBytes) {
-    image.history_start = image.history.front().entry.mod_revision;
+         image.history_bytes > kMaxHistoryBytes) {
+    const StoreEntry& oldest = image.history.front().entry;
+    image.history_start = oldest.mod_revision;
+    image.history_bytes -= oldest.value.size();
     image.history.pop_front();
   }
 }
@@ -58,12 +53,11 @@
   if (revision < image.revision) {
     return std::nullopt;
   }
-  PrefixChanges found = {.after_revision = image.revision,
-                         .revision = revision};
+  std::vector<StoreChange> found;
   std::set<std::string_view> present;
   for (const StoreEntry& entry : entries) {
     present.insert(entry.key);
-    found.changes.push_back({.entry = entry});
+    found.push_back({.entry = entry});
   }
   for (const auto& [key, entry] : image.entries) {
     // A key that is newer than the reading was made after it.
@@ -71,13 +65,13 @@
       StoreChange removal = {.is_removed = true};
       removal.entry.key = key;
       removal.entry.mod_revision = revision;
-      found.changes.push_back(std::move(removal));
+      found.push_back(std::move(removal));
     }
   }
   const bool is_first = image.revision == 0;
   PrefixChanges changes = {.after_revision = image.changed_revision,
                            .revision = revision};
-  for (StoreChange& change : found.changes) {
+  for (StoreChange& change : found) {
     if (ApplyChange(image, change)) {
       changes.changes.push_back(std::move(change));
     }
--- a/modules/peridotmill_gateway/replication/prefix_image.h
+++ b/modules/peridotmill_gateway/replication/prefix_image.h
@@ -31,6 +31,8 @@
   // The latest changes, oldest first, without gaps after `history_start`.
   std::deque<StoreChange> history;
   int64_t history_start = 0;
+  // Of the values in `history`.
+  size_t history_bytes = 0;
 };
 
 // Brings the image to what a whole reading found, and returns the differences.
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -105,7 +105,7 @@
   if (!started_) {
     started_ = dependencies_.clock.Now();
   }
-  ChooseRole();
+  is_role_outdated_ = true;
   if (review_timer_ == nullptr) {
     Review();
   }
@@ -124,7 +124,7 @@
     own_contact_since_ = own_contact_;
   }
   if (dependencies_.replica.is_watching()) {
-    dependencies_.replica.NotePeerContact(*own_contact_);
+    dependencies_.replica.NoteContact(*own_contact_);
   }
 }
 
@@ -138,15 +138,15 @@
   }
 }
 
-void ReplicaSources::ChooseRole() {
-  role_ = ChooseReplicaRole(dependencies_.nodes, dependencies_.self,
-                            dependencies_.self_record);
-}
-
 void ReplicaSources::Review() {
   review_timer_ =
       dependencies_.timers.After(kReviewInterval, [this] { Review(); });
   const TimePoint now = dependencies_.clock.Now();
+  // Many nodes may have come or gone since the last review.
+  if (std::exchange(is_role_outdated_, false)) {
+    role_ = ChooseReplicaRole(dependencies_.nodes, dependencies_.self,
+                              dependencies_.self_record);
+  }
   std::vector<NodeId> silent;
   for (const auto& [node, link] : links_) {
     if (now - link->last_frame() > kSilenceTimeout) {
@@ -157,6 +157,7 @@
     DropLink(node, "silent");
   }
   ChooseLinks();
+  NoteStaleness();
   if (MustWatch()) {
     idle_since_.reset();
     dependencies_.replica.set_watching(true);
@@ -170,16 +171,19 @@
   }
 }
 
-bool ReplicaSources::MustWatch() {
-  const TimePoint now = dependencies_.clock.Now();
+void ReplicaSources::NoteStaleness() {
   if (FreshLinks() > 0) {
     stale_since_.reset();
   } else if (!stale_since_) {
-    stale_since_ = now;
+    stale_since_ = dependencies_.clock.Now();
     if (dependencies_.replica.knows(ReplicaPart::kConfiguration)) {
       dependencies_.probe_store();
     }
   }
+}
+
+bool ReplicaSources::MustWatch() const {
+  const TimePoint now = dependencies_.clock.Now();
   if (role_.is_watcher || dependencies_.service.subscriber_count() > 0) {
     return true;
   }
@@ -320,7 +324,7 @@
     if (freshness->store_contact_age != Duration::max()) {
       const TimePoint contact = now - freshness->store_contact_age;
       link.NoteContact(contact);
-      replica.NotePeerContact(contact);
+      replica.NoteContact(contact);
     }
   } else {
     DropLink(link.node(), "unexpected message");
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -64,9 +64,10 @@
   };
 
   void Review();
-  void ChooseRole();
   void ChooseLinks();
-  bool MustWatch();
+  // Notes since when no source is in touch with the store, and asks the store.
+  void NoteStaleness();
+  bool MustWatch() const;
   bool OwnContactHolds() const;
   bool KnowsAllParts() const;
   // A source has sent something a moment ago.
@@ -82,6 +83,7 @@
 
   Dependencies dependencies_;
   ReplicaRole role_;
+  bool is_role_outdated_ = false;
   std::map<NodeId, std::unique_ptr<Link>> links_;
   std::map<NodeId, Exclusion> exclusions_;
   // When the store last answered this node, and since when without a failure.
--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -40,10 +40,6 @@
   }
 }
 
-void StoreReplica::Start() {
-  ReadNodes();
-}
-
 void StoreReplica::ReadNodes() {
   follower(ReplicaPart::kNodes).Start();
 }
@@ -90,10 +86,6 @@
                message.is_after_outage);
 }
 
-void StoreReplica::NotePeerContact(TimePoint contact) {
-  NoteContact(contact);
-}
-
 ReplicaRevisions StoreReplica::revisions() const {
   ReplicaRevisions revisions = {};
   for (const ReplicaPart part : kParts) {
--- a/modules/peridotmill_gateway/replication/store_replica.h
+++ b/modules/peridotmill_gateway/replication/store_replica.h
@@ -59,10 +59,6 @@
                    followed_prefixes,
                ReplicaConsumer consumer);
 
-  // Reads the nodes from the store, so that a role can be chosen. Nothing else
-  // is read before set_watching.
-  void Start();
-
   // Whether this node follows the store itself.
   void set_watching(bool is_watching);
   bool is_watching() const { return is_watching_; }
@@ -70,7 +66,8 @@
   // Reads a part from the store again; a node that does not watch tells its
   // consumer what it knows by now.
   void ReadAgain(ReplicaPart part);
-  // Reads the nodes from the store, whether this node watches or not.
+  // Reads the nodes from the store, whether this node watches or not, so that a
+  // role can be chosen. Nothing else is read before set_watching.
   void ReadNodes();
   // Reads all parts again if this node watches.
   void ReadAllAgain();
@@ -80,9 +77,8 @@
   bool ApplyPeerChanges(const ChangesMessage& message);
   // The snapshot must be whole.
   void ApplyPeerSnapshot(const SnapshotMessage& message);
-  // Another node knew everything up to what this one has applied when the store
-  // last answered it.
-  void NotePeerContact(TimePoint contact);
+  // The store answered this node, or one whose knowledge has been applied here.
+  void NoteContact(TimePoint contact);
 
   bool knows(ReplicaPart part) const { return image(part).revision > 0; }
   const PrefixImage& image(ReplicaPart part) const {
@@ -112,7 +108,6 @@
   // Returns false if changes in between are missing.
   bool ApplyAndTell(const ChangesMessage& message);
   void Tell(const ChangesMessage& message);
-  void NoteContact(TimePoint contact);
   PrefixFollower& follower(ReplicaPart part) {
     return *followers_[static_cast<size_t>(part)];
   }
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -328,18 +328,16 @@
 }
 
 bool StageCoordinator::IsSaturated(const PoolId& id,
-                                   const StagePoolDefinition& pool) const {
+                                   const StagePoolDefinition& pool,
+                                   const BatchQueue& queue) const {
   const auto& serving = dependencies_.endpoints.Serving(id);
   const auto idle = std::count_if(
       serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
         return endpoint->open_calls < pool.concurrent_calls;
       });
-  const auto queue = queues_.find(id);
-  const ptrdiff_t waiting =
-      queue == queues_.end() ? 0 : queue->second.batch.waiting_items;
   return idle <= std::max<ptrdiff_t>(
                      1, std::ssize(serving) / kIdleDivisorOfSaturated) &&
-         waiting * kBacklogDivisorOfSaturated >=
+         ptrdiff_t{queue.waiting_items} * kBacklogDivisorOfSaturated >=
              std::ssize(serving) * pool.batch_size;
 }
 
@@ -414,7 +412,7 @@
   target.failure_domain = endpoint->registration.failure_domain;
   target.call_time_ratio = endpoint->call_time_ratio;
   target.served_domains = ServedDomains(id, pool);
-  target.is_pool_saturated = IsSaturated(id, pool);
+  target.is_pool_saturated = IsSaturated(id, pool, queue.batch);
   const TimePoint now = dependencies_.clock.Now();
   // A trial on a copy, for a call that carries too little is not sent.
   BatchQueue rest = queue.batch;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -97,7 +97,9 @@
   // the makers of a pool.
   void AssumeForeignResults(const PoolId& id, const StagePoolDefinition& pool);
   // Whether hardly any endpoint of a pool is idle while much work waits.
-  bool IsSaturated(const PoolId& id, const StagePoolDefinition& pool) const;
+  bool IsSaturated(const PoolId& id,
+                   const StagePoolDefinition& pool,
+                   const BatchQueue& queue) const;
   bool StartCall(const PoolId& id,
                  Queue& queue,
                  const StagePoolDefinition& pool,
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -237,7 +237,7 @@
   }
 
   void Start() {
-    replica.Start();
+    replica.ReadNodes();
     registration.Start();
   }
   void Renew() { registration.RenewNow(); }
--- a/modules/peridotmill_http/timers/glib_timer_queue.cc
+++ b/modules/peridotmill_http/timers/glib_timer_queue.cc
@@ -3,22 +3,12 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 #include "peridotmill_core/time/milliseconds.h"
 
 namespace peridotmill {
 
-class GlibTimerQueue::PendingTimer final : public Timer {
- public:
-  PendingTimer(std::shared_ptr<Pending> pending, Key key)
-      : pending_(std::move(pending)), key_(key) {}
-  ~PendingTimer() override { pending_->erase(key_); }
-
- private:
-  std::shared_ptr<Pending> pending_;
-  Key key_;
-};
-
 struct GlibTimerQueue::Source {
   GSource base;
   GlibTimerQueue* queue;
@@ -39,23 +29,24 @@
 
 std::unique_ptr<Timer> GlibTimerQueue::After(Duration delay,
                                              std::function<void()> callback) {
-  const Key key(clock_.Now() + std::max(delay, Duration::zero()), next_++);
-  pending_->emplace(key, std::move(callback));
-  return std::make_unique<PendingTimer>(pending_, key);
+  return pending_.Add(clock_.Now() + std::max(delay, Duration::zero()),
+                      std::move(callback));
 }
 
 bool GlibTimerQueue::IsDue() const {
-  return !pending_->empty() && pending_->begin()->first.first <= clock_.Now();
+  const auto first = pending_.first();
+  return first && first->first <= clock_.Now();
 }
 
 gboolean GlibTimerQueue::OnPrepare(GSource* source, gint* timeout_ms) {
   const GlibTimerQueue* const queue = reinterpret_cast<Source*>(source)->queue;
-  if (queue->pending_->empty()) {
+  const auto first = queue->pending_.first();
+  if (!first) {
     *timeout_ms = -1;
     return FALSE;
   }
-  const double wait_ms = std::ceil(ToMilliseconds(
-      queue->pending_->begin()->first.first - queue->clock_.Now()));
+  const double wait_ms =
+      std::ceil(ToMilliseconds(first->first - queue->clock_.Now()));
   constexpr double kLongestMs = std::numeric_limits<gint>::max();
   *timeout_ms = static_cast<gint>(std::clamp(wait_ms, 0.0, kLongestMs));
   return wait_ms <= 0 ? TRUE : FALSE;
@@ -74,16 +65,17 @@
   // Timers that callbacks add wait for the next turn, so that sockets are not
   // starved by timers without a delay.
   const TimePoint now = clock_.Now();
-  if (!pending_->empty() && on_pause_) {
-    const Duration overdue = now - pending_->begin()->first.first;
+  auto first = pending_.first();
+  if (first && on_pause_) {
+    const Duration overdue = now - first->first;
     if (overdue >= least_pause_) {
       on_pause_(overdue);
     }
   }
-  const Key end(now, next_);
-  while (!pending_->empty() && pending_->begin()->first < end) {
-    const auto entry = pending_->extract(pending_->begin());
-    entry.mapped()();
+  const PendingTimers::Key end = pending_.EndAt(now);
+  for (first = pending_.first(); first && *first < end;
+       first = pending_.first()) {
+    pending_.TakeFirst()();
   }
 }
 
--- a/modules/peridotmill_http/timers/glib_timer_queue.h
+++ b/modules/peridotmill_http/timers/glib_timer_queue.h
@@ -3,13 +3,12 @@
 
 #include <glib.h>
 
-#include <cstdint>
 #include <functional>
-#include <map>
 #include <memory>
 #include <utility>
 
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_core/timers/pending_timers.h"
 #include "peridotmill_core/timers/timer_queue.h"
 
 namespace peridotmill {
@@ -35,10 +34,6 @@
   }
 
  private:
-  // Due time, and the order among timers that are due together.
-  using Key = std::pair<TimePoint, uint64_t>;
-  using Pending = std::map<Key, std::function<void()>>;
-  class PendingTimer;
   struct Source;
 
   static gboolean OnPrepare(GSource* source, gint* timeout_ms);
@@ -50,9 +45,7 @@
 
   const Clock& clock_;
   GSource* source_;
-  // Shared with the timers, which may outlive the queue.
-  std::shared_ptr<Pending> pending_ = std::make_shared<Pending>();
-  uint64_t next_ = 0;
+  PendingTimers pending_;
   Duration least_pause_ = Duration::max();
   std::function<void(Duration)> on_pause_;
 };
