Abort a stream whose resumption gets an error response

Its body would have become a part of the stream. Change: once a stream has begun, only an authentic event stream continues it; any other response fails the attempt, and the stream is resumed once more or aborted.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -500,12 +500,21 @@
   }
 }
 
+bool GatewayRequest::IsAuthenticStreamResponse() const {
+  return IsStream() && response_head_.status == 200 &&
+         response_head_.is_event_stream && response_head_.is_authentic;
+}
+
 void GatewayRequest::OnResponseBody(std::string_view bytes) {
-  if (IsStream() && response_head_.status == 200 &&
-      response_head_.is_event_stream && response_head_.is_authentic) {
+  if (IsAuthenticStreamResponse()) {
     ForwardStreamBytes(bytes);
     return;
   }
+  if (IsStreamStarted()) {
+    // An error response of the engine that was to resume the stream: its bytes
+    // are no part of the stream.
+    return;
+  }
   if (is_response_head_sent_) {
     channel_->SendBody(bytes);
     PauseResponseIfCallerIsSlow();
@@ -608,6 +617,12 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kAnswerMismatch);
     return;
   }
+  if (IsStreamStarted() && !IsAuthenticStreamResponse()) {
+    // Finishing here would make the caller take the events so far for the whole
+    // stream.
+    HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
+    return;
+  }
   if (response_head_.status >= kServerError && !is_response_head_sent_) {
     AttemptHistory next = attempt_history_;
     next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -97,6 +97,11 @@
   // `outcome`. Charges the retry budget unless nothing was sent.
   bool TryTakeRetry(AttemptOutcome outcome);
   bool IsStream() const { return route_->kind == RequestKind::kStream; }
+  // Returns whether the caller has received the head and an event of a stream.
+  bool IsStreamStarted() const { return first_event_at_ != TimePoint(); }
+  // Returns whether the current response is an engine's event stream, which
+  // starts or resumes the caller's.
+  bool IsAuthenticStreamResponse() const;
   void ForwardStreamBytes(std::string_view bytes);
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -118,6 +118,29 @@
   EXPECT_TRUE(caller->is_finished);
 }
 
+// Guards against an error response of the engine that was to resume a stream
+// ending the stream as if it were complete, or becoming a part of it.
+TEST_F(GatewayTest, AbortsAStreamWhoseResumptionFails) {
+  for (const int status : {500, 400, 401, 204}) {
+    SCOPED_TRACE(status);
+    const size_t first = endpoint_caller_.calls.size();
+    const auto caller = Send("resume");
+    endpoint_caller_.listener(first).OnResponseHead(
+        FakeEndpointCaller::StreamHead());
+    endpoint_caller_.listener(first).OnResponseBody("id: 1\ndata: a\n\n");
+    endpoint_caller_.listener(first).OnResponseEnd(HttpCallEnd::kTruncated);
+    ASSERT_EQ(endpoint_caller_.calls.size(), first + 2);
+    EndpointResponseHead head = FakeEndpointCaller::SuccessHead();
+    head.status = status;
+    endpoint_caller_.listener(first + 1).OnResponseHead(head);
+    endpoint_caller_.listener(first + 1).OnResponseBody("error");
+    endpoint_caller_.listener(first + 1).OnResponseEnd(HttpCallEnd::kComplete);
+    EXPECT_EQ(caller->body, "id: 1\ndata: a\n\n");
+    EXPECT_FALSE(caller->is_finished);
+    EXPECT_TRUE(caller->is_aborted);
+  }
+}
+
 // Guards against each node sending prompts to a crashed engine until it notices
 // the crash itself. The first refused connection is reported to the
 // coordinator, which then chooses other engines.
