Run stages near the engine that the coordinator intends

Hypothesis: results cross domains because the node guesses another engine than the coordinator chooses, and because a task waits for its domain only if two more calls fit before it is due. Change: the coordinator previews the engine at admission, sends the first stage to its domain and prefers it at the end. A task waits for its domain as long as the next call there, behind the tasks ahead of it, ends in time; the end of calls in flight is predicted from their items. The storage time of results is measured instead of 800 ms for all. The case 'due in 300 ms' of the batch queue test held for any state of the other domain; it now names that state, and has two more cases.

--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -18,8 +18,9 @@
 // token counts as this fraction of a pending token.
 constexpr double kRecentPrefillWeight = 0.15;
 constexpr Duration kRecentPrefillHalfLife = std::chrono::seconds(2);
-// Random part of the cost; breaks ties.
-constexpr double kMaxJitterCostTokens = 100;
+// Advantage of the engine that was intended when the request was admitted,
+// since its data was produced near that engine.
+constexpr double kIntendedEngineDiscountTokens = 500;
 // An engine is unresponsive if it has not responded to a prompt within the base
 // timeout plus the prefill time of all its pending prompts, at the slowest
 // observed prefill rate of 20 tokens per millisecond.
@@ -103,16 +104,11 @@
 
 }  // namespace
 
-EndpointPtr PlacePrompt(PromptPlacements& placements,
-                        const std::vector<EndpointPtr>& serving,
-                        const RequestId& request,
-                        const PromptDemand& prompt,
-                        const FailureDomainId& data_domain,
-                        int64_t data_bytes,
-                        int64_t memory_tokens,
-                        TimePoint now,
-                        Random& random) {
-  RemovePrompt(placements, request);
+EndpointPtr PreviewEngine(PromptPlacements& placements,
+                          const std::vector<EndpointPtr>& serving,
+                          const PromptDemand& prompt,
+                          const PromptData& data,
+                          TimePoint now) {
   const auto unresponsive = FindUnresponsiveEngines(placements, now);
   // Coordinators without state, and nodes that choose an engine themselves,
   // prefer the same engine for a prefix.
@@ -132,15 +128,18 @@
     double cost_tokens =
         engine.pending_prefill_tokens +
         kPrefillCostFactor * TokensToPrefill(engine, prompt) +
-        kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now) +
-        kMaxJitterCostTokens * random.Unit();
+        kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now);
     if (endpoint == rendezvous_engine) {
       cost_tokens -=
           kRendezvousEngineDiscount *
           std::min(TokensToPrefill(engine, prompt), SharedTokens(prompt));
     }
-    if (endpoint->registration.failure_domain != data_domain) {
-      cost_tokens += TransferCostTokens(data_bytes);
+    if (!data.domain.empty() &&
+        endpoint->registration.failure_domain != data.domain) {
+      cost_tokens += TransferCostTokens(data.bytes);
+    }
+    if (endpoint->registration.id == data.intended_engine) {
+      cost_tokens -= kIntendedEngineDiscountTokens;
     }
     if (best == nullptr || (is_best_unresponsive && !is_unresponsive) ||
         (is_best_unresponsive == is_unresponsive &&
@@ -150,6 +149,19 @@
       is_best_unresponsive = is_unresponsive;
     }
   }
+  return best;
+}
+
+EndpointPtr PlacePrompt(PromptPlacements& placements,
+                        const std::vector<EndpointPtr>& serving,
+                        const RequestId& request,
+                        const PromptDemand& prompt,
+                        const PromptData& data,
+                        int64_t memory_tokens,
+                        TimePoint now) {
+  RemovePrompt(placements, request);
+  const EndpointPtr best =
+      PreviewEngine(placements, serving, prompt, data, now);
   if (best == nullptr) {
     return nullptr;
   }
--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "peridotmill_core/ids/ids.h"
-#include "peridotmill_core/maths/random.h"
 #include "peridotmill_gateway/placement/prompt_demand.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 
@@ -46,23 +45,39 @@
   std::unordered_map<RequestId, PlacedPrompt> placed;
 };
 
-// Chooses the engine for a request whose stages are done and records the prompt
-// there; returns null if `serving` is empty. Handles pools whose engines are a
-// quarter used while single engines have a queue of long prompts: an
-// engine that caches a shared prefix is chosen unless prefilling the prefix
-// again elsewhere takes less time than its queue. An unresponsive engine gets
-// no more prompts while other engines are left. `data_bytes` bytes of stage
-// results are stored in `data_domain`; `memory_tokens` is the KV cache capacity
-// of an engine.
+// What an engine has to fetch for a prompt.
+struct PromptData {
+  // Failure domain that stores the stage results; empty while the stages have
+  // not run.
+  FailureDomainId domain;
+  int64_t bytes = 0;
+  // Engine that was intended when the request was admitted; may be empty.
+  EndpointId intended_engine;
+};
+
+// Returns the engine for a prompt without recording it there, or null if
+// `serving` is empty. Handles pools whose engines are a quarter used while
+// single engines have a queue of long prompts: an engine that caches a shared
+// prefix is chosen unless prefilling the prefix again elsewhere takes less time
+// than its queue. An unresponsive engine gets no more prompts while other
+// engines are left. Called at admission, the result says where the stages
+// should run.
+EndpointPtr PreviewEngine(PromptPlacements& placements,
+                          const std::vector<EndpointPtr>& serving,
+                          const PromptDemand& prompt,
+                          const PromptData& data,
+                          TimePoint now);
+
+// Chooses the engine like PreviewEngine for a request whose stages are done,
+// and records the prompt there. `memory_tokens` is the KV cache capacity of an
+// engine.
 EndpointPtr PlacePrompt(PromptPlacements& placements,
                         const std::vector<EndpointPtr>& serving,
                         const RequestId& request,
                         const PromptDemand& prompt,
-                        const FailureDomainId& data_domain,
-                        int64_t data_bytes,
+                        const PromptData& data,
                         int64_t memory_tokens,
-                        TimePoint now,
-                        Random& random);
+                        TimePoint now);
 
 // Removes a placed prompt whose engine has responded or whose request has
 // ended; does nothing if the prompt is not placed.
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -19,6 +19,9 @@
 // An endpoint whose calls take this many times the configured time is slow. The
 // speeds of healthy endpoints of a pool differ by a factor of 1.3.
 constexpr double kSlowCallTimeRatio = 1.7;
+// Reserve of a task that waits for its domain: queues are dispatched at
+// intervals, and calls differ from their predicted time.
+constexpr Duration kDomainWaitMargin = std::chrono::milliseconds(50);
 // Tasks with less data to transfer than this do not wait for an endpoint in
 // their preferred domain.
 constexpr int64_t kMinMovedBytesToWait = 400'000;
@@ -38,20 +41,41 @@
              : time + CrossDomainOrderingDelay(task);
 }
 
-// Returns whether the task should wait for an endpoint in its preferred domain.
-bool ShouldWaitForDomain(const WaitingTask& task,
-                         const BatchTarget& target,
-                         Duration call_time,
-                         TimePoint now) {
-  if (task.preferred_domain == target.failure_domain ||
-      task.moved_bytes < kMinMovedBytesToWait ||
-      !target.usable_domains.contains(task.preferred_domain)) {
-    return false;
+// Decides which tasks wait for an endpoint in their preferred domain: those
+// that are still on time there behind the tasks that go first.
+class DomainWaits {
+ public:
+  DomainWaits(const StagePoolDefinition& pool,
+              const BatchTarget& target,
+              int waiting_items)
+      : pool_(pool),
+        target_(target),
+        call_time_(
+            PredictCallTime(pool, std::min(pool.batch_size, waiting_items))) {}
+
+  // Tasks have to be passed in the order in which they get places.
+  bool ShouldWait(const WaitingTask& task, TimePoint now) {
+    if (task.preferred_domain == target_.failure_domain ||
+        task.moved_bytes < kMinMovedBytesToWait) {
+      return false;
+    }
+    const auto wait = target_.domain_waits.find(task.preferred_domain);
+    if (wait == target_.domain_waits.end()) {
+      return false;
+    }
+    int& items_ahead = items_ahead_[task.preferred_domain];
+    const auto calls = items_ahead / pool_.batch_size + 1;
+    items_ahead += static_cast<int>(task.items.size());
+    return now + wait->second + calls * call_time_ + kDomainWaitMargin <=
+           task.due;
   }
-  // A further call must fit before the task is due.
-  return now + 2 * call_time < task.due &&
-         now - task.submitted < CrossDomainOrderingDelay(task);
-}
+
+ private:
+  const StagePoolDefinition& pool_;
+  const BatchTarget& target_;
+  const Duration call_time_;
+  std::map<FailureDomainId, int> items_ahead_;
+};
 
 // Returns whether the task would be on time at an endpoint with the configured
 // call time, but late at this slower endpoint.
@@ -116,10 +140,15 @@
   };
   std::vector<Candidate> candidates;
   candidates.reserve(queue.waiting.size());
-  for (auto& [id, task] : queue.waiting) {
-    const int items = CountItems(task);
-    const bool waits_for_domain =
-        ShouldWaitForDomain(task, target, PredictCallTime(pool, items), now);
+  std::vector<std::pair<TimePoint, StageTaskId>> due_order;
+  for (const auto& [id, task] : queue.waiting) {
+    due_order.emplace_back(task.due, id);
+  }
+  std::sort(due_order.begin(), due_order.end());
+  DomainWaits domain_waits(pool, target, queue.waiting_items);
+  for (const auto& [due, id] : due_order) {
+    WaitingTask& task = queue.waiting.at(id);
+    const bool waits_for_domain = domain_waits.ShouldWait(task, now);
     if ((waits_for_domain && !target.is_pool_saturated) ||
         ShouldWaitForFasterEndpoint(
             task, target, PredictCallTime(pool, pool.batch_size), now)) {
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "peridotmill_gateway/configuration/gateway_config.h"
@@ -61,8 +60,9 @@
   // Observed call time of the endpoint, divided by the time that the pool
   // configuration states.
   double call_time_ratio = 1;
-  // Failure domains in which the pool has a usable endpoint.
-  std::set<FailureDomainId> usable_domains;
+  // Failure domains in which the pool has a usable endpoint, and the predicted
+  // time until one of them can take a call.
+  std::map<FailureDomainId, Duration> domain_waits;
   // Hardly any other endpoint of the pool is idle while much work waits.
   bool is_pool_saturated = false;
 };
@@ -71,9 +71,10 @@
 // above the pool's capacity: tasks that have started go first, then tasks that
 // can still be on time, ordered by due time and priority, so that the excess
 // accumulates in tasks that are late already; late tasks use the remaining
-// places. In a saturated pool, a call is filled up with tasks that prefer
-// another failure domain: transferring their data costs less than leaving
-// places of the call empty while tasks wait.
+// places. A task waits for an endpoint in its preferred domain as long as it
+// would still be on time there. In a saturated pool, a call is filled up with
+// tasks that prefer another failure domain: transferring their data costs less
+// than leaving places of the call empty while tasks wait.
 std::vector<BatchPart> TakeBatch(BatchQueue& queue,
                                  const StagePoolDefinition& pool,
                                  const BatchTarget& target,
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -24,9 +24,12 @@
 // Interval at which a queue is dispatched again if tasks remain in it.
 constexpr Duration kDispatchRetryInterval = std::chrono::milliseconds(40);
 
-// How long a result takes memory at its producer: during its own call and the
-// queueing and call of the next stage, or the queueing at the engine.
-constexpr Duration kResultStorageTime = std::chrono::milliseconds(800);
+// How long a result is assumed to take memory at its producer before any was
+// released: during its own call and the queueing and call of the next stage, or
+// the queueing at the engine.
+constexpr double kAssumedResultStorageMs = 800;
+// Weight of one result in the moving average of the storage time.
+constexpr double kStorageTimeWeight = 0.02;
 constexpr double kMillisecondsPerSecond = 1000;
 // Memory of an engine, in tokens, if the configuration does not state it.
 constexpr int64_t kDefaultEngineMemoryTokens = 500'000;
@@ -175,7 +178,7 @@
                                                   dependencies_.clock.Now());
   }
   if (entry.task.prompt) {
-    request_prompts_[entry.task.request] = *entry.task.prompt;
+    SetIntendedEngine(entry.task);
   }
   const StagePoolDefinition* const pool = FindStagePool(entry.task.pool);
   admission_.Add(id, entry.task,
@@ -234,22 +237,42 @@
   ScheduleDispatch(task.pool, Duration::zero());
 }
 
+void StageCoordinator::SetIntendedEngine(StageTask& task) {
+  RequestPrompt& prompt = request_prompts_[task.request];
+  prompt.demand = *task.prompt;
+  if (task.item_count == 0) {
+    return;
+  }
+  const EndpointPtr engine = PreviewEngine(
+      prompt_placements_, dependencies_.endpoints.Serving(prompt.demand.pool),
+      prompt.demand, PromptData(), dependencies_.clock.Now());
+  if (engine != nullptr) {
+    prompt.intended_engine = engine->registration.id;
+    task.preferred_domain = engine->registration.failure_domain;
+  }
+}
+
 EndpointId StageCoordinator::ChooseEngine(StageTaskId id, const Task& task) {
   const auto prompt = request_prompts_.find(task.task.request);
   if (prompt == request_prompts_.end() || admission_.HasUnfinishedStages(id)) {
     return EndpointId();
   }
   const PoolDefinition* const pool =
-      configuration_ == nullptr ? nullptr
-                                : configuration_->FindPool(prompt->second.pool);
+      configuration_ == nullptr
+          ? nullptr
+          : configuration_->FindPool(prompt->second.demand.pool);
   const EndpointPtr engine = PlacePrompt(
-      prompt_placements_, dependencies_.endpoints.Serving(prompt->second.pool),
-      task.task.request, prompt->second, task.maker_domain,
-      task.task.item_count > 0 ? task.task.item_count * task.task.result_bytes
-                               : task.task.moved_bytes,
+      prompt_placements_,
+      dependencies_.endpoints.Serving(prompt->second.demand.pool),
+      task.task.request, prompt->second.demand,
+      {.domain = task.maker_domain,
+       .bytes = task.task.item_count > 0
+                    ? task.task.item_count * task.task.result_bytes
+                    : task.task.moved_bytes,
+       .intended_engine = prompt->second.intended_engine},
       pool != nullptr && pool->engines ? pool->engines->memory_tokens
                                        : kDefaultEngineMemoryTokens,
-      dependencies_.clock.Now(), random_);
+      dependencies_.clock.Now());
   return engine == nullptr ? EndpointId() : engine->registration.id;
 }
 
@@ -279,7 +302,7 @@
                                      (call_seconds * endpoint->call_time_ratio);
       throughput.result_bytes_per_second +=
           static_cast<double>(stage.result_capacity_bytes) /
-          (ToMilliseconds(kResultStorageTime) / kMillisecondsPerSecond);
+          (ToMilliseconds(ResultStorageTime(pool.id)) / kMillisecondsPerSecond);
     }
   }
   return throughputs;
@@ -354,18 +377,35 @@
              std::ssize(serving) * pool.batch_size;
 }
 
-std::set<FailureDomainId> StageCoordinator::UsableDomains(
+std::map<FailureDomainId, Duration> StageCoordinator::DomainWaits(
     const PoolId& id,
     const StagePoolDefinition& pool) const {
-  std::set<FailureDomainId> domains;
+  const TimePoint now = dependencies_.clock.Now();
+  std::map<const Endpoint*, TimePoint> call_ends;
+  for (const auto& [raw, call] : calls_) {
+    if (call->pool == id) {
+      TimePoint& end = call_ends[call->endpoint.get()];
+      end = std::max(end, call->started + PredictDuration(*call, pool));
+    }
+  }
+  std::map<FailureDomainId, Duration> waits;
   for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
-    if (IsEndpointUsable(
-            *endpoint, dependencies_.clock.Now(),
+    if (!IsEndpointUsable(
+            *endpoint, now,
             kCallTimeoutFactor * PredictCallTime(pool, pool.batch_size))) {
-      domains.insert(endpoint->registration.failure_domain);
+      continue;
     }
-  }
-  return domains;
+    const auto call_end = call_ends.find(endpoint.get());
+    const Duration wait =
+        call_end == call_ends.end() ||
+                endpoint->open_calls < pool.max_concurrent_calls
+            ? Duration::zero()
+            : std::max(Duration::zero(), call_end->second - now);
+    const auto [entry, is_new] =
+        waits.emplace(endpoint->registration.failure_domain, wait);
+    entry->second = std::min(entry->second, wait);
+  }
+  return waits;
 }
 
 bool StageCoordinator::IsCallFullEnough(const BatchQueue& before,
@@ -426,7 +466,7 @@
   target.free_result_bytes = FreeResultBytes(*endpoint, pool);
   target.failure_domain = endpoint->registration.failure_domain;
   target.call_time_ratio = endpoint->call_time_ratio;
-  target.usable_domains = UsableDomains(id, pool);
+  target.domain_waits = DomainWaits(id, pool);
   target.is_pool_saturated = IsSaturated(id, pool, queue.tasks);
   const TimePoint now = dependencies_.clock.Now();
   // Takes the batch from a copy of the queue, since a call with too few items
@@ -538,6 +578,14 @@
   }
 }
 
+Duration StageCoordinator::PredictDuration(
+    const Call& call,
+    const StagePoolDefinition& pool) const {
+  return FromMilliseconds(
+      ToMilliseconds(PredictCallTime(pool, static_cast<int>(call.item_count))) *
+      call.endpoint->call_time_ratio);
+}
+
 bool StageCoordinator::IsOverdue(const Call& call, TimePoint now) const {
   const StagePoolDefinition* const pool = FindStagePool(call.pool);
   if (pool == nullptr) {
@@ -591,8 +639,8 @@
         if (task == tasks_.end()) {
           unused.push_back(std::move(result.handle));
         } else {
-          StoreResult(task->second, static_cast<size_t>(part.items[i]),
-                      call.endpoint, std::move(result.handle));
+          StoreResult(task->second, static_cast<size_t>(part.items[i]), call,
+                      std::move(result.handle));
         }
         break;
       case StageItemOutcome::kLate:
@@ -669,8 +717,9 @@
 
 void StageCoordinator::StoreResult(Task& task,
                                    size_t item,
-                                   const EndpointPtr& producer,
+                                   const Call& call,
                                    ResultHandle handle) {
+  const EndpointPtr& producer = call.endpoint;
   StoredResult& result = task.results[item];
   if (result.producer != nullptr) {
     // The item was run twice. The newer result replaces the older one.
@@ -678,6 +727,7 @@
   }
   result.handle = std::move(handle);
   result.producer = producer;
+  result.stored_since = call.started;
   task.maker_domain = producer->registration.failure_domain;
   const StagePoolDefinition* const pool = FindStagePool(task.task.pool);
   if (task.expiry == nullptr && pool != nullptr) {
@@ -692,17 +742,36 @@
   for (StoredResult& result : task.results) {
     if (result.producer != nullptr) {
       result.producer->result_bytes -= task.task.result_bytes;
+      RecordStorageTime(task.task.pool, result.stored_since);
       result.producer = nullptr;
     }
   }
 }
 
+void StageCoordinator::RecordStorageTime(const PoolId& id,
+                                         TimePoint stored_since) {
+  const double stored_ms =
+      ToMilliseconds(dependencies_.clock.Now() - stored_since);
+  double& average = queues_[id].result_storage_ms;
+  average = average == 0 ? (stored_ms + kAssumedResultStorageMs) / 2
+                         : average + kStorageTimeWeight * (stored_ms - average);
+}
+
+Duration StageCoordinator::ResultStorageTime(const PoolId& id) const {
+  const auto queue = queues_.find(id);
+  return FromMilliseconds(queue == queues_.end() ||
+                                  queue->second.result_storage_ms == 0
+                              ? kAssumedResultStorageMs
+                              : queue->second.result_storage_ms);
+}
+
 void StageCoordinator::ReleaseResult(Task& task, size_t item) {
   StoredResult& result = task.results[item];
   if (result.producer == nullptr) {
     return;
   }
   result.producer->result_bytes -= task.task.result_bytes;
+  RecordStorageTime(task.task.pool, result.stored_since);
   dependencies_.caller.Release({result.handle});
   result = StoredResult();
   --task.done_items;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -58,6 +58,8 @@
   struct StoredResult {
     ResultHandle handle;
     EndpointPtr producer;
+    // Start of the call that produced it, at which it began to take memory.
+    TimePoint stored_since;
   };
 
   // A submitted task whose handle exists.
@@ -76,6 +78,12 @@
     std::unique_ptr<Timer> end_timer;
   };
 
+  // Prompt of a request, and the engine for which its first stage was placed.
+  struct RequestPrompt {
+    PromptDemand demand;
+    EndpointId intended_engine;
+  };
+
   // Tasks of one pool that wait for a call.
   struct PoolQueue {
     BatchQueue tasks;
@@ -84,10 +92,16 @@
     // the result retention.
     TimePoint active_since;
     TimePoint last_task_time;
+    // Moving average of the time for which results take memory at their
+    // producers, in milliseconds; 0 before the first result was released.
+    double result_storage_ms = 0;
   };
 
   // Puts an admitted task into the queue of its pool.
   void Enqueue(StageTaskId id);
+  // Records the prompt of a new request, and makes its first stage prefer the
+  // failure domain of the engine that would be chosen now.
+  void SetIntendedEngine(StageTask& task);
   // Returns the engine for a request whose last stage has just ended; empty
   // when the node that received the request has to choose.
   EndpointId ChooseEngine(StageTaskId id, const Task& task);
@@ -118,14 +132,18 @@
   // bytes first.
   std::vector<EndpointPtr> IdleEndpoints(const PoolId& id,
                                          const StagePoolDefinition& pool) const;
-  // Returns the failure domains in which a pool has a usable endpoint.
-  std::set<FailureDomainId> UsableDomains(
+  // Returns the failure domains in which a pool has a usable endpoint, and the
+  // predicted time until one of them can take a call.
+  std::map<FailureDomainId, Duration> DomainWaits(
       const PoolId& id,
       const StagePoolDefinition& pool) const;
   // Ends the calls to failure domains that have stopped responding.
   void CheckOverdueCalls();
   void ScheduleOverdueCheck();
   bool IsOverdue(const Call& call, TimePoint now) const;
+  // Returns how long a call is expected to take at its endpoint.
+  Duration PredictDuration(const Call& call,
+                           const StagePoolDefinition& pool) const;
   // Handles the response to a call, or its timeout.
   void FinishCall(Call* call, StageResponse response);
   // Updates the state of the endpoint at the end of a call, and logs a failure.
@@ -134,8 +152,12 @@
   // producer.
   void StoreResult(Task& task,
                    size_t item,
-                   const EndpointPtr& producer,
+                   const Call& call,
                    ResultHandle handle);
+  // Updates the average storage time of a pool's results.
+  void RecordStorageTime(const PoolId& id, TimePoint stored_since);
+  // Returns the average storage time of a pool's results.
+  Duration ResultStorageTime(const PoolId& id) const;
   // Stops counting a task's results against the memory of their producers: the
   // producers have deleted the results at the end of the retention.
   void ExpireResults(Task& task);
@@ -184,7 +206,7 @@
   std::unique_ptr<Timer> overdue_check_timer_;
   StageAdmission admission_;
   // Prompts of the requests with tasks here, for the choice of an engine.
-  std::unordered_map<RequestId, PromptDemand> request_prompts_;
+  std::unordered_map<RequestId, RequestPrompt> request_prompts_;
   PromptPlacements prompt_placements_;
   StageTaskId next_task_ = 1;
 };
--- a/modules/peridotmill_gateway/tests/batch_queue_test.cc
+++ b/modules/peridotmill_gateway/tests/batch_queue_test.cc
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "peridotmill_core/time/milliseconds.h"
+
 #include <algorithm>
 #include <deque>
 #include <numeric>
@@ -37,7 +39,7 @@
 BatchTarget MakeTarget(int64_t free_result_bytes = 1'000'000'000) {
   return {.free_result_bytes = free_result_bytes,
           .failure_domain = kValley,
-          .usable_domains = {kValley}};
+          .domain_waits = {{kValley, Duration::zero()}}};
 }
 
 // Guards against late tasks that take places in calls from tasks which can
@@ -91,15 +93,22 @@
 // Guards against transferring large data between domains to save little time,
 // and against waiting for a domain when the task would be late.
 TEST(BatchQueueTest, TasksWithLargeDataWaitForTheirDomainUntilTheyWouldBeLate) {
-  for (const auto& [due, is_sent] :
-       {std::pair<Duration, bool>{2s, false}, {300ms, true}}) {
+  struct Case {
+    Duration due;
+    Duration domain_wait;
+    bool is_sent;
+  };
+  for (const auto& [due, domain_wait, is_sent] :
+       {Case{2s, 200ms, false}, Case{300ms, 0ms, false},
+        Case{300ms, 200ms, true}, Case{2s, 1900ms, true}}) {
+    SCOPED_TRACE(ToMilliseconds(due) + ToMilliseconds(domain_wait));
     BatchQueue queue;
     WaitingTask task = MakeTask(2, due);
     task.preferred_domain = FailureDomainId("summit");
     task.moved_bytes = 6'000'000;
     AddTask(queue, 1, task);
     BatchTarget target = MakeTarget();
-    target.usable_domains.insert(FailureDomainId("summit"));
+    target.domain_waits[FailureDomainId("summit")] = domain_wait;
     EXPECT_EQ(!TakeBatch(queue, MakePool(), target, kStart).empty(), is_sent);
   }
 }
@@ -118,7 +127,7 @@
     AddTask(queue, id, task);
   }
   BatchTarget target = MakeTarget();
-  target.usable_domains.insert(FailureDomainId("summit"));
+  target.domain_waits[FailureDomainId("summit")] = Duration::zero();
   BatchQueue unsaturated = queue;
   EXPECT_EQ(TakeBatch(unsaturated, MakePool(), target, kStart).size(), 2u);
   target.is_pool_saturated = true;
--- a/modules/peridotmill_gateway/tests/prompt_placement_test.cc
+++ b/modules/peridotmill_gateway/tests/prompt_placement_test.cc
@@ -36,13 +36,13 @@
                     int64_t data_bytes = 0) {
     last_request_ = RequestId("q" + std::to_string(++placed_count_));
     return PlacePrompt(placements_, registry_.Serving(PoolId("engines")),
-                       last_request_, prompt, FailureDomainId("valley"),
-                       data_bytes, kMemoryTokens, now, random_);
+                       last_request_, prompt,
+                       {FailureDomainId("valley"), data_bytes, EndpointId()},
+                       kMemoryTokens, now);
   }
 
   EndpointRegistry registry_;
   PromptPlacements placements_;
-  Random random_{3};
   RequestId last_request_;
   int placed_count_ = 0;
 };
