Admit requests by whether they are on time behind the started work

Hypothesis: in a burst, first stages were started only within a short horizon although a request holds no results while it waits there; and first attempts that were predicted to be late were refused, came back, and were late. Change: first stages are not limited; a request counts as on time if it is behind the started work, the others use what is left (0.3 of the horizon instead of 0.85); a request is refused only if it cannot be served before its caller gives up, so that nobody needs to guess who has come back. Load tests play bursts against the gateway and its coordinator in simulated time and check what callers get.

--- a/modules/peridotmill_gateway/admission/admission_queue.cc
+++ b/modules/peridotmill_gateway/admission/admission_queue.cc
@@ -18,7 +18,7 @@
 constexpr double kAdmissionHorizonFactor = 1.25;
 // Late requests start only up to this share of the horizon; the rest is
 // reserved for arriving requests that can be on time.
-constexpr double kLateHorizonShare = 0.85;
+constexpr double kLateHorizonShare = 0.3;
 // Minimum share of a pool's throughput that late requests get, averaged over a
 // burst and the time after it; used to predict how long a late request waits.
 constexpr double kLateThroughputShare = 0.5;
@@ -75,6 +75,35 @@
   return load;
 }
 
+// Returns how many seconds the pool of `work` needs for `load`; 0 if no
+// endpoint of the pool is known to be usable: the request is admitted
+// nevertheless, and its stage task finds out.
+double SecondsOfWork(const PoolLoad& load,
+                     const PlannedWork& work,
+                     const PoolThroughputs& throughputs) {
+  const auto throughput = throughputs.find(work.pool);
+  if (throughput == throughputs.end() ||
+      throughput->second.items_per_second <= 0) {
+    return 0;
+  }
+  return load.items /
+         (throughput->second.items_per_second * kUsableThroughputShare);
+}
+
+// Returns how many seconds the pool of `work` needs to free the memory that the
+// results of `load` take; 0 if its memory is not limited.
+double SecondsOfResultMemory(const PoolLoad& load,
+                             const PlannedWork& work,
+                             const PoolThroughputs& throughputs) {
+  const auto throughput = throughputs.find(work.pool);
+  if (throughput == throughputs.end() ||
+      throughput->second.items_per_second <= 0 ||
+      throughput->second.result_bytes_per_second <= 0) {
+    return 0;
+  }
+  return load.result_bytes / throughput->second.result_bytes_per_second;
+}
+
 // Predicts how many seconds `work` has to wait until `load` fits into
 // `horizon_share` of its admission horizon; 0 or less when `work` need not
 // wait.
@@ -82,23 +111,9 @@
                           const PlannedWork& work,
                           const PoolThroughputs& throughputs,
                           double horizon_share) {
-  const auto throughput = throughputs.find(work.pool);
-  if (throughput == throughputs.end() ||
-      throughput->second.items_per_second <= 0) {
-    // No endpoint of the pool is known to be usable. The request is admitted
-    // nevertheless, and its stage task finds out.
-    return 0;
-  }
-  const double horizon = horizon_share * AdmissionHorizonSeconds(work);
-  double wait = load.items / (throughput->second.items_per_second *
-                              kUsableThroughputShare) -
-                horizon;
-  if (throughput->second.result_bytes_per_second > 0) {
-    wait = std::max(
-        wait, load.result_bytes / throughput->second.result_bytes_per_second -
-                  horizon);
-  }
-  return wait;
+  return std::max(SecondsOfWork(load, work, throughputs),
+                  SecondsOfResultMemory(load, work, throughputs)) -
+         horizon_share * AdmissionHorizonSeconds(work);
 }
 
 bool CanStartOnTime(const WaitingRequest& request, TimePoint now) {
@@ -109,6 +124,22 @@
   return request.submitted + request.priority * kOrderingDelayPerPriority;
 }
 
+// Returns the waiting requests by ordering time.
+std::vector<AdmissionId> OrderWaiting(const AdmissionQueue& queue) {
+  std::vector<std::pair<TimePoint, AdmissionId>> order;
+  order.reserve(queue.waiting.size());
+  for (const auto& [id, request] : queue.waiting) {
+    order.emplace_back(OrderingTime(request), id);
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<AdmissionId> ids;
+  ids.reserve(order.size());
+  for (const auto& [time, id] : order) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
 void StartRequest(AdmissionQueue& queue, AdmissionId id, TimePoint now) {
   auto request = queue.waiting.extract(id);
   auto& parts = queue.started[id];
@@ -123,43 +154,53 @@
 std::vector<AdmissionId> AdmitRequests(AdmissionQueue& queue,
                                        const PoolThroughputs& throughputs,
                                        TimePoint now) {
-  struct Candidate {
-    bool is_late;
-    TimePoint ordering_time;
-    AdmissionId id;
-  };
-  std::vector<Candidate> candidates;
-  candidates.reserve(queue.waiting.size());
-  for (const auto& [id, request] : queue.waiting) {
-    candidates.push_back(
-        {!CanStartOnTime(request, now), OrderingTime(request), id});
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return std::tie(a.is_late, a.ordering_time, a.id) <
-                     std::tie(b.is_late, b.ordering_time, b.id);
-            });
   std::vector<AdmissionId> admitted;
+  std::vector<AdmissionId> late;
   // Pools for which an earlier candidate waits: later candidates must not
   // overtake it there.
   std::set<PoolId> full_pools;
-  for (const Candidate& candidate : candidates) {
-    const WaitingRequest& request = queue.waiting.at(candidate.id);
+  for (const AdmissionId id : OrderWaiting(queue)) {
+    const WaitingRequest& request = queue.waiting.at(id);
     bool is_startable = true;
+    double delay = 0;
     for (const PlannedWork& work : request.work) {
-      const bool is_full =
-          full_pools.contains(work.pool) ||
+      const PoolLoad load = StartedLoadBefore(queue, work, now);
+      delay = std::max(
+          delay, SecondsOfWork(load, work, throughputs) - ToSeconds(work.end));
+      // A request holds no results while it waits for its first stage.
+      const bool is_limited = work.start > Duration::zero();
+      if (full_pools.contains(work.pool) ||
+          (is_limited && PredictWaitSeconds(load, work, throughputs, 1) > 0)) {
+        is_startable = false;
+      }
+    }
+    if (now + FromSeconds(delay) > request.latest_on_time_start) {
+      late.push_back(id);
+    } else if (is_startable) {
+      StartRequest(queue, id, now);
+      admitted.push_back(id);
+    } else {
+      for (const PlannedWork& work : request.work) {
+        if (PredictWaitSeconds(StartedLoadBefore(queue, work, now), work,
+                               throughputs, 1) > 0) {
+          full_pools.insert(work.pool);
+        }
+      }
+    }
+  }
+  for (const AdmissionId id : late) {
+    bool is_startable = true;
+    for (const PlannedWork& work : queue.waiting.at(id).work) {
+      if (full_pools.contains(work.pool) ||
           PredictWaitSeconds(StartedLoadBefore(queue, work, now), work,
-                             throughputs,
-                             candidate.is_late ? kLateHorizonShare : 1) > 0;
-      if (is_full) {
+                             throughputs, kLateHorizonShare) > 0) {
         full_pools.insert(work.pool);
         is_startable = false;
       }
     }
     if (is_startable) {
-      StartRequest(queue, candidate.id, now);
-      admitted.push_back(candidate.id);
+      StartRequest(queue, id, now);
+      admitted.push_back(id);
     }
   }
   return admitted;
@@ -217,7 +258,7 @@
   const bool is_served_late =
       now + FromSeconds(late_wait / kLateThroughputShare) <=
       request.latest_useful_start;
-  if (request.is_returning && is_served_late) {
+  if (is_served_late) {
     return std::nullopt;
   }
   return FromSeconds(std::max(on_time_wait, late_wait));
--- a/modules/peridotmill_gateway/admission/admission_queue.h
+++ b/modules/peridotmill_gateway/admission/admission_queue.h
@@ -22,8 +22,6 @@
   TimePoint latest_useful_start;
   // 0 is the most urgent.
   int priority = 0;
-  // The request was refused before; the caller will not retry it again.
-  bool is_returning = false;
   std::vector<PlannedWork> work;
 };
 
@@ -50,11 +48,11 @@
 
 // Moves the requests that can start now from waiting to started and returns
 // them in the order in which they start. Handles bursts above the capacity of
-// the stage pools: a request starts only when each pool that it uses will have
-// time and result memory for it, so that excess requests wait where they hold
-// no resources, and started requests are not delayed. Requests that can still
-// be on time go first, in order of priority; late requests use the remaining
-// capacity.
+// the stage pools: a request starts only when each pool of its later stages
+// will have time and result memory for it, so that excess requests wait where
+// they hold no results, and started requests are not delayed. Requests that
+// would be on time behind the started work go first, in order of priority; the
+// others use the remaining capacity.
 std::vector<AdmissionId> AdmitRequests(AdmissionQueue& queue,
                                        const PoolThroughputs& throughputs,
                                        TimePoint now);
@@ -63,11 +61,11 @@
 // the response arrives.
 std::vector<AdmissionId> TakeExpired(AdmissionQueue& queue, TimePoint now);
 
-// Decides whether a new request is refused at once. Returns the time after
-// which its caller should retry, or nothing if the request may wait. A first
-// attempt is refused when it is predicted to be late, since its caller can
-// retry after the queue has drained; a returning request is refused only when
-// it could not be served before its caller gives up.
+// Decides whether a new request is refused at once, since it could not be
+// served before its caller gives up. Returns the time after which its caller
+// should retry, or nothing if the request may wait: a request that is predicted
+// to be late waits for capacity that no other one needs, where it is served no
+// later than if its caller returned, and delays nobody.
 std::optional<Duration> DecideRefusal(const AdmissionQueue& queue,
                                       const PoolThroughputs& throughputs,
                                       const WaitingRequest& request,
--- a/modules/peridotmill_gateway/admission/planned_work.h
+++ b/modules/peridotmill_gateway/admission/planned_work.h
@@ -14,8 +14,9 @@
   int items = 0;
   // Memory that all results of the stage take at their producers.
   int64_t result_bytes = 0;
-  // Time from the start of the request's first stage to the end of this stage,
-  // without any queueing.
+  // Times from the start of the request's first stage to the start and the end
+  // of this stage, without any queueing.
+  Duration start = Duration::zero();
   Duration end = Duration::zero();
 };
 
--- a/modules/peridotmill_gateway/admission/stage_admission.cc
+++ b/modules/peridotmill_gateway/admission/stage_admission.cc
@@ -69,7 +69,6 @@
   request.latest_on_time_start = task.due - call_time;
   request.latest_useful_start = task.deadline - call_time;
   request.priority = task.priority;
-  request.is_returning = task.is_returning;
   request.work = task.plan;
   const auto retry_after =
       DecideRefusal(queue_, handlers_.throughputs(), request, now);
@@ -83,7 +82,6 @@
                  {"on_time_within_ms",
                   FormatMilliseconds(request.latest_on_time_start - now)},
                  {"priority", std::to_string(request.priority)},
-                 {"returning", request.is_returning ? "1" : "0"},
                  {"waiting", std::to_string(queue_.waiting.size())},
                  {"started", std::to_string(queue_.started.size())}});
   tasks_.at(id).refusal =
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -120,7 +120,6 @@
     VT_MOVED_BYTES = 28,
     VT_GROUP = 30,
     VT_PLAN = 32,
-    VT_IS_RETURNING = 34,
     VT_PROMPT = 36,
     VT_FAILED_ENGINE = 38
   };
@@ -169,9 +168,6 @@
   const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *plan() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *>(VT_PLAN);
   }
-  bool is_returning() const {
-    return GetField<uint8_t>(VT_IS_RETURNING, 0) != 0;
-  }
   const peridotmill::stagewire::Prompt *prompt() const {
     return GetPointer<const peridotmill::stagewire::Prompt *>(VT_PROMPT);
   }
@@ -204,7 +200,6 @@
            VerifyOffset(verifier, VT_PLAN) &&
            verifier.VerifyVector(plan()) &&
            verifier.VerifyVectorOfTables(plan()) &&
-           VerifyField<uint8_t>(verifier, VT_IS_RETURNING, 1) &&
            VerifyOffset(verifier, VT_PROMPT) &&
            verifier.VerifyTable(prompt()) &&
            VerifyOffset(verifier, VT_FAILED_ENGINE) &&
@@ -262,9 +257,6 @@
   void add_plan(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>> plan) {
     fbb_.AddOffset(SubmitTask::VT_PLAN, plan);
   }
-  void add_is_returning(bool is_returning) {
-    fbb_.AddElement<uint8_t>(SubmitTask::VT_IS_RETURNING, static_cast<uint8_t>(is_returning), 0);
-  }
   void add_prompt(flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt) {
     fbb_.AddOffset(SubmitTask::VT_PROMPT, prompt);
   }
@@ -299,7 +291,6 @@
     int64_t moved_bytes = 0,
     flatbuffers::Offset<flatbuffers::String> group = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>>> plan = 0,
-    bool is_returning = false,
     flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0,
     flatbuffers::Offset<flatbuffers::String> failed_engine = 0) {
   SubmitTaskBuilder builder_(_fbb);
@@ -320,7 +311,6 @@
   builder_.add_request(request);
   builder_.add_item_count(item_count);
   builder_.add_stage(stage);
-  builder_.add_is_returning(is_returning);
   return builder_.Finish();
 }
 
@@ -341,7 +331,6 @@
     int64_t moved_bytes = 0,
     const char *group = nullptr,
     const std::vector<flatbuffers::Offset<peridotmill::stagewire::PlannedWork>> *plan = nullptr,
-    bool is_returning = false,
     flatbuffers::Offset<peridotmill::stagewire::Prompt> prompt = 0,
     const char *failed_engine = nullptr) {
   auto request__ = request ? _fbb.CreateString(request) : 0;
@@ -369,7 +358,6 @@
       moved_bytes,
       group__,
       plan__,
-      is_returning,
       prompt,
       failed_engine__);
 }
@@ -471,7 +459,8 @@
     VT_POOL = 4,
     VT_ITEMS = 6,
     VT_RESULT_BYTES = 8,
-    VT_END_MS = 10
+    VT_END_MS = 10,
+    VT_START_MS = 12
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -485,6 +474,9 @@
   uint32_t end_ms() const {
     return GetField<uint32_t>(VT_END_MS, 0);
   }
+  uint32_t start_ms() const {
+    return GetField<uint32_t>(VT_START_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_POOL) &&
@@ -492,6 +484,7 @@
            VerifyField<uint16_t>(verifier, VT_ITEMS, 2) &&
            VerifyField<int64_t>(verifier, VT_RESULT_BYTES, 8) &&
            VerifyField<uint32_t>(verifier, VT_END_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_START_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -512,6 +505,9 @@
   void add_end_ms(uint32_t end_ms) {
     fbb_.AddElement<uint32_t>(PlannedWork::VT_END_MS, end_ms, 0);
   }
+  void add_start_ms(uint32_t start_ms) {
+    fbb_.AddElement<uint32_t>(PlannedWork::VT_START_MS, start_ms, 0);
+  }
   explicit PlannedWorkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -528,9 +524,11 @@
     flatbuffers::Offset<flatbuffers::String> pool = 0,
     uint16_t items = 0,
     int64_t result_bytes = 0,
-    uint32_t end_ms = 0) {
+    uint32_t end_ms = 0,
+    uint32_t start_ms = 0) {
   PlannedWorkBuilder builder_(_fbb);
   builder_.add_result_bytes(result_bytes);
+  builder_.add_start_ms(start_ms);
   builder_.add_end_ms(end_ms);
   builder_.add_pool(pool);
   builder_.add_items(items);
@@ -542,14 +540,16 @@
     const char *pool = nullptr,
     uint16_t items = 0,
     int64_t result_bytes = 0,
-    uint32_t end_ms = 0) {
+    uint32_t end_ms = 0,
+    uint32_t start_ms = 0) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   return peridotmill::stagewire::CreatePlannedWork(
       _fbb,
       pool__,
       items,
       result_bytes,
-      end_ms);
+      end_ms,
+      start_ms);
 }
 
 struct CancelTask FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -103,7 +103,7 @@
       plan.push_back(stagewire::CreatePlannedWork(
           builder, builder.CreateString(work.pool.value()),
           static_cast<uint16_t>(work.items), work.result_bytes,
-          EncodeDelay(work.end)));
+          EncodeDelay(work.end), EncodeDelay(work.start)));
     }
     const auto plan_vector = builder.CreateVector(plan);
     flatbuffers::Offset<stagewire::Prompt> prompt;
@@ -117,8 +117,8 @@
         static_cast<uint16_t>(task.item_count), key, inputs,
         EncodeRelativeTime(task.due, now),
         EncodeRelativeTime(task.deadline, now), task.priority,
-        task.result_bytes, task.moved_bytes, group, plan_vector,
-        task.is_returning, prompt, failed_engine);
+        task.result_bytes, task.moved_bytes, group, plan_vector, prompt,
+        failed_engine);
     return MakeMessage(stagewire::Body::SubmitTask, body.Union());
   }
   flatbuffers::Offset<stagewire::Message> operator()(
@@ -183,10 +183,10 @@
       message.task.plan.push_back({.pool = PoolId(StringOrEmpty(work->pool())),
                                    .items = work->items(),
                                    .result_bytes = work->result_bytes(),
+                                   .start = DecodeDelay(work->start_ms()),
                                    .end = DecodeDelay(work->end_ms())});
     }
   }
-  message.task.is_returning = wire.is_returning();
   message.task.failed_engine = EndpointId(StringOrEmpty(wire.failed_engine()));
   if (wire.prompt() != nullptr) {
     message.task.prompt = DecodePrompt(*wire.prompt());
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -36,9 +36,6 @@
 constexpr Duration kMinCallerTimeout = std::chrono::seconds(2);
 constexpr int kCallerTimeoutTargetMultiple = 4;
 constexpr int kCallerTimeoutGapMultiple = 8;
-// A deadline that is shorter than the route's timeout by more than this shows
-// that the caller has sent the request before.
-constexpr Duration kCallerRetryMargin = std::chrono::milliseconds(100);
 // Callers honour a Retry-After of up to a third of their remaining time.
 constexpr int kRetryAfterDeadlineDivisor = 3;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
@@ -168,11 +165,6 @@
                        route_->target_event_gap.value_or(Duration::zero())});
 }
 
-bool GatewayRequest::IsCallerRetry() const {
-  return request_.deadline.has_value() &&
-         *request_.deadline + kCallerRetryMargin < route_->timeout;
-}
-
 std::vector<PlannedWork> GatewayRequest::PlanStages() const {
   const size_t count = route_->stages.size();
   std::vector<int> depths(count);
@@ -200,10 +192,11 @@
       call_time = std::max(
           call_time, PredictCallTime(*pool->stage, pool->stage->batch_size));
     }
-    end += call_time;
     for (size_t i = first; i < plan.size(); ++i) {
-      plan[i].end = end;
+      plan[i].start = end;
+      plan[i].end = end + call_time;
     }
+    end += call_time;
   }
   return plan;
 }
@@ -269,7 +262,6 @@
       stage, std::min(deadline_, accepted_at_ + CallerTimeout()));
   task.priority = priority_;
   task.group = configuration_->StagePoolGroup(definition.pool);
-  task.is_returning = IsCallerRetry();
   if (!is_admitted_ && stage_rerun_count_ == 0) {
     task.plan = PlanStages();
     if (request_.generation) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -59,8 +59,6 @@
   void ChooseStageDomain();
   // Returns how long the caller waits for the first event.
   Duration CallerTimeout() const;
-  // Returns whether the caller has probably sent this request before.
-  bool IsCallerRetry() const;
   // Returns the work that the unfinished stages will submit to their pools.
   std::vector<PlannedWork> PlanStages() const;
   // Returns the Retry-After time for a refused caller: the time in which the
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -40,8 +40,6 @@
   // Work of all stages of the request, if this is its first task; the request
   // may then have to wait or be refused. Empty once the request has started.
   std::vector<PlannedWork> plan;
-  // The request was refused before, and the caller retries it.
-  bool is_returning = false;
   // Prompt that an engine has to prefill when all stages are done, if a plan is
   // given.
   std::optional<PromptDemand> prompt;
