Satisfy the linter in the load tests and the prompt placement

Cause: an unused capture, an unused member, and a constant that kept a result from being moved. No change of behaviour; 135 tests of the module pass.

--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -160,8 +160,7 @@
                         int64_t memory_tokens,
                         TimePoint now) {
   RemovePrompt(placements, request);
-  const EndpointPtr best =
-      PreviewEngine(placements, serving, prompt, data, now);
+  EndpointPtr best = PreviewEngine(placements, serving, prompt, data, now);
   if (best == nullptr) {
     return nullptr;
   }
--- a/modules/peridotmill_gateway/tests/load_test.cc
+++ b/modules/peridotmill_gateway/tests/load_test.cc
@@ -30,7 +30,7 @@
  protected:
   LoadTest()
       : timers_(clock_),
-        fleet_(clock_, timers_),
+        fleet_(timers_),
         retry_budget_({.ratio = 0.2, .node_allowance = 20}),
         coordinator_(
             {clock_, timers_, fleet_, endpoints_, retry_budget_, events_},
--- a/modules/peridotmill_gateway/tests/simulated_fleet.h
+++ b/modules/peridotmill_gateway/tests/simulated_fleet.h
@@ -8,7 +8,6 @@
 #include <utility>
 #include <vector>
 
-#include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/calls/endpoint_call.h"
 #include "peridotmill_gateway/calls/stage_call.h"
@@ -21,8 +20,7 @@
 // call when its turn comes; engines respond after a fixed time.
 class SimulatedFleet final : public StageCaller, public EndpointCaller {
  public:
-  SimulatedFleet(const Clock& clock, TimerQueue& timers)
-      : clock_(clock), timers_(timers) {}
+  explicit SimulatedFleet(TimerQueue& timers) : timers_(timers) {}
 
   void AddStageEndpoint(const EndpointRegistration& registration,
                         const StagePoolDefinition& pool) {
@@ -78,7 +76,7 @@
             return;
           }
           raw->first_event = timers_.After(
-              engine_first_event_time_ - engine_fetch_time_, [raw, listener] {
+              engine_first_event_time_ - engine_fetch_time_, [listener] {
                 EndpointResponseHead head;
                 head.status = 200;
                 head.is_authentic = true;
@@ -217,7 +215,6 @@
     }
   }
 
-  const Clock& clock_;
   TimerQueue& timers_;
   std::map<std::string, StageEndpoint> stage_endpoints_;
   std::map<std::string, std::vector<int64_t>> result_bytes_;
