Move the estimates of stage pools and the plan of stages out of their users

Change: stage_pool.h has what is known of a pool's endpoints (idle, saturated, waits by domain, free result memory, throughput) as free functions; stage_plan.h the work that a request will submit; refusal.h the Retry-After time. No change of behaviour.

--- a/modules/peridotmill_gateway/calls/stage_call.cc
+++ b/modules/peridotmill_gateway/calls/stage_call.cc
@@ -20,4 +20,18 @@
   return "failed";
 }
 
+std::string_view ToString(StageCallOutcome outcome) {
+  switch (outcome) {
+    case StageCallOutcome::kAnswered:
+      return "answered";
+    case StageCallOutcome::kRefused:
+      return "refused";
+    case StageCallOutcome::kNotSent:
+      return "not_sent";
+    case StageCallOutcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -60,6 +60,9 @@
   kUnknown,
 };
 
+// Returns the name of an outcome for the event log.
+std::string_view ToString(StageCallOutcome outcome);
+
 // Response to a stage call.
 struct StageResponse {
   StageCallOutcome outcome = StageCallOutcome::kUnknown;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -7,7 +7,7 @@
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
-#include "peridotmill_gateway/stages/batch_queue.h"
+#include "peridotmill_gateway/requests/stage_plan.h"
 
 namespace peridotmill {
 namespace {
@@ -36,12 +36,6 @@
 constexpr Duration kMinCallerTimeout = std::chrono::seconds(2);
 constexpr int kCallerTimeoutTargetMultiple = 4;
 constexpr int kCallerTimeoutGapMultiple = 8;
-// Callers honour a Retry-After of up to a third of their remaining time.
-constexpr int kRetryAfterDeadlineDivisor = 3;
-constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
-// A Retry-After is extended by a random part of up to this fraction, so that
-// callers which are refused together do not return together.
-constexpr double kRetryAfterJitter = 0.5;
 // How often all stages of a request may be run again for lost results.
 constexpr int kMaxStageReruns = 2;
 // A resumable stream moves to another engine if its first event takes longer
@@ -165,42 +159,6 @@
                        route_->target_event_gap.value_or(Duration::zero())});
 }
 
-std::vector<PlannedWork> GatewayRequest::PlanStages() const {
-  const size_t count = route_->stages.size();
-  std::vector<int> depths(count);
-  int longest = 0;
-  for (size_t i = 0; i < count; ++i) {
-    depths[i] = RemainingChainLength(route_->stages, stage_progress_, i);
-    longest = std::max(longest, depths[i]);
-  }
-  std::vector<PlannedWork> plan;
-  Duration end = Duration::zero();
-  // Stages with chains of the same length run in parallel.
-  for (int depth = longest; depth > 0; --depth) {
-    Duration call_time = Duration::zero();
-    const size_t first = plan.size();
-    for (size_t i = 0; i < count; ++i) {
-      const StageDefinition& stage = route_->stages[i];
-      const PoolDefinition* const pool = configuration_->FindPool(stage.pool);
-      if (depths[i] != depth || pool == nullptr || !pool->stage) {
-        continue;
-      }
-      const int items = stage_progress_.stages[i].item_count;
-      plan.push_back({.pool = stage.pool,
-                      .items = items,
-                      .result_bytes = items * stage.result_bytes});
-      call_time = std::max(
-          call_time, PredictCallTime(*pool->stage, pool->stage->batch_size));
-    }
-    for (size_t i = first; i < plan.size(); ++i) {
-      plan[i].start = end;
-      plan[i].end = end + call_time;
-    }
-    end += call_time;
-  }
-  return plan;
-}
-
 PlacementRequest GatewayRequest::MakePlacementRequest() const {
   PlacementRequest placement;
   placement.tried = attempt_history_.tried();
@@ -263,7 +221,7 @@
   task.priority = priority_;
   task.group = configuration_->StagePoolGroup(definition.pool);
   if (!is_admitted_ && stage_rerun_count_ == 0) {
-    task.plan = PlanStages();
+    task.plan = PlanStages(*route_, stage_progress_, *configuration_);
     if (request_.generation) {
       task.prompt = MakePromptDemand();
     }
@@ -311,7 +269,9 @@
        {"domain", result.maker_domain.value()},
        {"ms", Milliseconds(context_.clock.Now() - state.submitted_at)}});
   if (result.outcome == StageItemOutcome::kRefused) {
-    Fail(Reason::kQueueFull, BoundRetryAfter(result.retry_after));
+    Fail(Reason::kQueueFull,
+         BoundRetryAfter(result.retry_after, deadline_ - context_.clock.Now(),
+                         gateway_->random_));
     return;
   }
   if (result.outcome == StageItemOutcome::kDone) {
@@ -335,16 +295,6 @@
        kDefaultRetryAfter);
 }
 
-Duration GatewayRequest::BoundRetryAfter(Duration queue_drain_time) const {
-  const Duration longest_honoured =
-      (deadline_ - context_.clock.Now()) / kRetryAfterDeadlineDivisor;
-  const double jitter_factor = 1 + kRetryAfterJitter * gateway_->random_.Unit();
-  return std::min(longest_honoured,
-                  FromMilliseconds(ToMilliseconds(std::max(kMinRetryAfter,
-                                                           queue_drain_time)) *
-                                   jitter_factor));
-}
-
 bool GatewayRequest::RerunStages() {
   if (stage_rerun_count_ >= kMaxStageReruns ||
       !context_.retry_budget.TryTakeRetries(route_->stages.front().pool, 1,
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -59,12 +59,6 @@
   void ChooseStageDomain();
   // Returns how long the caller waits for the first event.
   Duration CallerTimeout() const;
-  // Returns the work that the unfinished stages will submit to their pools.
-  std::vector<PlannedWork> PlanStages() const;
-  // Returns the Retry-After time for a refused caller: the time in which the
-  // queue drains, at least kMinRetryAfter, extended by random jitter, but at
-  // most what the caller honours.
-  Duration BoundRetryAfter(Duration queue_drain_time) const;
   StageTask MakeStageTask(size_t stage) const;
   void SubmitReadyStages();
   // Runs all stages again after some of their results were lost. Returns false
--- a/modules/peridotmill_gateway/requests/refusal.cc
+++ b/modules/peridotmill_gateway/requests/refusal.cc
@@ -13,6 +13,13 @@
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 
+// Callers honour a Retry-After of up to a third of their remaining time.
+constexpr int kRetryAfterDeadlineDivisor = 3;
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(250);
+// A Retry-After is extended by a random part of up to this fraction, so that
+// callers which are refused together do not return together.
+constexpr double kRetryAfterJitter = 0.5;
+
 bool IsTimeout(Reason reason) {
   return reason == Reason::kDeadlineExpired ||
          reason == Reason::kAttemptTimeout;
@@ -42,6 +49,16 @@
           .retry_after = std::nullopt};
 }
 
+Duration BoundRetryAfter(Duration queue_drain_time,
+                         Duration time_left,
+                         Random& random) {
+  const double jitter_factor = 1 + kRetryAfterJitter * random.Unit();
+  return std::min(time_left / kRetryAfterDeadlineDivisor,
+                  FromMilliseconds(ToMilliseconds(std::max(kMinRetryAfter,
+                                                           queue_drain_time)) *
+                                   jitter_factor));
+}
+
 void SendNodeResponse(ResponseWriter& channel, const NodeResponse& response) {
   HttpResponseHead head;
   head.status = response.status;
--- a/modules/peridotmill_gateway/requests/refusal.h
+++ b/modules/peridotmill_gateway/requests/refusal.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "peridotmill_core/http/response_writer.h"
+#include "peridotmill_core/maths/random.h"
 #include "peridotmill_core/reasons/reason.h"
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_gateway/requests/attempt_history.h"
@@ -30,6 +31,13 @@
                          Reason reason,
                          Duration retry_after);
 
+// Returns the Retry-After time for a refused caller that has `time_left` until
+// its deadline: the time in which the queue drains, at least a quarter of a
+// second, extended by random jitter, but at most what the caller honours.
+Duration BoundRetryAfter(Duration queue_drain_time,
+                         Duration time_left,
+                         Random& random);
+
 void SendNodeResponse(ResponseWriter& channel, const NodeResponse& response);
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/stages/batch_queue.cc
+++ b/modules/peridotmill_gateway/stages/batch_queue.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_gateway/stages/batch_queue.h"
 
 #include <algorithm>
+#include <numeric>
 #include <tuple>
 
 #include "peridotmill_core/time/milliseconds.h"
@@ -106,6 +107,20 @@
 
 }  // namespace
 
+WaitingTask MakeWaitingTask(const StageTask& task, TimePoint submitted) {
+  WaitingTask waiting;
+  waiting.submitted = submitted;
+  waiting.due = task.due;
+  waiting.deadline = task.deadline;
+  waiting.priority = task.priority;
+  waiting.items.resize(static_cast<size_t>(task.item_count));
+  std::iota(waiting.items.begin(), waiting.items.end(), 0);
+  waiting.result_bytes = task.result_bytes;
+  waiting.preferred_domain = task.preferred_domain;
+  waiting.moved_bytes = task.moved_bytes;
+  return waiting;
+}
+
 void AddTask(BatchQueue& queue, StageTaskId id, const WaitingTask& task) {
   const auto [entry, is_new] = queue.waiting.emplace(id, task);
   if (!is_new) {
--- a/modules/peridotmill_gateway/stages/batch_queue.h
+++ b/modules/peridotmill_gateway/stages/batch_queue.h
@@ -38,6 +38,9 @@
   int64_t moved_bytes = 0;
 };
 
+// Returns the queue entry of a task, all of whose items wait.
+WaitingTask MakeWaitingTask(const StageTask& task, TimePoint submitted);
+
 // Tasks that wait for a call to the endpoints of one pool.
 struct BatchQueue {
   std::map<StageTaskId, WaitingTask> waiting;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -2,22 +2,15 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
-#include <numeric>
 #include <optional>
 #include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
-#include "peridotmill_gateway/placement/endpoint_placement.h"
+#include "peridotmill_gateway/stages/stage_pool.h"
 
 namespace peridotmill {
 namespace {
 
-// A call times out after this many times its predicted time, plus the margin:
-// slow endpoints take four to five times as long, and two calls of other nodes
-// may be queued ahead of it.
-constexpr int kCallTimeoutFactor = 3;
-constexpr Duration kCallTimeoutMargin = std::chrono::milliseconds(300);
 // Backoff for an endpoint that refused a call because it was full: about the
 // time of one call.
 constexpr Duration kRefusalBackoff = std::chrono::milliseconds(150);
@@ -30,63 +23,18 @@
 constexpr double kAssumedResultStorageMs = 800;
 // Weight of one result in the moving average of the storage time.
 constexpr double kStorageTimeWeight = 0.02;
-constexpr double kMillisecondsPerSecond = 1000;
 // Memory of an engine, in tokens, if the configuration does not state it.
 constexpr int64_t kDefaultEngineMemoryTokens = 500'000;
-// Weight of the newest call in an endpoint's moving average of the call time
-// ratio, and the bounds of one call's ratio: a slow endpoint takes up to eight
-// times as long.
-constexpr double kCallTimeRatioWeight = 0.3;
-constexpr double kMinCallTimeRatio = 0.3;
-constexpr double kMaxCallTimeRatio = 8;
-
 // A call that takes this many times its predicted time is overdue. A failure
 // domain in which calls to several endpoints are overdue, and no endpoint
 // responds, is suspected to be cut off.
 constexpr double kOverdueCallTimeFactor = 1.5;
 constexpr Duration kOverdueCheckInterval = std::chrono::milliseconds(100);
 
-WaitingTask MakeWaitingTask(const StageTask& task, TimePoint submitted) {
-  WaitingTask waiting;
-  waiting.submitted = submitted;
-  waiting.due = task.due;
-  waiting.deadline = task.deadline;
-  waiting.priority = task.priority;
-  waiting.items.resize(static_cast<size_t>(task.item_count));
-  std::iota(waiting.items.begin(), waiting.items.end(), 0);
-  waiting.result_bytes = task.result_bytes;
-  waiting.preferred_domain = task.preferred_domain;
-  waiting.moved_bytes = task.moved_bytes;
-  return waiting;
-}
-
-std::string_view OutcomeName(StageCallOutcome outcome) {
-  switch (outcome) {
-    case StageCallOutcome::kAnswered:
-      return "answered";
-    case StageCallOutcome::kRefused:
-      return "refused";
-    case StageCallOutcome::kNotSent:
-      return "not_sent";
-    case StageCallOutcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 // A call that could carry more than this many times the items for which its
 // endpoint has result memory waits for memory, since the fixed time of a call
 // exceeds that of its items.
 constexpr int kMinCallFillDivisor = 2;
-// A pool is saturated when at most one endpoint, or 1/kSaturatedIdleDivisor of
-// its endpoints, is idle and the waiting items would fill at least
-// 1/kSaturatedBacklogDivisor of a call to each endpoint.
-constexpr ptrdiff_t kSaturatedIdleDivisor = 8;
-constexpr ptrdiff_t kSaturatedBacklogDivisor = 4;
-// Share of an endpoint's result memory that results of another coordinator are
-// assumed to take when this coordinator has just begun to use the pool and has
-// found such results. The share decreases to zero over the result retention.
-constexpr double kAssumedForeignMemoryShare = 0.6;
 // Longest wait for result memory before a small call is sent: about the time of
 // one call.
 constexpr Duration kMaxResultMemoryWait = std::chrono::milliseconds(200);
@@ -208,15 +156,7 @@
     return;
   }
   queue.active_since = TimePoint();
-  const auto assumed =
-      static_cast<int64_t>(kAssumedForeignMemoryShare *
-                           static_cast<double>(pool.result_capacity_bytes));
-  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
-    if (endpoint->untracked_result_bytes < assumed) {
-      endpoint->untracked_result_bytes = assumed;
-      endpoint->untracked_results_since = now;
-    }
-  }
+  AssumeForeignResultsAt(dependencies_.endpoints.Serving(id), pool, now);
 }
 
 void StageCoordinator::Enqueue(StageTaskId id) {
@@ -282,27 +222,10 @@
     return throughputs;
   }
   for (const PoolDefinition& pool : configuration_->config().pools) {
-    if (!pool.stage) {
-      continue;
-    }
-    const StagePoolDefinition& stage = *pool.stage;
-    PoolThroughput& throughput = throughputs[pool.id];
-    const double call_seconds =
-        ToMilliseconds(PredictCallTime(stage, stage.batch_size)) /
-        kMillisecondsPerSecond;
-    for (const EndpointPtr& endpoint :
-         dependencies_.endpoints.Serving(pool.id)) {
-      if (!IsEndpointUsable(
-              *endpoint, dependencies_.clock.Now(),
-              kCallTimeoutFactor * PredictCallTime(stage, stage.batch_size))) {
-        continue;
-      }
-      throughput.items_per_second += stage.max_concurrent_calls *
-                                     stage.batch_size /
-                                     (call_seconds * endpoint->call_time_ratio);
-      throughput.result_bytes_per_second +=
-          static_cast<double>(stage.result_capacity_bytes) /
-          (ToMilliseconds(ResultStorageTime(pool.id)) / kMillisecondsPerSecond);
+    if (pool.stage) {
+      throughputs[pool.id] = EstimateThroughput(
+          dependencies_.endpoints.Serving(pool.id), *pool.stage,
+          ResultStorageTime(pool.id), dependencies_.clock.Now());
     }
   }
   return throughputs;
@@ -332,7 +255,8 @@
   PoolQueue& queue = queues_[id];
   // Tasks may wait for an endpoint in their preferred domain while other
   // endpoints are idle, so each idle endpoint is tried.
-  for (const EndpointPtr& endpoint : IdleEndpoints(id, *pool)) {
+  for (const EndpointPtr& endpoint :
+       FindIdleEndpoints(dependencies_.endpoints.Serving(id), *pool, now)) {
     while (!queue.tasks.waiting.empty() &&
            endpoint->open_calls < pool->max_concurrent_calls &&
            StartCall(id, queue, *pool, endpoint)) {
@@ -343,69 +267,17 @@
   }
 }
 
-std::vector<EndpointPtr> StageCoordinator::IdleEndpoints(
-    const PoolId& id,
-    const StagePoolDefinition& pool) const {
-  std::vector<EndpointPtr> idle;
-  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
-    if (endpoint->open_calls < pool.max_concurrent_calls &&
-        IsEndpointUsable(
-            *endpoint, dependencies_.clock.Now(),
-            kCallTimeoutFactor * PredictCallTime(pool, pool.batch_size))) {
-      idle.push_back(endpoint);
-    }
-  }
-  // The endpoint with the fewest stored result bytes takes the fullest call.
-  std::stable_sort(idle.begin(), idle.end(),
-                   [](const EndpointPtr& a, const EndpointPtr& b) {
-                     return a->result_bytes < b->result_bytes;
-                   });
-  return idle;
-}
-
-bool StageCoordinator::IsSaturated(const PoolId& id,
-                                   const StagePoolDefinition& pool,
-                                   const BatchQueue& queue) const {
-  const auto& serving = dependencies_.endpoints.Serving(id);
-  const auto idle = std::count_if(
-      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
-        return endpoint->open_calls < pool.max_concurrent_calls;
-      });
-  return idle <= std::max<ptrdiff_t>(
-                     1, std::ssize(serving) / kSaturatedIdleDivisor) &&
-         ptrdiff_t{queue.waiting_items} * kSaturatedBacklogDivisor >=
-             std::ssize(serving) * pool.batch_size;
-}
-
-std::map<FailureDomainId, Duration> StageCoordinator::DomainWaits(
+std::unordered_map<EndpointId, TimePoint> StageCoordinator::PredictCallEnds(
     const PoolId& id,
     const StagePoolDefinition& pool) const {
-  const TimePoint now = dependencies_.clock.Now();
-  std::map<const Endpoint*, TimePoint> call_ends;
+  std::unordered_map<EndpointId, TimePoint> call_ends;
   for (const auto& [raw, call] : calls_) {
     if (call->pool == id) {
-      TimePoint& end = call_ends[call->endpoint.get()];
+      TimePoint& end = call_ends[call->endpoint->registration.id];
       end = std::max(end, call->started + PredictDuration(*call, pool));
     }
   }
-  std::map<FailureDomainId, Duration> waits;
-  for (const EndpointPtr& endpoint : dependencies_.endpoints.Serving(id)) {
-    if (!IsEndpointUsable(
-            *endpoint, now,
-            kCallTimeoutFactor * PredictCallTime(pool, pool.batch_size))) {
-      continue;
-    }
-    const auto call_end = call_ends.find(endpoint.get());
-    const Duration wait =
-        call_end == call_ends.end() ||
-                endpoint->open_calls < pool.max_concurrent_calls
-            ? Duration::zero()
-            : std::max(Duration::zero(), call_end->second - now);
-    const auto [entry, is_new] =
-        waits.emplace(endpoint->registration.failure_domain, wait);
-    entry->second = std::min(entry->second, wait);
-  }
-  return waits;
+  return call_ends;
 }
 
 bool StageCoordinator::IsCallFullEnough(const BatchQueue& before,
@@ -424,22 +296,6 @@
   return now - endpoint.capacity_wait_since >= kMaxResultMemoryWait;
 }
 
-int64_t StageCoordinator::FreeResultBytes(
-    const Endpoint& endpoint,
-    const StagePoolDefinition& pool) const {
-  if (pool.result_capacity_bytes == 0) {
-    return std::numeric_limits<int64_t>::max();
-  }
-  // Foreign results expire, or are released, within the result retention.
-  const double age = ToMilliseconds(dependencies_.clock.Now() -
-                                    endpoint.untracked_results_since) /
-                     ToMilliseconds(pool.result_retention);
-  const double foreign = static_cast<double>(endpoint.untracked_result_bytes) *
-                         std::max(0.0, 1 - age);
-  return pool.result_capacity_bytes - endpoint.result_bytes -
-         static_cast<int64_t>(foreign);
-}
-
 void StageCoordinator::RecordForeignResults(const Call& call) {
   const StagePoolDefinition* const pool = FindStagePool(call.pool);
   if (pool == nullptr || pool->result_capacity_bytes == 0) {
@@ -463,12 +319,15 @@
                                  const StagePoolDefinition& pool,
                                  const EndpointPtr& endpoint) {
   BatchTarget target;
-  target.free_result_bytes = FreeResultBytes(*endpoint, pool);
+  const TimePoint now = dependencies_.clock.Now();
+  const auto& serving = dependencies_.endpoints.Serving(id);
+  target.free_result_bytes = EstimateFreeResultBytes(*endpoint, pool, now);
   target.failure_domain = endpoint->registration.failure_domain;
   target.call_time_ratio = endpoint->call_time_ratio;
-  target.domain_waits = DomainWaits(id, pool);
-  target.is_pool_saturated = IsSaturated(id, pool, queue.tasks);
-  const TimePoint now = dependencies_.clock.Now();
+  target.domain_waits =
+      PredictDomainWaits(serving, pool, PredictCallEnds(id, pool), now);
+  target.is_pool_saturated =
+      IsPoolSaturated(serving, pool, queue.tasks.waiting_items);
   // Takes the batch from a copy of the queue, since a call with too few items
   // is not sent.
   BatchQueue remaining = queue.tasks;
@@ -499,9 +358,7 @@
     }
   }
   const Duration timeout =
-      kCallTimeoutFactor *
-          PredictCallTime(pool, static_cast<int>(items.size())) +
-      kCallTimeoutMargin;
+      StageCallTimeout(pool, static_cast<int>(items.size()));
   call->item_count = items.size();
   Call* const raw = call.get();
   int64_t moved_bytes = 0;
@@ -690,13 +547,8 @@
   }
   const StagePoolDefinition* const pool = FindStagePool(call.pool);
   if (is_answered && pool != nullptr) {
-    const double ratio = ToMilliseconds(now - call.started) /
-                         ToMilliseconds(PredictCallTime(
-                             *pool, static_cast<int>(call.item_count)));
-    endpoint.call_time_ratio +=
-        kCallTimeRatioWeight *
-        (std::clamp(ratio, kMinCallTimeRatio, kMaxCallTimeRatio) -
-         endpoint.call_time_ratio);
+    RecordCallTime(endpoint, *pool, static_cast<int>(call.item_count),
+                   now - call.started);
   }
   if (response.load) {
     endpoint.reported_running = response.load->running;
@@ -708,7 +560,7 @@
         "stage_call_failed",
         {{"pool", call.pool.value()},
          {"endpoint", endpoint.registration.id.value()},
-         {"outcome", std::string(OutcomeName(response.outcome))},
+         {"outcome", std::string(ToString(response.outcome))},
          {"tasks", std::to_string(call.parts.size())},
          {"ms",
           std::to_string(std::lround(ToMilliseconds(now - call.started)))}});
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -117,24 +116,14 @@
   // results at all endpoints of a pool, if this node began to use the pool
   // within the last result retention.
   void AssumeForeignResults(const PoolId& id, const StagePoolDefinition& pool);
-  // Returns whether hardly any endpoint of a pool is idle while much work
-  // waits.
-  bool IsSaturated(const PoolId& id,
-                   const StagePoolDefinition& pool,
-                   const BatchQueue& queue) const;
   // Sends the next call to an endpoint. Returns false if no task fits, or if
   // the call would carry too few items.
   bool StartCall(const PoolId& id,
                  PoolQueue& queue,
                  const StagePoolDefinition& pool,
                  const EndpointPtr& endpoint);
-  // Returns the usable endpoints that can take a call, fewest stored result
-  // bytes first.
-  std::vector<EndpointPtr> IdleEndpoints(const PoolId& id,
-                                         const StagePoolDefinition& pool) const;
-  // Returns the failure domains in which a pool has a usable endpoint, and the
-  // predicted time until one of them can take a call.
-  std::map<FailureDomainId, Duration> DomainWaits(
+  // Returns the predicted end of the last call in flight to each endpoint.
+  std::unordered_map<EndpointId, TimePoint> PredictCallEnds(
       const PoolId& id,
       const StagePoolDefinition& pool) const;
   // Ends the calls to failure domains that have stopped responding.
@@ -190,9 +179,6 @@
   // expected: the memory is taken by foreign results, which this node does not
   // know.
   void RecordForeignResults(const Call& call);
-  // Returns the estimated free result memory of an endpoint.
-  int64_t FreeResultBytes(const Endpoint& endpoint,
-                          const StagePoolDefinition& pool) const;
   // Cancels a task whose handle is destroyed, and releases its results.
   void Cancel(StageTaskId id);
   const StagePoolDefinition* FindStagePool(const PoolId& id) const;
