Sum the started work once for each admission decision

Change: started work is sorted by its expected end and summed once for a decision; a query is a binary search. The answers are the same; all sums are of integers.

--- a/modules/peridotmill_gateway/admission/admission_queue.cc
+++ b/modules/peridotmill_gateway/admission/admission_queue.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <set>
-#include <tuple>
+#include <unordered_map>
+#include <utility>
 
 #include "peridotmill_core/time/milliseconds.h"
 
@@ -40,6 +41,10 @@
     items += work.items;
     result_bytes += static_cast<double>(work.result_bytes);
   }
+  void Add(const PoolLoad& load) {
+    items += load.items;
+    result_bytes += load.result_bytes;
+  }
 };
 
 double ToSeconds(Duration duration) {
@@ -57,23 +62,75 @@
          kAdmissionHorizonFactor * ToSeconds(work.end);
 }
 
-// Returns the work of started requests that the pool of `work` has to do before
-// the planned end of `work`.
-PoolLoad StartedLoadBefore(const AdmissionQueue& queue,
-                           const PlannedWork& work,
-                           TimePoint now) {
-  PoolLoad load;
-  const TimePoint until = now + work.end;
-  for (const auto& [id, parts] : queue.started) {
-    for (const StartedWork& part : parts) {
-      if (part.work.pool == work.pool && part.expected_end <= until &&
-          part.expected_end + kMaxOverdue > now) {
-        load.Add(part.work);
+// Work of started requests by pool and expected end. Built once for a decision
+// that asks about many requests.
+class StartedLoads {
+ public:
+  StartedLoads(const AdmissionQueue& queue, TimePoint now) : now_(now) {
+    for (const auto& [id, parts] : queue.started) {
+      for (const StartedWork& part : parts) {
+        if (part.expected_end + kMaxOverdue > now) {
+          pools_[part.work.pool].push_back({part.expected_end, MakeLoad(part)});
+        }
+      }
+    }
+    for (auto& [pool, loads] : pools_) {
+      std::sort(loads.begin(), loads.end(),
+                [](const Entry& a, const Entry& b) { return a.end < b.end; });
+      for (size_t i = 1; i < loads.size(); ++i) {
+        loads[i].total.Add(loads[i - 1].total);
       }
     }
   }
-  return load;
-}
+
+  // Returns the work that the pool of `work` has to do before the planned end
+  // of `work`.
+  PoolLoad Before(const PlannedWork& work) const {
+    const auto pool = pools_.find(work.pool);
+    if (pool == pools_.end()) {
+      return PoolLoad();
+    }
+    const size_t count = IndexAfter(pool->second, now_ + work.end);
+    return count == 0 ? PoolLoad() : pool->second[count - 1].total;
+  }
+
+  void Add(const StartedWork& part) {
+    std::vector<Entry>& loads = pools_[part.work.pool];
+    const PoolLoad load = MakeLoad(part);
+    const size_t index = IndexAfter(loads, part.expected_end);
+    Entry entry{part.expected_end, load};
+    if (index > 0) {
+      entry.total.Add(loads[index - 1].total);
+    }
+    loads.insert(loads.begin() + static_cast<ptrdiff_t>(index), entry);
+    for (size_t i = index + 1; i < loads.size(); ++i) {
+      loads[i].total.Add(load);
+    }
+  }
+
+ private:
+  struct Entry {
+    TimePoint end;
+    // Sum of this entry and all earlier ones.
+    PoolLoad total;
+  };
+
+  static PoolLoad MakeLoad(const StartedWork& part) {
+    PoolLoad load;
+    load.Add(part.work);
+    return load;
+  }
+  // Returns the index of the first entry that ends after `time`.
+  static size_t IndexAfter(const std::vector<Entry>& loads, TimePoint time) {
+    const auto next = std::upper_bound(
+        loads.begin(), loads.end(), time,
+        [](TimePoint value, const Entry& entry) { return value < entry.end; });
+    return static_cast<size_t>(next - loads.begin());
+  }
+
+  TimePoint now_;
+  std::unordered_map<PoolId, std::vector<Entry>> pools_;
+};
 
 // Returns how many seconds the pool of `work` needs for `load`; 0 if no
 // endpoint of the pool is known to be usable: the request is admitted
@@ -159,12 +216,20 @@
   // Pools for which an earlier candidate waits: later candidates must not
   // overtake it there.
   std::set<PoolId> full_pools;
+  StartedLoads loads(queue, now);
+  const auto start = [&](AdmissionId id) {
+    StartRequest(queue, id, now);
+    for (const StartedWork& part : queue.started.at(id)) {
+      loads.Add(part);
+    }
+    admitted.push_back(id);
+  };
   for (const AdmissionId id : OrderWaiting(queue)) {
     const WaitingRequest& request = queue.waiting.at(id);
     bool is_startable = true;
     double delay = 0;
     for (const PlannedWork& work : request.work) {
-      const PoolLoad load = StartedLoadBefore(queue, work, now);
+      const PoolLoad load = loads.Before(work);
       delay = std::max(
           delay, SecondsOfWork(load, work, throughputs) - ToSeconds(work.end));
       // A request holds no results while it waits for its first stage.
@@ -177,12 +242,10 @@
     if (now + FromSeconds(delay) > request.latest_on_time_start) {
       late.push_back(id);
     } else if (is_startable) {
-      StartRequest(queue, id, now);
-      admitted.push_back(id);
+      start(id);
     } else {
       for (const PlannedWork& work : request.work) {
-        if (PredictWaitSeconds(StartedLoadBefore(queue, work, now), work,
-                               throughputs, 1) > 0) {
+        if (PredictWaitSeconds(loads.Before(work), work, throughputs, 1) > 0) {
           full_pools.insert(work.pool);
         }
       }
@@ -192,15 +255,14 @@
     bool is_startable = true;
     for (const PlannedWork& work : queue.waiting.at(id).work) {
       if (full_pools.contains(work.pool) ||
-          PredictWaitSeconds(StartedLoadBefore(queue, work, now), work,
-                             throughputs, kLateHorizonShare) > 0) {
+          PredictWaitSeconds(loads.Before(work), work, throughputs,
+                             kLateHorizonShare) > 0) {
         full_pools.insert(work.pool);
         is_startable = false;
       }
     }
     if (is_startable) {
-      StartRequest(queue, id, now);
-      admitted.push_back(id);
+      start(id);
     }
   }
   return admitted;
@@ -227,21 +289,24 @@
   double late_wait = 0;
   // How much longer than planned the stages take once their pools are full.
   double delay = 0;
-  for (const PlannedWork& work : request.work) {
-    PoolLoad load_ahead = StartedLoadBefore(queue, work, now);
-    PoolLoad total_load = load_ahead;
-    for (const auto& [id, waiting] : queue.waiting) {
-      const bool is_ahead = CanStartOnTime(waiting, now) &&
-                            OrderingTime(waiting) <= OrderingTime(request);
-      for (const PlannedWork& part : waiting.work) {
-        if (part.pool == work.pool) {
-          total_load.Add(part);
-          if (is_ahead) {
-            load_ahead.Add(part);
-          }
-        }
+  const StartedLoads loads(queue, now);
+  std::unordered_map<PoolId, PoolLoad> waiting_ahead;
+  std::unordered_map<PoolId, PoolLoad> all_waiting;
+  for (const auto& [id, waiting] : queue.waiting) {
+    const bool is_ahead = CanStartOnTime(waiting, now) &&
+                          OrderingTime(waiting) <= OrderingTime(request);
+    for (const PlannedWork& part : waiting.work) {
+      all_waiting[part.pool].Add(part);
+      if (is_ahead) {
+        waiting_ahead[part.pool].Add(part);
       }
     }
+  }
+  for (const PlannedWork& work : request.work) {
+    PoolLoad load_ahead = loads.Before(work);
+    PoolLoad total_load = load_ahead;
+    load_ahead.Add(waiting_ahead[work.pool]);
+    total_load.Add(all_waiting[work.pool]);
     const double wait = PredictWaitSeconds(load_ahead, work, throughputs, 1);
     on_time_wait = std::max(on_time_wait, wait);
     const double slack = AdmissionHorizonSeconds(work) - ToSeconds(work.end);
