--- a/modules/peridotmill_gateway/tests/load_test.cc
+++ b/modules/peridotmill_gateway/tests/load_test.cc
@@ -219,5 +219,18 @@
   EXPECT_GE(load_.outcomes("query").on_time_share(), 0.95);
 }
 
+// Guards against a burst of all kinds in which the urgent ones displace the
+// others.
+TEST_P(LoadTest, ABurstOfAllKindsIsServedOnTime) {
+  load_.Start(Review(kUsualReviews), 16s);
+  load_.Start(Query(kUsualQueries), 16s);
+  timers_.Advance(4s);
+  load_.Start(Review(17), 6s);
+  load_.Start(Query(40), 6s);
+  timers_.Advance(26s);
+  EXPECT_GE(load_.outcomes("review").on_time_share(), 0.9);
+  EXPECT_GE(load_.outcomes("query").on_time_share(), 0.9);
+}
+
 }  // namespace
 }  // namespace peridotmill
