Log what requests wait for when a host exits

Cause: requests that a leaving host gave up at its forced exit had no line in any log, so that an accepted request too long for the time left, a wait without end and a lost task could not be told apart.

Change: task_assigned names the coordinator of each stage of a request, request_admitted the wait for capacity (200 ms or more), request_unfinished what an open request waits for when the process exits.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -439,6 +439,7 @@
   const bool is_forced = elapsed > settings_.stop_grace - kForcedExitMargin;
   if (is_forced || (gateway_.open_requests() == 0 &&
                     caller_server_->connection_count() == 0)) {
+    gateway_.LogOpenRequests();
     log_.Write("stopped",
                {{"open_requests", std::to_string(gateway_.open_requests())},
                 {"forced", is_forced ? "1" : "0"}});
--- a/modules/peridotmill_gateway/admission/stage_admission.cc
+++ b/modules/peridotmill_gateway/admission/stage_admission.cc
@@ -15,6 +15,8 @@
 // Interval at which waiting requests are reconsidered; a pool finishes a few
 // items in this time.
 constexpr Duration kAdmissionRetryInterval = std::chrono::milliseconds(30);
+// Requests that waited at least this long are logged when they are admitted.
+constexpr Duration kLoggedWait = std::chrono::milliseconds(200);
 
 std::string FormatMilliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -39,6 +41,7 @@
   }
   const AdmissionId id = next_admission_id_++;
   requests_[id].request = task.request;
+  requests_[id].submitted = clock_.Now();
   admission_ids_[task.request] = id;
   if (task.plan.empty()) {
     // An empty plan means that the request started at another coordinator.
@@ -176,6 +179,14 @@
   }
   for (const AdmissionId id :
        AdmitRequests(queue_, handlers_.throughputs(), now)) {
+    const RequestState& request = requests_.at(id);
+    if (now - request.submitted >= kLoggedWait) {
+      events_.Write("request_admitted",
+                    {{"request", request.request.value()},
+                     {"waited_ms", FormatMilliseconds(now - request.submitted)},
+                     {"waiting", std::to_string(queue_.waiting.size())},
+                     {"started", std::to_string(queue_.started.size())}});
+    }
     for (const StageTaskId task : std::exchange(requests_.at(id).waiting, {})) {
       handlers_.on_start(task);
     }
--- a/modules/peridotmill_gateway/admission/stage_admission.h
+++ b/modules/peridotmill_gateway/admission/stage_admission.h
@@ -57,6 +57,7 @@
   // A request with tasks at this coordinator.
   struct RequestState {
     RequestId request;
+    TimePoint submitted;
     // Tasks that wait for the request to start.
     std::vector<StageTaskId> waiting;
     int open_tasks = 0;
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -128,6 +128,11 @@
 void StageRelay::Assign(RemoteTaskId id) {
   RemoteTask& entry = tasks_.at(id);
   entry.coordinator = ChooseCoordinator(entry.task.group);
+  dependencies_.events.Write("task_assigned",
+                             {{"request", entry.task.request.value()},
+                              {"stage", std::to_string(entry.task.stage)},
+                              {"items", std::to_string(entry.task.item_count)},
+                              {"coordinator", entry.coordinator.value()}});
   const NodeRecord* const record = dependencies_.nodes.Find(entry.coordinator);
   if (entry.coordinator == dependencies_.self || record == nullptr) {
     entry.coordinator = dependencies_.self;
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -79,6 +79,12 @@
   started->Start();
 }
 
+void Gateway::LogOpenRequests() const {
+  for (const auto& [key, request] : requests_) {
+    request->LogUnfinished();
+  }
+}
+
 void Gateway::Deny(const CallerRequest& request,
                    ResponseWriter& channel,
                    int status,
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -79,6 +79,8 @@
   void Handle(CallerRequest request, std::shared_ptr<ResponseWriter> channel);
 
   size_t open_requests() const { return requests_.size(); }
+  // Writes one event for each open request, with what it waits for.
+  void LogOpenRequests() const;
   const GatewayCounters& counters() const { return counters_; }
   const ReasonCounters& reasons() const { return reasons_; }
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -696,6 +696,28 @@
   End("cut", response_head_.status, ToString(reason));
 }
 
+void GatewayRequest::LogUnfinished() const {
+  std::string waits_for;
+  if (call_ != nullptr) {
+    waits_for = "endpoint " + endpoint_->registration.id.value();
+  } else if (is_awaiting_engine_) {
+    waits_for = "engine choice";
+  } else {
+    for (size_t i = 0; i < stage_progress_.stages.size(); ++i) {
+      if (stage_progress_.stages[i].state == StageProgress::State::kRunning) {
+        waits_for += (waits_for.empty() ? "stage " : ",") + std::to_string(i);
+      }
+    }
+  }
+  context_.events.Write(
+      "request_unfinished",
+      {{"request", request_.id.value()},
+       {"route", route_->name},
+       {"waits_for", waits_for},
+       {"events", std::to_string(event_splitter_.event_count())},
+       {"ms", Milliseconds(TimeSinceAcceptance())}});
+}
+
 Duration GatewayRequest::TimeSinceAcceptance() const {
   return context_.clock.Now() - accepted_at_;
 }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -35,6 +35,10 @@
 
   void Start();
 
+  // Writes what the request waits for to the event log. Called for a request
+  // that is still open when the process exits.
+  void LogUnfinished() const;
+
  private:
   // EndpointCallListener
   void OnResponseHead(const EndpointResponseHead& head) override;
