Bound what a stopping node accepts and holds by the time it has left

Callers saw: requests that a node accepted up to 4.2 s after SIGTERM were sent to an engine and cut when the process exited 7.5 s after the signal, and requests that waited for their stages got no byte at all until then.

Cause: the deadline of a request was its caller's alone. Until 4.5 s after the signal anything was accepted, however long its route takes, and nobody decided about requests that waited (up to 6.1 s for admission) before the process exited.

Change: the end of the stop is a deadline like the caller's. Each route's times of preparation and output are observed (completion_times); a stopping node refuses at once, as not run and with a short Retry-After, what is unlikely to finish, checks the requests that wait for their stages again every 50 ms and before it sends them to an engine, and gives each request that is still open 800 ms before the kill its final response (503 if it cannot have run, 502 if it may have, a reset in the middle of a stream). What fits is served until the end. GatewayTest.DeniesAndRefusesWithTheRightStatus stops the node by the new call; its checks are the same.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -27,11 +27,11 @@
 // The load balancer checks readiness once a second and stops using a node after
 // two failed checks. Idle connections stay open until then.
 constexpr Duration kLoadBalancerRemovalDelay = std::chrono::milliseconds(2600);
-// Times before the end of stop_grace, when the platform kills the process: from
-// the first on no new request is accepted, and at the second the process exits
-// with the requests that are still open.
-constexpr Duration kRejectRequestsMargin = std::chrono::milliseconds(3500);
-constexpr Duration kForcedExitMargin = std::chrono::milliseconds(500);
+// Times before the end of stop_grace, when the platform kills the process: at
+// the first each open request gets its final response, at the second the
+// process exits with what is left.
+constexpr Duration kFinalResponseMargin = std::chrono::milliseconds(800);
+constexpr Duration kForcedExitMargin = std::chrono::milliseconds(250);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 // Give each component its own seed for random choices.
 constexpr uint64_t kCoordinatorSeed = 1;
@@ -422,23 +422,35 @@
   }
   is_stopping_ = true;
   stop_request_time_ = clock_.Now();
+  stop_end_ =
+      stop_request_time_ +
+      std::max(settings_.stop_grace - kFinalResponseMargin, Duration::zero());
   caller_server_->DisableKeepAlive();
   node_registration_.Stop();
   log_.Write("stopping",
              {{"open_requests", std::to_string(gateway_.open_requests())}});
+  gateway_.BeginStopping(stop_request_time_ + kLoadBalancerRemovalDelay,
+                         stop_end_);
   stop_timer_ =
-      timers_.After(kLoadBalancerRemovalDelay, [this] { ContinueStopping(); });
+      timers_.After(kStopCheckInterval, [this] { ContinueStopping(); });
+}
+
+bool GatewayProcess::HasNoCallers() const {
+  return gateway_.open_requests() == 0 &&
+         caller_server_->connection_count() == 0;
 }
 
 void GatewayProcess::ContinueStopping() {
   const Duration elapsed = clock_.Now() - stop_request_time_;
-  if (elapsed > settings_.stop_grace - kRejectRequestsMargin) {
-    gateway_.StopAccepting();
+  gateway_.RefuseUnfinishableRequests();
+  const bool is_removed = elapsed >= kLoadBalancerRemovalDelay;
+  if (is_removed) {
+    caller_server_->CloseIdleConnections();
   }
-  caller_server_->CloseIdleConnections();
-  const bool is_forced = elapsed > settings_.stop_grace - kForcedExitMargin;
-  if (is_forced || (gateway_.open_requests() == 0 &&
-                    caller_server_->connection_count() == 0)) {
+  const bool is_done = is_removed && HasNoCallers();
+  const bool is_forced =
+      !is_done && elapsed >= settings_.stop_grace - kForcedExitMargin;
+  if (is_done || is_forced) {
     gateway_.LogOpenRequests();
     log_.Write("stopped",
                {{"open_requests", std::to_string(gateway_.open_requests())},
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -68,6 +68,8 @@
   bool IsReady() const;
   void CheckSettingsFile();
   void ContinueStopping();
+  // Returns whether no request and no caller's connection is open.
+  bool HasNoCallers() const;
   std::string FormatMetrics() const;
 
   GatewaySettings settings_;
@@ -106,6 +108,8 @@
   std::unique_ptr<Timer> node_reload_timer_;
   bool is_stopping_ = false;
   TimePoint stop_request_time_;
+  // When each open request gets its final response.
+  TimePoint stop_end_;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -14,9 +14,6 @@
 constexpr int kUnauthorized = 401;
 // A node that has just started receives its configuration within this time.
 constexpr Duration kNotConfiguredRetryAfter = std::chrono::milliseconds(500);
-// The load balancer stops sending connections to a stopping node within two
-// seconds, so the caller's next connection usually reaches another node.
-constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 
 }  // namespace
 
@@ -34,21 +31,41 @@
   return true;
 }
 
+void Gateway::BeginStopping(TimePoint removed, TimePoint end) {
+  stop_ = Stop{removed, end};
+  // A request that ends removes itself from the map.
+  for (GatewayRequest* const request : OpenRequests()) {
+    request->LimitDeadline(end);
+  }
+}
+
+void Gateway::RefuseUnfinishableRequests() {
+  for (GatewayRequest* const request : OpenRequests()) {
+    request->RefuseIfUnfinishable();
+  }
+}
+
+std::vector<GatewayRequest*> Gateway::OpenRequests() const {
+  std::vector<GatewayRequest*> open;
+  open.reserve(requests_.size());
+  for (const auto& [key, request] : requests_) {
+    open.push_back(key);
+  }
+  return open;
+}
+
 void Gateway::Handle(CallerRequest request,
                      std::shared_ptr<ResponseWriter> channel) {
   ++counters_.requests;
-  if (configuration_ == nullptr || !is_accepting_) {
-    const Reason reason = configuration_ == nullptr ? Reason::kNotConfigured
-                                                    : Reason::kShuttingDown;
+  if (configuration_ == nullptr) {
+    const Reason reason = Reason::kNotConfigured;
     ++counters_.refused;
     reasons_.Add(reason);
     context_.events.Write("request_refused",
                           {{"request", request.id.value()},
                            {"reason", std::string(ToString(reason))}});
     SendNodeResponse(*channel, MakeFailure(AttemptHistory(), reason,
-                                           configuration_ == nullptr
-                                               ? kNotConfiguredRetryAfter
-                                               : kStoppingRetryAfter));
+                                           kNotConfiguredRetryAfter));
     return;
   }
   const RouteDefinition* const route =
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 
 #include "peridotmill_core/http/response_writer.h"
@@ -12,6 +13,7 @@
 #include "peridotmill_gateway/calls/caller_request.h"
 #include "peridotmill_gateway/calls/endpoint_call.h"
 #include "peridotmill_gateway/configuration/active_configuration.h"
+#include "peridotmill_gateway/estimates/completion_times.h"
 #include "peridotmill_gateway/estimates/first_event_times.h"
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
@@ -70,9 +72,14 @@
   bool SetConfiguration(ActiveConfigurationPtr configuration);
   const ActiveConfigurationPtr& configuration() const { return configuration_; }
 
-  // Refuses all further requests with a response that states that they have not
-  // run.
-  void StopAccepting() { is_accepting_ = false; }
+  // Begins to stop: each request gets a final response by `end`, and requests
+  // that are unlikely to finish by then are refused as not run, so that their
+  // callers can try another node in time. From `removed` on, the load balancer
+  // sends callers here only if it has too few other nodes.
+  void BeginStopping(TimePoint removed, TimePoint end);
+  // Refuses the open requests that have not been sent to an endpoint and have
+  // become unlikely to finish before the end of the stop.
+  void RefuseUnfinishableRequests();
 
   // Handles `request` and sends the response to `channel`, either at once or
   // later.
@@ -94,6 +101,7 @@
             Reason reason);
   // Returns one of the route's pools, drawn at random by weight.
   PoolId ChoosePool(const RouteDefinition& route);
+  std::vector<GatewayRequest*> OpenRequests() const;
   // Removes an ended request. It is destroyed later from the main loop,
   // since its own member functions may still be on the stack.
   void RemoveRequest(GatewayRequest* request);
@@ -101,10 +109,16 @@
   GatewayContext context_;
   Random random_;
   ActiveConfigurationPtr configuration_;
-  bool is_accepting_ = true;
+  // Set while the node stops.
+  struct Stop {
+    TimePoint removed;
+    TimePoint end;
+  };
+  std::optional<Stop> stop_;
   GatewayCounters counters_;
   ReasonCounters reasons_;
   FirstEventTimes first_event_times_;
+  CompletionTimes completion_times_;
   std::unordered_map<GatewayRequest*, std::unique_ptr<GatewayRequest>>
       requests_;
   // Requests that have ended and are not destroyed yet.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -6,6 +6,7 @@
 
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/estimates/completion_times.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
 #include "peridotmill_gateway/requests/stage_plan.h"
 
@@ -59,6 +60,15 @@
 // A caller whose request found no free endpoint should retry after about the
 // duration of one call.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
+// The load balancer stops sending connections to a stopping node within two
+// seconds, so the caller's next connection usually reaches another node.
+constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+// A stopping node begins a request if this share of similar ones would finish
+// in time. A cut request costs its caller more than a refused one, which
+// another node serves. A request that comes after the load balancer has removed
+// the node must be nearly certain to finish.
+constexpr double kCompletionQuantile = 0.9;
+constexpr double kLateCompletionQuantile = 0.99;
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -97,21 +107,26 @@
     Fail(Reason::kDeadlineExpired, kDefaultRetryAfter);
     return;
   }
-  deadline_timer_ = context_.timers.After(deadline_ - accepted_at_,
-                                          [this] { OnDeadlineExpired(); });
   pool_ = gateway_->ChoosePool(*route_);
-  context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
-  if (!HasStages()) {
-    StartWithoutStages();
+  if (HasStages()) {
+    if (request_.stage_item_counts.size() != route_->stages.size()) {
+      // The stage counts are missing or wrong: no stage runs, and the engine
+      // reports the missing inputs.
+      request_.stage_item_counts.assign(route_->stages.size(), 0);
+    }
+    stage_progress_ = MakeStageProgress(request_.stage_item_counts);
+    stage_tasks_.resize(route_->stages.size());
+  }
+  if (IsUnfinishable()) {
+    Fail(Reason::kShuttingDown, kStoppingRetryAfter);
     return;
   }
-  if (request_.stage_item_counts.size() != route_->stages.size()) {
-    // The stage counts are missing or wrong: no stage runs, and the engine
-    // reports the missing inputs.
-    request_.stage_item_counts.assign(route_->stages.size(), 0);
+  deadline_timer_ = context_.timers.After(deadline_ - accepted_at_,
+                                          [this] { OnDeadlineExpired(); });
+  if (gateway_->stop_) {
+    LimitDeadline(gateway_->stop_->end);
   }
-  stage_progress_ = MakeStageProgress(request_.stage_item_counts);
-  stage_tasks_.resize(route_->stages.size());
+  context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
   if (AreAllStagesDone(stage_progress_)) {
     StartWithoutStages();
     return;
@@ -120,6 +135,55 @@
   SubmitReadyStages();
 }
 
+void GatewayRequest::LimitDeadline(TimePoint end) {
+  if (end >= deadline_) {
+    return;
+  }
+  deadline_ = end;
+  is_deadline_end_of_stop_ = true;
+  deadline_timer_ = context_.timers.After(deadline_ - context_.clock.Now(),
+                                          [this] { OnDeadlineExpired(); });
+}
+
+Duration GatewayRequest::PredictRemainingTime() const {
+  const bool is_late =
+      gateway_->stop_ && accepted_at_ >= gateway_->stop_->removed;
+  const double quantile =
+      is_late ? kLateCompletionQuantile : kCompletionQuantile;
+  Duration remaining =
+      PredictOutputTime(gateway_->completion_times_, route_->name, quantile);
+  if (IsStream()) {
+    remaining +=
+        PredictFirstEventTime(gateway_->first_event_times_, route_->name);
+  }
+  const int stages = LongestRemainingChain(route_->stages, stage_progress_);
+  if (stages > 0) {
+    const int all_stages = LongestRemainingChain(
+        route_->stages, MakeStageProgress(request_.stage_item_counts));
+    remaining += PredictPreparationTime(gateway_->completion_times_,
+                                        route_->name, quantile) *
+                 stages / all_stages;
+  }
+  return remaining;
+}
+
+bool GatewayRequest::IsUnfinishable() const {
+  if (!gateway_->stop_) {
+    return false;
+  }
+  const TimePoint end = gateway_->stop_->end;
+  const bool expires_before_end = !is_deadline_end_of_stop_ && deadline_ <= end;
+  return !expires_before_end &&
+         context_.clock.Now() + PredictRemainingTime() > end;
+}
+
+void GatewayRequest::RefuseIfUnfinishable() {
+  if (call_ == nullptr && !is_response_head_sent_ &&
+      attempt_history_.IsKnownNotRunYet() && IsUnfinishable()) {
+    Fail(Reason::kShuttingDown, kStoppingRetryAfter);
+  }
+}
+
 void GatewayRequest::StartWithoutStages() {
   if (!request_.generation || !IsStream()) {
     StartAttempt();
@@ -249,6 +313,10 @@
         context_.stage_worker.Submit(MakeStageTask(stage), this);
   }
   if (AreAllStagesDone(stage_progress_)) {
+    if (stage_rerun_count_ == 0) {
+      RecordPreparationTime(gateway_->completion_times_, route_->name,
+                            TimeSinceAcceptance());
+    }
     StartAttempt();
   }
 }
@@ -332,6 +400,11 @@
     }
     return;
   }
+  if (!is_response_head_sent_ && attempt_history_.IsKnownNotRunYet() &&
+      IsUnfinishable()) {
+    Fail(Reason::kShuttingDown, kStoppingRetryAfter);
+    return;
+  }
   const TimePoint now = context_.clock.Now();
   endpoint_ = TakeSuggestedEngine(now);
   if (endpoint_ == nullptr) {
@@ -592,6 +665,10 @@
     channel_->SendBody(event_splitter_.incomplete_event());
   }
   channel_->Finish();
+  RecordOutputTime(
+      gateway_->completion_times_, route_->name,
+      context_.clock.Now() -
+          (IsStreamStarted() ? first_event_at_ : attempt_started_at_));
   ++gateway_->counters_.answered;
   End("answered", response_head_.status, "");
 }
@@ -670,6 +747,10 @@
   if (call_ != nullptr) {
     EndAttempt(CallOutcome::kFailure, AttemptOutcome::kOutcomeUnknown);
   }
+  if (is_deadline_end_of_stop_) {
+    Fail(Reason::kShuttingDown, kStoppingRetryAfter);
+    return;
+  }
   Fail(Reason::kDeadlineExpired, kDefaultRetryAfter);
 }
 
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -35,6 +35,11 @@
 
   void Start();
 
+  // Moves the deadline to `end` if it is later, because the node stops then.
+  void LimitDeadline(TimePoint end);
+  // Refuses the request if the node stops, the request has not been sent to an
+  // endpoint, and it is unlikely to finish before the end of the stop.
+  void RefuseIfUnfinishable();
   // Writes what the request waits for to the event log. Called for a request
   // that is still open when the process exits.
   void LogUnfinished() const;
@@ -61,6 +66,11 @@
   // Sets the failure domain in which the first stages should run to that of the
   // engine which is likely to serve the request.
   void ChooseStageDomain();
+  // Returns the time after which the request has very likely finished.
+  Duration PredictRemainingTime() const;
+  // Returns whether the node stops, and the request is unlikely to finish
+  // before the end of the stop.
+  bool IsUnfinishable() const;
   // Returns how long the caller waits for the first event.
   Duration CallerTimeout() const;
   StageTask MakeStageTask(size_t stage) const;
@@ -122,6 +132,8 @@
   std::shared_ptr<ResponseWriter> channel_;
   TimePoint accepted_at_;
   TimePoint deadline_;
+  // The deadline is the end of the node's stop instead of the caller's.
+  bool is_deadline_end_of_stop_ = false;
   PoolId pool_;
 
   StageProgress stage_progress_;
--- a/modules/peridotmill_gateway/requests/stage_progress.cc
+++ b/modules/peridotmill_gateway/requests/stage_progress.cc
@@ -51,10 +51,7 @@
 std::vector<size_t> StagesToStart(
     const std::vector<StageDefinition>& definitions,
     const StageProgress& progress) {
-  int longest = 0;
-  for (size_t i = 0; i < definitions.size(); ++i) {
-    longest = std::max(longest, RemainingChainLength(definitions, progress, i));
-  }
+  const int longest = LongestRemainingChain(definitions, progress);
   std::vector<size_t> stages = ReadyStages(definitions, progress);
   std::erase_if(stages, [&](size_t stage) {
     return RemainingChainLength(definitions, progress, stage) < longest;
@@ -62,6 +59,15 @@
   return stages;
 }
 
+int LongestRemainingChain(const std::vector<StageDefinition>& definitions,
+                          const StageProgress& progress) {
+  int longest = 0;
+  for (size_t i = 0; i < definitions.size(); ++i) {
+    longest = std::max(longest, RemainingChainLength(definitions, progress, i));
+  }
+  return longest;
+}
+
 bool AreAllStagesDone(const StageProgress& progress) {
   return std::all_of(progress.stages.begin(), progress.stages.end(),
                      [](const StageProgress::Stage& stage) {
--- a/modules/peridotmill_gateway/requests/stage_progress.h
+++ b/modules/peridotmill_gateway/requests/stage_progress.h
@@ -39,6 +39,10 @@
     const std::vector<StageDefinition>& definitions,
     const StageProgress& progress);
 
+// Returns the length of the longest chain of unfinished stages.
+int LongestRemainingChain(const std::vector<StageDefinition>& definitions,
+                          const StageProgress& progress);
+
 bool AreAllStagesDone(const StageProgress& progress);
 
 // Returns the results that `stage` takes as inputs.
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -356,7 +356,7 @@
   EXPECT_EQ(Send("missing")->status(), 404);
   EXPECT_EQ(Send("book", "unknown")->status(), 401);
   EXPECT_EQ(Send("book", "")->status(), 401);
-  gateway_.StopAccepting();
+  gateway_.BeginStopping(clock_.Now(), clock_.Now());
   EXPECT_EQ(Send("book")->status(), 503);
   EXPECT_TRUE(endpoint_caller_.calls.empty());
   Gateway unconfigured(
