Serve connections that are established when a node stops

Cause: a stopping node closes idle connections every 50 ms, and a connection on which nothing had arrived yet counted as idle; at the exit, connections in the accept queue were reset.

Change: a connection counts as idle only 1 s after the accept if it has not carried a byte. Before the exit the listener takes all established connections and then refuses new ones, so that their callers know at once that nothing was sent; a socket filter closes the gap between the last accept and the close.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -28,8 +28,8 @@
 // two failed checks. Idle connections stay open until then.
 constexpr Duration kLoadBalancerRemovalDelay = std::chrono::milliseconds(2600);
 // Times before the end of stop_grace, when the platform kills the process: at
-// the first each open request gets its final response, at the second the
-// process exits with what is left.
+// the first each open request gets its final response and the node refuses
+// connections, at the second the process exits with what is left.
 constexpr Duration kFinalResponseMargin = std::chrono::milliseconds(800);
 constexpr Duration kForcedExitMargin = std::chrono::milliseconds(250);
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
@@ -441,12 +441,17 @@
 }
 
 void GatewayProcess::ContinueStopping() {
-  const Duration elapsed = clock_.Now() - stop_request_time_;
+  const TimePoint now = clock_.Now();
+  const Duration elapsed = now - stop_request_time_;
   gateway_.RefuseUnfinishableRequests();
   const bool is_removed = elapsed >= kLoadBalancerRemovalDelay;
   if (is_removed) {
     caller_server_->CloseIdleConnections();
   }
+  if (now >= stop_end_ || (is_removed && HasNoCallers())) {
+    caller_server_->StopListening();
+  }
+  // StopListening may have accepted connections.
   const bool is_done = is_removed && HasNoCallers();
   const bool is_forced =
       !is_done && elapsed >= settings_.stop_grace - kForcedExitMargin;
--- a/modules/peridotmill_http/server/http_server.cc
+++ b/modules/peridotmill_http/server/http_server.cc
@@ -76,8 +76,9 @@
 
 void HttpServer::CloseIdleConnections() {
   std::vector<HttpServerConnection*> idle;
+  const TimePoint now = clock_.Now();
   for (const auto& [key, connection] : connections_) {
-    if (connection->is_idle()) {
+    if (connection->IsIdle(now)) {
       idle.push_back(key);
     }
   }
--- a/modules/peridotmill_http/server/http_server.h
+++ b/modules/peridotmill_http/server/http_server.h
@@ -61,8 +61,10 @@
   // Sends "Connection: close" with every further response and closes the
   // connection after it.
   void DisableKeepAlive() { is_keep_alive_enabled_ = false; }
-  // Closes the connections that are idle; see HttpServerConnection::is_idle.
+  // Closes the connections that are idle; see HttpServerConnection::IsIdle.
   void CloseIdleConnections();
+  // Refuses connections from now on, except those that are established already.
+  void StopListening() { listener_->StopListening(); }
 
   uint16_t port() const { return listener_->port(); }
   size_t connection_count() const { return connections_.size(); }
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -18,6 +18,9 @@
 // restarts the idle timeout, so occasional bytes would otherwise keep the
 // connection open indefinitely.
 constexpr double kMinBodyBytesPerMs = 1;
+// Time after the accept within which a caller sends the first byte of its first
+// request: callers allow a connection one second to be established.
+constexpr Duration kFirstByteTimeout = std::chrono::seconds(1);
 
 bool HasBareLineFeed(std::string_view text) {
   for (size_t at = text.find('\n'); at != std::string_view::npos;
@@ -45,6 +48,14 @@
 
 HttpServerConnection::~HttpServerConnection() = default;
 
+bool HttpServerConnection::IsIdle(TimePoint now) const {
+  if (!has_received_bytes_ && now - timeout_start_ < kFirstByteTimeout) {
+    return false;
+  }
+  return state_ == State::kHead && receive_buffer_.empty() &&
+         socket_->unsent_bytes() == 0 && !socket_->has_unread_bytes();
+}
+
 void HttpServerConnection::CloseAndRemove() {
   socket_->Close();
   if (exchange_ != nullptr) {
@@ -88,6 +99,7 @@
   if (state_ != State::kHead || receive_buffer_.empty()) {
     timeout_start_ = server_->clock_.Now();
   }
+  has_received_bytes_ = true;
   receive_buffer_.append(bytes);
   if (state_ == State::kResponding) {
     if (receive_buffer_.size() > kMaxPipelinedBytes) {
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -27,11 +27,10 @@
   // closes a connection that has exceeded the idle timeout.
   void CheckTimeout(TimePoint now);
   // Returns whether no request is being received or handled, no request bytes
-  // are waiting in the socket, and no response bytes are unsent.
-  bool is_idle() const {
-    return state_ == State::kHead && receive_buffer_.empty() &&
-           socket_->unsent_bytes() == 0 && !socket_->has_unread_bytes();
-  }
+  // are waiting in the socket, and no response bytes are unsent. A caller that
+  // has just connected is about to send a request, so its connection becomes
+  // idle only after a while.
+  bool IsIdle(TimePoint now) const;
   size_t unsent_bytes() const { return socket_->unsent_bytes(); }
   // Closes the connection and removes it from its server. Calls the exchange's
   // disconnect callback if a response is incomplete.
@@ -90,6 +89,8 @@
   bool is_body_too_large_ = false;
   bool is_keep_alive_ = true;
   bool is_http_1_0_ = false;
+  // Whether the first byte of a request has arrived.
+  bool has_received_bytes_ = false;
   // When the head timeout started (first byte of the current head) or else the
   // idle timeout (last byte received, or end of the last response).
   TimePoint timeout_start_;
--- a/modules/peridotmill_http/sockets/tcp_listener.cc
+++ b/modules/peridotmill_http/sockets/tcp_listener.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <glib-unix.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -59,20 +60,47 @@
   if (source_ != 0) {
     g_source_remove(source_);
   }
+  if (descriptor_ >= 0) {
+    close(descriptor_);
+  }
+}
+
+void TcpListener::StopListening() {
+  if (descriptor_ < 0) {
+    return;
+  }
+  // Closing the socket resets the connections that wait to be accepted. The
+  // filter drops the packets of new ones, so that none is established between
+  // the last accept and the close. Without it, that gap is only short.
+  sock_filter drop_all[] = {BPF_STMT(BPF_RET | BPF_K, 0)};
+  const sock_fprog filter = {.len = 1, .filter = drop_all};
+  (void)setsockopt(descriptor_, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                   sizeof(filter));
+  while (AcceptOne()) {
+  }
+  g_source_remove(source_);
+  source_ = 0;
   close(descriptor_);
+  descriptor_ = -1;
 }
 
-gboolean TcpListener::OnAcceptable(gint fd, GIOCondition, gpointer data) {
+gboolean TcpListener::OnAcceptable(gint, GIOCondition, gpointer data) {
   auto* const self = static_cast<TcpListener*>(data);
-  for (int i = 0; i < kMaxAcceptsPerIteration; ++i) {
-    const int descriptor =
-        accept4(fd, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (descriptor < 0) {
-      break;
-    }
-    self->handler_(descriptor);
+  int accepted = 0;
+  while (accepted < kMaxAcceptsPerIteration && self->AcceptOne()) {
+    ++accepted;
   }
   return G_SOURCE_CONTINUE;
 }
 
+bool TcpListener::AcceptOne() {
+  const int descriptor =
+      accept4(descriptor_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+  if (descriptor < 0) {
+    return false;
+  }
+  handler_(descriptor);
+  return true;
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_http/sockets/tcp_listener.h
+++ b/modules/peridotmill_http/sockets/tcp_listener.h
@@ -28,7 +28,11 @@
   TcpListener(const TcpListener&) = delete;
   TcpListener& operator=(const TcpListener&) = delete;
 
-  // Returns the port that the listener is bound to.
+  // Accepts the connections that are already established and refuses later
+  // ones. Does nothing when called again.
+  void StopListening();
+
+  // Returns the port that the listener is or was bound to.
   uint16_t port() const { return port_; }
 
  private:
@@ -36,6 +40,10 @@
 
   static gboolean OnAcceptable(gint fd, GIOCondition condition, gpointer data);
 
+  // Accepts one waiting connection. Returns false if there is none.
+  bool AcceptOne();
+
+  // -1 after StopListening.
   int descriptor_;
   Handler handler_;
   uint16_t port_ = 0;
