Send nothing to an endpoint that has said it leaves

Cause: only the registration told that an endpoint drains. An endpoint that says so in its responses (Server-Leaving: 1) got requests and stage items until its registration changed, which may take long while the store is unavailable, and again when the same registration returned.

EndpointRegistry::Serving, which every choice of an endpoint starts from, leaves the endpoint out until it starts again. The registry remembers it by id, address and start time beyond the registration, for an hour and at most 4096 endpoints. StageCaller::Release names the producer, so that the response to a release can be attributed.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -125,7 +125,7 @@
       store_(settings.store_address, http_client_, timers_),
       store_retry_queue_(timers_, ComponentSeed(settings, kStoreRetrySeed)),
       endpoint_adapter_(http_client_),
-      stage_adapter_(http_client_, timers_),
+      stage_adapter_({http_client_, clock, timers_, endpoint_registry_, log}),
       retry_budget_(settings.repeats),
       coordinator_retry_budget_(
           CoordinatorRetryBudgetSettings(settings.repeats)),
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -80,9 +80,9 @@
   HttpClient http_client_;
   platform::StoreAdapter store_;
   StoreRetryQueue store_retry_queue_;
+  EndpointRegistry endpoint_registry_;
   platform::EndpointAdapter endpoint_adapter_;
   platform::StageAdapter stage_adapter_;
-  EndpointRegistry endpoint_registry_;
   PoolRetryBudget retry_budget_;
   PoolRetryBudget coordinator_retry_budget_;
   StageCoordinator coordinator_;
--- a/modules/peridotmill_gateway/calls/endpoint_call.h
+++ b/modules/peridotmill_gateway/calls/endpoint_call.h
@@ -11,6 +11,7 @@
 #include "peridotmill_core/http/http_call.h"
 #include "peridotmill_core/http/http_message.h"
 #include "peridotmill_gateway/calls/caller_request.h"
+#include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
 
 namespace peridotmill {
@@ -57,6 +58,7 @@
   bool is_authentic = false;
   bool is_event_stream = false;
   std::optional<ReportedLoad> load;
+  EndpointNotice notice;
 };
 
 // Receives the response to a call. Never called within Start.
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -70,6 +70,7 @@
   // kAnswered.
   std::vector<StageItemResult> results;
   std::optional<ReportedLoad> load;
+  EndpointNotice notice;
 };
 
 // Receives the response to a call. Never called within Start.
@@ -94,9 +95,10 @@
       const EndpointRegistration& endpoint,
       const std::vector<StageItem>& items,
       StageCallListener* listener) = 0;
-  // Tells the producers to delete results. If the message is lost, the
-  // producers keep the results until their retention ends.
-  virtual void Release(const std::vector<ResultHandle>& handles) = 0;
+  // Tells an endpoint to delete results that it has produced. If the message is
+  // lost, the endpoint keeps the results until their retention ends.
+  virtual void Release(const EndpointIncarnation& producer,
+                       const std::vector<ResultHandle>& handles) = 0;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/registry/endpoint_registration.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registration.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRATION_H_
 #define PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRATION_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 
@@ -30,6 +31,24 @@
                          const EndpointRegistration&) = default;
 };
 
+// Identifies one process of an endpoint: a later one with the same id differs
+// in its start time or its address.
+struct EndpointIncarnation {
+  EndpointId id;
+  std::string address;
+  int64_t started_at_ms = 0;
+
+  friend auto operator<=>(const EndpointIncarnation&,
+                          const EndpointIncarnation&) = default;
+};
+
+inline EndpointIncarnation IncarnationOf(
+    const EndpointRegistration& registration) {
+  return {.id = registration.id,
+          .address = registration.address,
+          .started_at_ms = registration.started_at_ms};
+}
+
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRATION_H_
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -17,6 +17,10 @@
 // Duration of the ejection of an endpoint to which another node could not
 // connect. The report is repeated while connecting fails.
 constexpr Duration kReportedEjectionTime = std::chrono::milliseconds(800);
+// Bounds of the notices that are remembered. An endpoint exits soon after it
+// has announced that, so its notices do not have to be kept for long.
+constexpr Duration kNoticeRetention = std::chrono::hours(1);
+constexpr size_t kMaxRecordedNotices = 4096;
 
 }  // namespace
 
@@ -37,6 +41,10 @@
       endpoint->is_removed = true;
     }
     endpoint = std::make_shared<Endpoint>();
+    const auto notices = notices_.find(IncarnationOf(registration));
+    if (notices != notices_.end()) {
+      endpoint->is_leaving = notices->second.is_leaving;
+    }
   }
   Domain(registration.failure_domain);
   endpoint->domain = domains_.at(registration.failure_domain);
@@ -83,6 +91,43 @@
   return found == serving_.end() ? none : found->second;
 }
 
+bool EndpointRegistry::RecordNotice(const EndpointIncarnation& endpoint,
+                                    const EndpointNotice& notice,
+                                    TimePoint now) {
+  if (!notice.is_leaving) {
+    return false;
+  }
+  RecordedNotices& notices = FindOrAddNotices(endpoint, now);
+  notices.updated_at = now;
+  const bool is_news = !std::exchange(notices.is_leaving, true);
+  const auto registered = by_id_.find(endpoint.id);
+  if (registered != by_id_.end() &&
+      IncarnationOf(registered->second->registration) == endpoint &&
+      !std::exchange(registered->second->is_leaving, true)) {
+    RebuildServing(registered->second->registration.pool);
+  }
+  return is_news;
+}
+
+EndpointRegistry::RecordedNotices& EndpointRegistry::FindOrAddNotices(
+    const EndpointIncarnation& endpoint,
+    TimePoint now) {
+  const auto found = notices_.find(endpoint);
+  if (found != notices_.end()) {
+    return found->second;
+  }
+  std::erase_if(notices_, [now](const auto& entry) {
+    return now - entry.second.updated_at > kNoticeRetention;
+  });
+  if (notices_.size() >= kMaxRecordedNotices) {
+    notices_.erase(std::min_element(
+        notices_.begin(), notices_.end(), [](const auto& a, const auto& b) {
+          return a.second.updated_at < b.second.updated_at;
+        }));
+  }
+  return notices_[endpoint];
+}
+
 void EndpointRegistry::EjectReportedEndpoint(const EndpointId& id,
                                              TimePoint now) {
   const auto found = by_id_.find(id);
@@ -116,12 +161,22 @@
   serving.clear();
   for (const auto& [id, endpoint] : by_id_) {
     if (endpoint->registration.pool == pool &&
-        !endpoint->registration.is_draining) {
+        !endpoint->registration.is_draining && !endpoint->is_leaving) {
       serving.push_back(endpoint);
     }
   }
 }
 
+void RecordEndpointNotice(EndpointRegistry& registry,
+                          EventSink& events,
+                          const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now) {
+  if (registry.RecordNotice(endpoint, notice, now)) {
+    events.Write("endpoint_leaving", {{"endpoint", endpoint.id.value()}});
+  }
+}
+
 void BeginCall(Endpoint& endpoint, TimePoint now) {
   ++endpoint.open_calls;
   endpoint.unanswered_since.push_back(now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -8,7 +8,9 @@
 #include <unordered_map>
 #include <vector>
 
+#include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/registry/domain_health.h"
+#include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
 
 namespace peridotmill {
@@ -45,6 +47,9 @@
   // Time since which a stage call has been waiting until the endpoint has
   // memory for its results.
   TimePoint capacity_wait_since;
+  // The endpoint has said in a response that it is about to exit. It gets no
+  // more work, whatever its registration says.
+  bool is_leaving = false;
   // Whether the registration was removed or replaced. The object remains in use
   // while calls to the endpoint are in flight.
   bool is_removed = false;
@@ -78,6 +83,14 @@
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
+  // Records what an endpoint asked for in a response. Returns true if it says
+  // for the first time that it leaves. What it asked for outlasts its
+  // registration, which may expire and return while the store is unavailable;
+  // it is forgotten after an hour, and the oldest first beyond 4096 endpoints.
+  bool RecordNotice(const EndpointIncarnation& endpoint,
+                    const EndpointNotice& notice,
+                    TimePoint now);
+
   // Ejects an endpoint temporarily. Called when another node has reported that
   // it could not connect to it.
   void EjectReportedEndpoint(const EndpointId& id, TimePoint now);
@@ -88,13 +101,29 @@
   std::vector<FailureDomainId> SuspectedDomains() const;
 
  private:
+  // The notices of one process of an endpoint.
+  struct RecordedNotices {
+    bool is_leaving = false;
+    TimePoint updated_at;
+  };
+
   void RebuildServing(const PoolId& pool);
+  RecordedNotices& FindOrAddNotices(const EndpointIncarnation& endpoint,
+                                    TimePoint now);
 
   std::map<EndpointId, EndpointPtr> by_id_;
+  std::map<EndpointIncarnation, RecordedNotices> notices_;
   std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
   std::map<FailureDomainId, std::shared_ptr<DomainHealth>> domains_;
 };
 
+// Records what an endpoint asked for in a response, and logs what is new.
+void RecordEndpointNotice(EndpointRegistry& registry,
+                          EventSink& events,
+                          const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now);
+
 // Records the start of a call.
 void BeginCall(Endpoint& endpoint, TimePoint now);
 // Removes the call that started at `started` from Endpoint::unanswered_since.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -421,6 +421,9 @@
 void GatewayRequest::OnResponseHead(const EndpointResponseHead& head) {
   const TimePoint now = context_.clock.Now();
   RecordFirstResponseByte(*endpoint_, attempt_started_at_, now);
+  RecordEndpointNotice(context_.endpoints, context_.events,
+                       IncarnationOf(endpoint_->registration), head.notice,
+                       now);
   response_head_ = head;
   has_response_head_ = true;
   if (head.load) {
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -477,7 +477,8 @@
     RecordForeignResults(*owned);
   }
   if (!unused.empty()) {
-    dependencies_.caller.Release(unused);
+    dependencies_.caller.Release(IncarnationOf(owned->endpoint->registration),
+                                 unused);
   }
   Dispatch(owned->pool);
 }
@@ -545,6 +546,9 @@
   if (is_refused) {
     endpoint.ejected_until = now + kRefusalBackoff;
   }
+  RecordEndpointNotice(dependencies_.endpoints, dependencies_.events,
+                       IncarnationOf(endpoint.registration), response.notice,
+                       now);
   const StagePoolDefinition* const pool = FindStagePool(call.pool);
   if (is_answered && pool != nullptr) {
     RecordCallTime(endpoint, *pool, static_cast<int>(call.item_count),
@@ -624,7 +628,8 @@
   }
   result.producer->result_bytes -= task.task.result_bytes;
   RecordStorageTime(task.task.pool, result.stored_since);
-  dependencies_.caller.Release({result.handle});
+  dependencies_.caller.Release(IncarnationOf(result.producer->registration),
+                               {result.handle});
   result = StoredResult();
   --task.done_items;
 }
--- a/modules/peridotmill_gateway/tests/fake_stage_caller.h
+++ b/modules/peridotmill_gateway/tests/fake_stage_caller.h
@@ -26,7 +26,8 @@
         std::make_shared<Call>(Call{endpoint, items, listener, true}));
     return std::make_unique<Handle>(calls.back());
   }
-  void Release(const std::vector<ResultHandle>& handles) override {
+  void Release(const EndpointIncarnation&,
+               const std::vector<ResultHandle>& handles) override {
     released.insert(released.end(), handles.begin(), handles.end());
   }
 
--- a/modules/peridotmill_gateway/tests/simulated_fleet.h
+++ b/modules/peridotmill_gateway/tests/simulated_fleet.h
@@ -50,7 +50,8 @@
     StartNextCall(target);
     return std::make_unique<StageHandle>(std::move(call));
   }
-  void Release(const std::vector<ResultHandle>& handles) override {
+  void Release(const EndpointIncarnation&,
+               const std::vector<ResultHandle>& handles) override {
     for (const ResultHandle& handle : handles) {
       DeleteResult(handle);
     }
