Send nothing to an endpoint until the Retry-After of its 503 has passed

Cause: a 503 of an endpoint kept a request from this endpoint only. Others went there at once, and an ejected endpoint still got work when no other one was left. Retry-After was not read.

The registry holds the endpoint off until then, by id, address and start time, beyond its registration. Unlike an ejection, a hold-off excludes the endpoint even if no other one is left: in ChooseEndpoint, PreviewEngine, IsEndpointUsable (suggested engines, stage calls, throughput) and IsPoolSaturated. While all endpoints of a pool are held off, requests are refused at once with the time until the first one accepts work; stage tasks that miss their deadline by then are refused, others wait. A request with stages is refused before they run if no engine accepts it before its deadline.

--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -74,7 +74,8 @@
 bool IsEndpointUsable(const Endpoint& endpoint,
                       TimePoint now,
                       Duration max_response_wait) {
-  if (endpoint.ejected_until > now || IsDomainAvoided(*endpoint.domain, now)) {
+  if (IsHeldOff(endpoint, now) || endpoint.ejected_until > now ||
+      IsDomainAvoided(*endpoint.domain, now)) {
     return false;
   }
   return endpoint.unanswered_since.empty() ||
@@ -89,7 +90,8 @@
   std::vector<EndpointPtr> candidates;
   std::vector<EndpointPtr> unusable;
   for (const EndpointPtr& endpoint : serving) {
-    if (!WasTried(request, endpoint->registration.id)) {
+    if (!IsHeldOff(*endpoint, now) &&
+        !WasTried(request, endpoint->registration.id)) {
       (IsEndpointUsable(*endpoint, now, max_response_wait) ? candidates
                                                            : unusable)
           .push_back(endpoint);
--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -120,6 +120,9 @@
   bool is_best_unresponsive = false;
   double best_cost_tokens = 0;
   for (const EndpointPtr& endpoint : serving) {
+    if (IsHeldOff(*endpoint, now)) {
+      continue;
+    }
     const EngineState& engine = GetEngineState(placements, *endpoint);
     const bool is_unresponsive =
         unresponsive.contains(endpoint->registration.id) ||
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -1,9 +1,13 @@
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <string>
 #include <utility>
 
+#include "peridotmill_core/time/milliseconds.h"
+
 namespace peridotmill {
 namespace {
 
@@ -44,6 +48,7 @@
     const auto notices = notices_.find(IncarnationOf(registration));
     if (notices != notices_.end()) {
       endpoint->is_leaving = notices->second.is_leaving;
+      endpoint->held_off_until = notices->second.held_off_until;
     }
   }
   Domain(registration.failure_domain);
@@ -91,22 +96,41 @@
   return found == serving_.end() ? none : found->second;
 }
 
-bool EndpointRegistry::RecordNotice(const EndpointIncarnation& endpoint,
-                                    const EndpointNotice& notice,
-                                    TimePoint now) {
-  if (!notice.is_leaving) {
-    return false;
+NoticeNews EndpointRegistry::RecordNotice(const EndpointIncarnation& endpoint,
+                                          const EndpointNotice& notice,
+                                          TimePoint now) {
+  NoticeNews news;
+  if (!notice.is_leaving && !notice.hold_off) {
+    return news;
   }
   RecordedNotices& notices = FindOrAddNotices(endpoint, now);
   notices.updated_at = now;
-  const bool is_news = !std::exchange(notices.is_leaving, true);
+  if (notice.is_leaving) {
+    news.is_leaving = !std::exchange(notices.is_leaving, true);
+  }
+  if (notice.hold_off) {
+    const TimePoint end = now + *notice.hold_off;
+    news.is_held_off = notices.held_off_until <= now && end > now;
+    notices.held_off_until = std::max(notices.held_off_until, end);
+  }
   const auto registered = by_id_.find(endpoint.id);
-  if (registered != by_id_.end() &&
-      IncarnationOf(registered->second->registration) == endpoint &&
-      !std::exchange(registered->second->is_leaving, true)) {
+  if (registered == by_id_.end() ||
+      IncarnationOf(registered->second->registration) != endpoint) {
+    return news;
+  }
+  TimePoint& held_off_until = registered->second->held_off_until;
+  held_off_until = std::max(held_off_until, notices.held_off_until);
+  if (notice.is_leaving && !registered->second->is_leaving) {
+    registered->second->is_leaving = true;
     RebuildServing(registered->second->registration.pool);
   }
-  return is_news;
+  return news;
+}
+
+TimePoint EndpointRegistry::HeldOffUntil(
+    const EndpointIncarnation& endpoint) const {
+  const auto found = notices_.find(endpoint);
+  return found == notices_.end() ? TimePoint() : found->second.held_off_until;
 }
 
 EndpointRegistry::RecordedNotices& EndpointRegistry::FindOrAddNotices(
@@ -172,9 +196,33 @@
                           const EndpointIncarnation& endpoint,
                           const EndpointNotice& notice,
                           TimePoint now) {
-  if (registry.RecordNotice(endpoint, notice, now)) {
+  const NoticeNews news = registry.RecordNotice(endpoint, notice, now);
+  if (news.is_leaving) {
     events.Write("endpoint_leaving", {{"endpoint", endpoint.id.value()}});
   }
+  if (news.is_held_off) {
+    events.Write("endpoint_held_off",
+                 {{"endpoint", endpoint.id.value()},
+                  {"ms", std::to_string(
+                             std::lround(ToMilliseconds(*notice.hold_off)))}});
+  }
+}
+
+bool IsHeldOff(const Endpoint& endpoint, TimePoint now) {
+  return endpoint.held_off_until > now;
+}
+
+std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
+                                        TimePoint now) {
+  std::optional<TimePoint> first_end;
+  for (const EndpointPtr& endpoint : serving) {
+    if (!IsHeldOff(*endpoint, now)) {
+      return std::nullopt;
+    }
+    first_end = std::min(first_end.value_or(endpoint->held_off_until),
+                         endpoint->held_off_until);
+  }
+  return first_end;
 }
 
 void BeginCall(Endpoint& endpoint, TimePoint now) {
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -50,6 +51,9 @@
   // The endpoint has said in a response that it is about to exit. It gets no
   // more work, whatever its registration says.
   bool is_leaving = false;
+  // The endpoint has asked in a response for no work before this time. It gets
+  // none, even if no other endpoint is left.
+  TimePoint held_off_until;
   // Whether the registration was removed or replaced. The object remains in use
   // while calls to the endpoint are in flight.
   bool is_removed = false;
@@ -68,6 +72,13 @@
   kUnresponsive,
 };
 
+// What is new about an endpoint after one of its notices.
+struct NoticeNews {
+  bool is_leaving = false;
+  // A hold-off has begun, or one that had ended begins again.
+  bool is_held_off = false;
+};
+
 // The registered endpoints, by pool.
 class EndpointRegistry {
  public:
@@ -83,13 +94,16 @@
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
-  // Records what an endpoint asked for in a response. Returns true if it says
-  // for the first time that it leaves. What it asked for outlasts its
-  // registration, which may expire and return while the store is unavailable;
-  // it is forgotten after an hour, and the oldest first beyond 4096 endpoints.
-  bool RecordNotice(const EndpointIncarnation& endpoint,
-                    const EndpointNotice& notice,
-                    TimePoint now);
+  // Records what an endpoint asked for in a response. What it asked for
+  // outlasts its registration, which may expire and return while the store is
+  // unavailable; it is forgotten after an hour, and the oldest first beyond
+  // 4096 endpoints.
+  NoticeNews RecordNotice(const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now);
+  // Returns the end of the last hold-off that an endpoint asked for, whether it
+  // is registered or not.
+  TimePoint HeldOffUntil(const EndpointIncarnation& endpoint) const;
 
   // Ejects an endpoint temporarily. Called when another node has reported that
   // it could not connect to it.
@@ -104,6 +118,7 @@
   // The notices of one process of an endpoint.
   struct RecordedNotices {
     bool is_leaving = false;
+    TimePoint held_off_until;
     TimePoint updated_at;
   };
 
@@ -124,6 +139,13 @@
                           const EndpointNotice& notice,
                           TimePoint now);
 
+// Returns whether the endpoint has asked for no work at this time.
+bool IsHeldOff(const Endpoint& endpoint, TimePoint now);
+// Returns the time at which the first of these endpoints accepts work again if
+// all of them are held off; otherwise, or if there are none, returns nothing.
+std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
+                                        TimePoint now);
+
 // Records the start of a call.
 void BeginCall(Endpoint& endpoint, TimePoint now);
 // Removes the call that started at `started` from Endpoint::unanswered_since.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -116,12 +116,17 @@
     StartWithoutStages();
     return;
   }
+  if (PoolHoldOffEnd() >= deadline_) {
+    // No engine accepts the request in time, so no stage runs for it.
+    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
+    return;
+  }
   ChooseStageDomain();
   SubmitReadyStages();
 }
 
 void GatewayRequest::StartWithoutStages() {
-  if (!request_.generation || !IsStream()) {
+  if (!request_.generation || !IsStream() || PoolHoldOffEnd()) {
     StartAttempt();
     return;
   }
@@ -341,7 +346,7 @@
         gateway_->random_);
   }
   if (endpoint_ == nullptr) {
-    Fail(Reason::kNoEndpoint, kDefaultRetryAfter);
+    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
     return;
   }
   EndpointCall call;
@@ -658,7 +663,23 @@
     StartAttempt();
     return;
   }
-  Fail(reason, kDefaultRetryAfter);
+  Fail(reason, EndpointRetryAfter());
+}
+
+std::optional<TimePoint> GatewayRequest::PoolHoldOffEnd() const {
+  return FindHoldOffEnd(context_.endpoints.Serving(pool_),
+                        context_.clock.Now());
+}
+
+Duration GatewayRequest::EndpointRetryAfter() {
+  const auto hold_off_end = PoolHoldOffEnd();
+  if (!hold_off_end) {
+    return kDefaultRetryAfter;
+  }
+  // The random part keeps refused callers from returning all at once.
+  return *hold_off_end - context_.clock.Now() +
+         FromMilliseconds(ToMilliseconds(kDefaultRetryAfter) *
+                          gateway_->random_.Unit());
 }
 
 void GatewayRequest::OnCallerDisconnected() {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -89,6 +89,11 @@
   void ResumeResponse();
   void EndAttempt(CallOutcome verdict, AttemptOutcome outcome);
   void HandleFailedAttempt(AttemptOutcome outcome, Reason reason);
+  // Returns when the first endpoint of the pool accepts requests again if all
+  // of them are held off.
+  std::optional<TimePoint> PoolHoldOffEnd() const;
+  // Returns the time after which a refused caller may find an endpoint.
+  Duration EndpointRetryAfter();
   // Returns whether the request may be sent to another endpoint after
   // `outcome`. Charges the retry budget unless nothing was sent.
   bool TryTakeRetry(AttemptOutcome outcome);
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -252,6 +252,7 @@
        TakeTasksThatMissDeadline(queues_[id].tasks, *pool, now)) {
     EndTask(task, StageItemOutcome::kLate);
   }
+  RefuseHeldOffTasks(id, *pool);
   PoolQueue& queue = queues_[id];
   // Tasks may wait for an endpoint in their preferred domain while other
   // endpoints are idle, so each idle endpoint is tried.
@@ -267,6 +268,20 @@
   }
 }
 
+void StageCoordinator::RefuseHeldOffTasks(const PoolId& id,
+                                          const StagePoolDefinition& pool) {
+  const TimePoint now = dependencies_.clock.Now();
+  const auto hold_off_end =
+      FindHoldOffEnd(dependencies_.endpoints.Serving(id), now);
+  if (!hold_off_end) {
+    return;
+  }
+  for (const StageTaskId task :
+       TakeTasksThatMissDeadline(queues_[id].tasks, pool, *hold_off_end)) {
+    EndTask(task, StageItemOutcome::kRefused, *hold_off_end - now);
+  }
+}
+
 std::unordered_map<EndpointId, TimePoint> StageCoordinator::PredictCallEnds(
     const PoolId& id,
     const StagePoolDefinition& pool) const {
@@ -327,7 +342,7 @@
   target.domain_waits =
       PredictDomainWaits(serving, pool, PredictCallEnds(id, pool), now);
   target.is_pool_saturated =
-      IsPoolSaturated(serving, pool, queue.tasks.waiting_items);
+      IsPoolSaturated(serving, pool, queue.tasks.waiting_items, now);
   // Takes the batch from a copy of the queue, since a call with too few items
   // is not sent.
   BatchQueue remaining = queue.tasks;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -110,6 +110,9 @@
   // Ends the tasks that cannot meet their deadline, and sends calls to idle
   // endpoints.
   void Dispatch(const PoolId& id);
+  // Refuses the tasks that cannot meet their deadline because all endpoints of
+  // the pool are held off.
+  void RefuseHeldOffTasks(const PoolId& id, const StagePoolDefinition& pool);
   // Records the arrival of a task for a pool.
   void RecordTaskArrival(const PoolId& id);
   // Assumes that another coordinator, or this node before its restart, has left
--- a/modules/peridotmill_gateway/stages/stage_pool.cc
+++ b/modules/peridotmill_gateway/stages/stage_pool.cc
@@ -72,10 +72,12 @@
 
 bool IsPoolSaturated(const std::vector<EndpointPtr>& serving,
                      const StagePoolDefinition& pool,
-                     int waiting_items) {
+                     int waiting_items,
+                     TimePoint now) {
   const auto idle = std::count_if(
       serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
-        return endpoint->open_calls < pool.max_concurrent_calls;
+        return endpoint->open_calls < pool.max_concurrent_calls &&
+               !IsHeldOff(*endpoint, now);
       });
   return idle <= std::max<ptrdiff_t>(
                      1, std::ssize(serving) / kSaturatedIdleDivisor) &&
--- a/modules/peridotmill_gateway/stages/stage_pool.h
+++ b/modules/peridotmill_gateway/stages/stage_pool.h
@@ -31,7 +31,8 @@
 // Returns whether hardly any endpoint is idle while much work waits.
 bool IsPoolSaturated(const std::vector<EndpointPtr>& serving,
                      const StagePoolDefinition& pool,
-                     int waiting_items);
+                     int waiting_items,
+                     TimePoint now);
 
 // Returns the failure domains in which the pool has a usable endpoint, and the
 // predicted time until one of them can take a call. `call_ends` has the
--- a/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
@@ -1,8 +1,10 @@
-// Tests of what endpoints ask of their clients in responses: that they leave.
+// Tests of what endpoints ask of their clients in responses: that they leave,
+// or that they want no requests for a time.
 #include <gtest/gtest.h>
 
 #include <set>
 
+#include "peridotmill_gateway/placement/endpoint_placement.h"
 #include "peridotmill_gateway/tests/gateway_fixture.h"
 
 namespace peridotmill {
@@ -12,6 +14,26 @@
 
 const TimePoint kNow = TimePoint(1h);
 
+// Stands for a coordinator on another node. The test ends its tasks.
+class FakeTaskExecutor final : public StageTaskExecutor {
+ public:
+  std::unique_ptr<StageTaskHandle> Submit(
+      StageTask,
+      StageTaskListener* listener) override {
+    listeners.push_back(listener);
+    return std::make_unique<StageTaskHandle>();
+  }
+  // Ends the last task with the choice of an engine.
+  void SuggestEngine(const EndpointId& engine) {
+    StageTaskResult result;
+    result.outcome = StageItemOutcome::kDone;
+    result.engine = engine;
+    listeners.back()->OnStageTaskEnd(0, std::move(result));
+  }
+
+  std::vector<StageTaskListener*> listeners;
+};
+
 class EndpointNoticesTest : public GatewayFixture, public StageTaskListener {
  protected:
   // Completes the call at `index` with the response of an endpoint that leaves.
@@ -24,6 +46,48 @@
     listener.OnResponseHead(head);
     listener.OnResponseEnd(HttpCallEnd::kComplete);
   }
+  // Completes the call at `index` with a 503 that asks for a hold-off.
+  void AnswerWithHoldOff(size_t index, Duration hold_off) {
+    EndpointResponseHead head = FakeEndpointCaller::RefusalHead();
+    head.notice.hold_off = hold_off;
+    EndpointCallListener& listener = endpoint_caller_.listener(index);
+    listener.OnResponseHead(head);
+    listener.OnResponseEnd(HttpCallEnd::kComplete);
+  }
+  // Makes all endpoints of the pool ask for a hold-off.
+  void HoldOffPool(const std::string& pool, Duration hold_off) {
+    for (const EndpointPtr& endpoint : endpoints_.Serving(PoolId(pool))) {
+      endpoints_.RecordNotice(IncarnationOf(endpoint->registration),
+                              {.hold_off = hold_off}, clock_.Now());
+    }
+  }
+  // Returns the Retry-After of a response in seconds; 0 if it has none.
+  static double RetryAfterSeconds(const FakeCallerChannel& caller) {
+    const auto text = caller.heads.at(0).headers.Find("Retry-After");
+    return text ? std::stod(std::string(*text)) : 0;
+  }
+  // Sends a generation to the "chat" route of a gateway whose coordinator is
+  // `executor`, which then suggests `engine`. Returns the engine that is
+  // called.
+  EndpointId SendWithSuggestion(FakeTaskExecutor& executor,
+                                const EndpointId& engine) {
+    GatewayContext context{clock_,        timers_,  endpoint_caller_,
+                           stage_caller_, executor, endpoints_,
+                           retry_budget_, events_,  FailureDomainId("valley")};
+    Gateway gateway(context, 3);
+    gateway.SetConfiguration(
+        std::make_shared<const ActiveConfiguration>(MakeConfig(1)));
+    CallerRequest request;
+    request.id = RequestId("g" + std::to_string(++submitted_));
+    request.host = "host";
+    request.path = "/chat/x";
+    request.key = "key-1";
+    request.generation =
+        GenerationDemand{.prompt_tokens = 100, .parts = {{"shared", 100}}};
+    gateway.Handle(std::move(request), std::make_shared<FakeCallerChannel>());
+    executor.SuggestEngine(engine);
+    return endpoint_caller_.calls.back()->call.endpoint.id;
+  }
   const EndpointId& CalledEndpoint(size_t index) {
     return endpoint_caller_.calls.at(index)->call.endpoint.id;
   }
@@ -117,12 +181,159 @@
   }
 }
 
+// Guards against a coordinator that has not heard that an engine leaves or is
+// held off, and whose choice this node follows.
+TEST_F(EndpointNoticesTest, IgnoresSuggestionsOfEnginesThatWantNoRequests) {
+  FakeTaskExecutor executor;
+  const EndpointId held_off("e1");
+  const EndpointId other("e2");
+  EXPECT_EQ(SendWithSuggestion(executor, held_off), held_off);
+  const EndpointPtr engine = endpoints_.Serving(PoolId("engines"))[0];
+  ASSERT_EQ(engine->registration.id, held_off);
+  endpoints_.RecordNotice(IncarnationOf(engine->registration), {.hold_off = 2s},
+                          clock_.Now());
+  EXPECT_EQ(SendWithSuggestion(executor, held_off), other);
+  timers_.Advance(2001ms);
+  EXPECT_EQ(SendWithSuggestion(executor, held_off), held_off);
+  endpoints_.RecordNotice(IncarnationOf(engine->registration),
+                          {.is_leaving = true}, clock_.Now());
+  EXPECT_EQ(SendWithSuggestion(executor, held_off), other);
+}
+
+// Guards against requests to an endpoint that has asked for none for a time,
+// and against leaving it out for longer.
+TEST_F(EndpointNoticesTest, SendsNoRequestsToAnEndpointDuringItsHoldOff) {
+  const auto caller = Send("book");
+  const EndpointId held_off = CalledEndpoint(0);
+  AnswerWithHoldOff(0, 2s);
+  EXPECT_TRUE(events_.Has("endpoint_held_off endpoint=" + held_off.value() +
+                          " ms=2000"));
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EXPECT_FALSE(FindCalledEndpoints("book").contains(held_off));
+  timers_.Advance(1500ms);
+  EXPECT_FALSE(FindCalledEndpoints("book").contains(held_off));
+  timers_.Advance(200ms);
+  EXPECT_TRUE(FindCalledEndpoints("book").contains(held_off));
+}
+
+// Guards against requests that wait, or go to endpoints that want none, when
+// all endpoints are held off, and against a Retry-After with which the caller
+// would be refused again.
+TEST_F(EndpointNoticesTest, RefusesAtOnceWhileAllEndpointsAreHeldOff) {
+  const auto first = Send("book");
+  AnswerWithHoldOff(0, 3s);
+  AnswerWithHoldOff(1, 2s);
+  AnswerWithHoldOff(2, 4s);
+  EXPECT_EQ(first->status(), 503);
+  EXPECT_GE(RetryAfterSeconds(*first), 2);
+  timers_.Advance(500ms);
+  for (const char* const route : {"book", "look"}) {
+    const auto refused = Send(route);
+    EXPECT_EQ(refused->status(), 503);
+    EXPECT_GE(RetryAfterSeconds(*refused), 1.5);
+    EXPECT_LE(RetryAfterSeconds(*refused), 2);
+  }
+  HoldOffPool("engines", 1s);
+  EXPECT_EQ(Send("chat")->status(), 503);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 3u);
+  timers_.Advance(1501ms);
+  const auto served = Send("book");
+  ASSERT_EQ(endpoint_caller_.calls.size(), 4u);
+  EXPECT_EQ(CalledEndpoint(3), CalledEndpoint(1));
+}
+
+// Guards against retries of calls that were never sent, and of slow calls, at
+// an endpoint that wants no requests.
+TEST_F(EndpointNoticesTest, RetriesNothingAtAnEndpointDuringItsHoldOff) {
+  const auto first = Send("look");
+  AnswerWithHoldOff(0, 4s);
+  AnswerWithHoldOff(1, 4s);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 3u);
+  const auto slow = Send("look");
+  ASSERT_EQ(endpoint_caller_.calls.size(), 4u);
+  timers_.Advance(2s);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 4u);
+  EXPECT_TRUE(endpoint_caller_.calls[3]->is_open);
+  endpoint_caller_.listener(3).OnResponseEnd(HttpCallEnd::kNotSent);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 4u);
+  EXPECT_EQ(slow->status(), 503);
+}
+
+// Guards against stages that run for a request whose engines accept nothing
+// before its deadline.
+TEST_F(EndpointNoticesTest, RunsNoStagesIfNoEngineAcceptsTheRequestInTime) {
+  HoldOffPool("engines", 7s);
+  EXPECT_EQ(Send("staged")->status(), 0);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  HoldOffPool("engines", 9s);
+  const auto refused = Send("staged");
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_GE(RetryAfterSeconds(*refused), 9);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+}
+
+// Guards against stage items that are sent to an endpoint which wants none for
+// a time, and against tasks that wait for it although they would miss their
+// deadline.
+TEST_F(EndpointNoticesTest, StageTasksWaitForTheEndOfAHoldOffOrAreRefused) {
+  const auto first = SubmitStageTask(5s);
+  timers_.Advance(1ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 1u);
+  const auto urgent = SubmitStageTask(1s);
+  StageResponse response;
+  response.outcome = StageCallOutcome::kRefused;
+  response.notice.hold_off = 2s;
+  stage_caller_.Answer(0, response);
+  timers_.Advance(1ms);
+  ASSERT_EQ(stage_results_.size(), 1u);
+  EXPECT_EQ(stage_results_[0].outcome, StageItemOutcome::kRefused);
+  EXPECT_GE(stage_results_[0].retry_after, 1990ms);
+  const auto late = SubmitStageTask(1s);
+  timers_.Advance(40ms);
+  ASSERT_EQ(stage_results_.size(), 2u);
+  EXPECT_EQ(stage_results_[1].outcome, StageItemOutcome::kRefused);
+  timers_.Advance(1950ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  timers_.Advance(60ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 2u);
+  stage_caller_.Answer(1);
+  ASSERT_EQ(stage_results_.size(), 3u);
+  EXPECT_EQ(stage_results_[2].outcome, StageItemOutcome::kDone);
+}
+
+// Guards against an engine in its hold-off that is chosen because the others
+// fail or do not respond.
+TEST_F(EndpointNoticesTest, PrefersFailingEndpointsToThoseHeldOff) {
+  const auto& engines = endpoints_.Serving(PoolId("engines"));
+  engines[0]->ejected_until = clock_.Now() + 10s;
+  engines[1]->held_off_until = clock_.Now() + 10s;
+  Random random(1);
+  PromptPlacements placements;
+  const PromptDemand prompt{.pool = PoolId("engines"), .tokens = 100};
+  EXPECT_EQ(ChooseEndpoint(engines, {}, 1s, clock_.Now(), random), engines[0]);
+  EXPECT_EQ(PreviewEngine(placements, engines, prompt, {}, clock_.Now()),
+            engines[0]);
+  engines[0]->held_off_until = clock_.Now() + 10s;
+  EXPECT_EQ(ChooseEndpoint(engines, {}, 1s, clock_.Now(), random), nullptr);
+  EXPECT_EQ(PreviewEngine(placements, engines, prompt, {}, clock_.Now()),
+            nullptr);
+}
+
 class RecordedNoticesTest : public testing::Test {
  protected:
   bool RecordLeaving(const EndpointRegistration& registration,
                      TimePoint now = kNow) {
-    return registry_.RecordNotice(IncarnationOf(registration),
-                                  {.is_leaving = true}, now);
+    return registry_
+        .RecordNotice(IncarnationOf(registration), {.is_leaving = true}, now)
+        .is_leaving;
+  }
+  bool RecordHoldOff(Duration hold_off, TimePoint now) {
+    return registry_
+        .RecordNotice(IncarnationOf(registration_), {.hold_off = hold_off}, now)
+        .is_held_off;
+  }
+  bool IsRegisteredHeldOff(TimePoint now) const {
+    return IsHeldOff(*registry_.Serving(PoolId("p")).at(0), now);
   }
   bool IsServing() const { return !registry_.Serving(PoolId("p")).empty(); }
 
@@ -166,6 +377,25 @@
   EXPECT_TRUE(IsServing());
 }
 
+// Guards against an endpoint that gets requests during its hold-off because its
+// registration expired and returned, or because it asked for less time in a
+// response that arrived later; and against a hold-off that concerns the next
+// process.
+TEST_F(RecordedNoticesTest, HoldOffOutlastsTheRegistration) {
+  registry_.Put(registration_);
+  EXPECT_TRUE(RecordHoldOff(10s, kNow));
+  EXPECT_FALSE(RecordHoldOff(2s, kNow + 1s));
+  registry_.Remove(registration_.id);
+  registry_.Put(registration_);
+  EXPECT_TRUE(IsRegisteredHeldOff(kNow + 9s));
+  EXPECT_FALSE(IsRegisteredHeldOff(kNow + 10s));
+  EXPECT_EQ(registry_.HeldOffUntil(IncarnationOf(registration_)), kNow + 10s);
+  EXPECT_TRUE(RecordHoldOff(2s, kNow + 11s));
+  registration_.started_at_ms = 5;
+  registry_.Put(registration_);
+  EXPECT_FALSE(IsRegisteredHeldOff(kNow + 12s));
+}
+
 // Guards against memory that grows with each endpoint that ever left.
 TEST_F(RecordedNoticesTest, ForgetsOldNoticesAndTheOldestBeyondTheLimit) {
   RecordLeaving(registration_);
