Charge no retry if no endpoint is left to send it to

Cause: a failed attempt was charged to the retry budget before it was known whether another endpoint accepts the request. Without one, as while the others are held off, the charge was lost, and a 5xx of the last endpoint was replaced by the node's own error.

Change: before the charge, GatewayRequest checks that the pool has an endpoint that was not tried and is not held off. Otherwise the endpoint's response is forwarded, or the request fails with the reason of its last attempt.

Measured: EndpointNoticesTest.ChargesNoRetryIfAllOtherEndpointsAreHeldOff fails without the check.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -577,7 +577,7 @@
   if (response_head_.status >= kServerError && !is_response_head_sent_) {
     AttemptHistory next = attempt_history_;
     next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
-    if (next.MayRetry(*route_) &&
+    if (next.MayRetry(*route_) && HasUntriedEndpoint(next) &&
         context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
       ++gateway_->counters_.repeats;
       gateway_->reasons_.Add(Reason::kEndpointFailed);
@@ -612,11 +612,24 @@
   attempt_history_.Add(endpoint_->registration.id, outcome);
 }
 
+bool GatewayRequest::HasUntriedEndpoint(const AttemptHistory& history) const {
+  const auto& serving = context_.endpoints.Serving(pool_);
+  const TimePoint now = context_.clock.Now();
+  return std::any_of(
+      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
+        const auto& tried = history.tried();
+        return !IsHeldOff(*endpoint, now) &&
+               std::find(tried.begin(), tried.end(),
+                         endpoint->registration.id) == tried.end();
+      });
+}
+
 bool GatewayRequest::TryTakeRetry(AttemptOutcome outcome) {
   // After a part of the response has been sent, only a stream can be continued
   // by another endpoint.
   if (!attempt_history_.MayRetry(*route_) ||
-      (is_response_head_sent_ && !IsStream())) {
+      (is_response_head_sent_ && !IsStream()) ||
+      !HasUntriedEndpoint(attempt_history_)) {
     return false;
   }
   if (outcome == AttemptOutcome::kNotSent) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -94,6 +94,9 @@
   std::optional<TimePoint> PoolHoldOffEnd() const;
   // Returns the time after which a refused caller may find an endpoint.
   Duration EndpointRetryAfter();
+  // Returns whether the pool has an endpoint that accepts requests and is not
+  // in `history`.
+  bool HasUntriedEndpoint(const AttemptHistory& history) const;
   // Returns whether the request may be sent to another endpoint after
   // `outcome`. Charges the retry budget unless nothing was sent.
   bool TryTakeRetry(AttemptOutcome outcome);
--- a/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
@@ -259,6 +259,27 @@
   EXPECT_EQ(slow->status(), 503);
 }
 
+// Guards against retries that are charged to the budget although no endpoint is
+// left to send them to, and against replacing the response of the last endpoint
+// by an error of the node.
+TEST_F(EndpointNoticesTest, ChargesNoRetryIfAllOtherEndpointsAreHeldOff) {
+  const auto first = Send("look");
+  AnswerWithHoldOff(0, 4s);
+  AnswerWithHoldOff(1, 4s);
+  const uint64_t repeats = gateway_.counters().repeats;
+  EndpointResponseHead head = FakeEndpointCaller::SuccessHead();
+  head.status = 500;
+  endpoint_caller_.listener(2).OnResponseHead(head);
+  endpoint_caller_.listener(2).OnResponseEnd(HttpCallEnd::kComplete);
+  EXPECT_EQ(first->status(), 500);
+  const auto refused = Send("look");
+  endpoint_caller_.listener(3).OnResponseHead(
+      FakeEndpointCaller::RefusalHead());
+  endpoint_caller_.listener(3).OnResponseEnd(HttpCallEnd::kComplete);
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_EQ(gateway_.counters().repeats, repeats);
+}
+
 // Guards against stages that run for a request whose engines accept nothing
 // before its deadline.
 TEST_F(EndpointNoticesTest, RunsNoStagesIfNoEngineAcceptsTheRequestInTime) {
