--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -1,9 +1,13 @@
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
+#include <string>
 #include <utility>
 
+#include "peridotmill_core/time/milliseconds.h"
+
 namespace peridotmill {
 namespace {
 
@@ -17,6 +21,10 @@
 // Duration of the ejection of an endpoint to which another node could not
 // connect. The report is repeated while connecting fails.
 constexpr Duration kReportedEjectionTime = std::chrono::milliseconds(800);
+// Bounds of the notices that are remembered. An endpoint exits soon after it
+// has announced that, so its notices do not have to be kept for long.
+constexpr Duration kNoticeRetention = std::chrono::hours(1);
+constexpr size_t kMaxRecordedNotices = 4096;
 
 }  // namespace
 
@@ -37,6 +45,11 @@
       endpoint->is_removed = true;
     }
     endpoint = std::make_shared<Endpoint>();
+    const auto notices = notices_.find(IncarnationOf(registration));
+    if (notices != notices_.end()) {
+      endpoint->is_leaving = notices->second.is_leaving;
+      endpoint->held_off_until = notices->second.held_off_until;
+    }
   }
   Domain(registration.failure_domain);
   endpoint->domain = domains_.at(registration.failure_domain);
@@ -83,6 +96,62 @@
   return found == serving_.end() ? none : found->second;
 }
 
+NoticeNews EndpointRegistry::RecordNotice(const EndpointIncarnation& endpoint,
+                                          const EndpointNotice& notice,
+                                          TimePoint now) {
+  NoticeNews news;
+  if (!notice.is_leaving && !notice.hold_off) {
+    return news;
+  }
+  RecordedNotices& notices = FindOrAddNotices(endpoint, now);
+  notices.updated_at = now;
+  if (notice.is_leaving) {
+    news.is_leaving = !std::exchange(notices.is_leaving, true);
+  }
+  if (notice.hold_off) {
+    const TimePoint end = now + *notice.hold_off;
+    news.is_held_off = notices.held_off_until <= now && end > now;
+    notices.held_off_until = std::max(notices.held_off_until, end);
+  }
+  const auto registered = by_id_.find(endpoint.id);
+  if (registered == by_id_.end() ||
+      IncarnationOf(registered->second->registration) != endpoint) {
+    return news;
+  }
+  TimePoint& held_off_until = registered->second->held_off_until;
+  held_off_until = std::max(held_off_until, notices.held_off_until);
+  if (notice.is_leaving && !registered->second->is_leaving) {
+    registered->second->is_leaving = true;
+    RebuildServing(registered->second->registration.pool);
+  }
+  return news;
+}
+
+TimePoint EndpointRegistry::HeldOffUntil(
+    const EndpointIncarnation& endpoint) const {
+  const auto found = notices_.find(endpoint);
+  return found == notices_.end() ? TimePoint() : found->second.held_off_until;
+}
+
+EndpointRegistry::RecordedNotices& EndpointRegistry::FindOrAddNotices(
+    const EndpointIncarnation& endpoint,
+    TimePoint now) {
+  const auto found = notices_.find(endpoint);
+  if (found != notices_.end()) {
+    return found->second;
+  }
+  std::erase_if(notices_, [now](const auto& entry) {
+    return now - entry.second.updated_at > kNoticeRetention;
+  });
+  if (notices_.size() >= kMaxRecordedNotices) {
+    notices_.erase(std::min_element(
+        notices_.begin(), notices_.end(), [](const auto& a, const auto& b) {
+          return a.second.updated_at < b.second.updated_at;
+        }));
+  }
+  return notices_[endpoint];
+}
+
 void EndpointRegistry::EjectReportedEndpoint(const EndpointId& id,
                                              TimePoint now) {
   const auto found = by_id_.find(id);
@@ -116,12 +185,46 @@
   serving.clear();
   for (const auto& [id, endpoint] : by_id_) {
     if (endpoint->registration.pool == pool &&
-        !endpoint->registration.is_draining) {
+        !endpoint->registration.is_draining && !endpoint->is_leaving) {
       serving.push_back(endpoint);
     }
   }
 }
 
+void RecordEndpointNotice(EndpointRegistry& registry,
+                          EventSink& events,
+                          const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now) {
+  const NoticeNews news = registry.RecordNotice(endpoint, notice, now);
+  if (news.is_leaving) {
+    events.Write("endpoint_leaving", {{"endpoint", endpoint.id.value()}});
+  }
+  if (news.is_held_off) {
+    events.Write("endpoint_held_off",
+                 {{"endpoint", endpoint.id.value()},
+                  {"ms", std::to_string(
+                             std::lround(ToMilliseconds(*notice.hold_off)))}});
+  }
+}
+
+bool IsHeldOff(const Endpoint& endpoint, TimePoint now) {
+  return endpoint.held_off_until > now;
+}
+
+std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
+                                        TimePoint now) {
+  std::optional<TimePoint> first_end;
+  for (const EndpointPtr& endpoint : serving) {
+    if (!IsHeldOff(*endpoint, now)) {
+      return std::nullopt;
+    }
+    first_end = std::min(first_end.value_or(endpoint->held_off_until),
+                         endpoint->held_off_until);
+  }
+  return first_end;
+}
+
 void BeginCall(Endpoint& endpoint, TimePoint now) {
   ++endpoint.open_calls;
   endpoint.unanswered_since.push_back(now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -4,11 +4,14 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/registry/domain_health.h"
+#include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
 
 namespace peridotmill {
@@ -45,6 +48,12 @@
   // Time since which a stage call has been waiting until the endpoint has
   // memory for its results.
   TimePoint capacity_wait_since;
+  // The endpoint has said in a response that it is about to exit. It gets no
+  // more work, whatever its registration says.
+  bool is_leaving = false;
+  // The endpoint has asked in a response for no work before this time. It gets
+  // none, even if no other endpoint is left.
+  TimePoint held_off_until;
   // Whether the registration was removed or replaced. The object remains in use
   // while calls to the endpoint are in flight.
   bool is_removed = false;
@@ -63,6 +72,13 @@
   kUnresponsive,
 };
 
+// What is new about an endpoint after one of its notices.
+struct NoticeNews {
+  bool is_leaving = false;
+  // A hold-off has begun, or one that had ended begins again.
+  bool is_held_off = false;
+};
+
 // The registered endpoints, by pool.
 class EndpointRegistry {
  public:
@@ -78,6 +94,17 @@
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
+  // Records what an endpoint asked for in a response. What it asked for
+  // outlasts its registration, which may expire and return while the store is
+  // unavailable; it is forgotten after an hour, and the oldest first beyond
+  // 4096 endpoints.
+  NoticeNews RecordNotice(const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now);
+  // Returns the end of the last hold-off that an endpoint asked for, whether it
+  // is registered or not.
+  TimePoint HeldOffUntil(const EndpointIncarnation& endpoint) const;
+
   // Ejects an endpoint temporarily. Called when another node has reported that
   // it could not connect to it.
   void EjectReportedEndpoint(const EndpointId& id, TimePoint now);
@@ -88,13 +115,37 @@
   std::vector<FailureDomainId> SuspectedDomains() const;
 
  private:
+  // The notices of one process of an endpoint.
+  struct RecordedNotices {
+    bool is_leaving = false;
+    TimePoint held_off_until;
+    TimePoint updated_at;
+  };
+
   void RebuildServing(const PoolId& pool);
+  RecordedNotices& FindOrAddNotices(const EndpointIncarnation& endpoint,
+                                    TimePoint now);
 
   std::map<EndpointId, EndpointPtr> by_id_;
+  std::map<EndpointIncarnation, RecordedNotices> notices_;
   std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
   std::map<FailureDomainId, std::shared_ptr<DomainHealth>> domains_;
 };
 
+// Records what an endpoint asked for in a response, and logs what is new.
+void RecordEndpointNotice(EndpointRegistry& registry,
+                          EventSink& events,
+                          const EndpointIncarnation& endpoint,
+                          const EndpointNotice& notice,
+                          TimePoint now);
+
+// Returns whether the endpoint has asked for no work at this time.
+bool IsHeldOff(const Endpoint& endpoint, TimePoint now);
+// Returns the time at which the first of these endpoints accepts work again if
+// all of them are held off; otherwise, or if there are none, returns nothing.
+std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
+                                        TimePoint now);
+
 // Records the start of a call.
 void BeginCall(Endpoint& endpoint, TimePoint now);
 // Removes the call that started at `started` from Endpoint::unanswered_since.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -131,6 +131,11 @@
     StartWithoutStages();
     return;
   }
+  if (PoolHoldOffEnd() >= deadline_) {
+    // No engine accepts the request in time, so no stage runs for it.
+    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
+    return;
+  }
   ChooseStageDomain();
   SubmitReadyStages();
 }
@@ -185,7 +190,7 @@
 }
 
 void GatewayRequest::StartWithoutStages() {
-  if (!request_.generation || !IsStream()) {
+  if (!request_.generation || !IsStream() || PoolHoldOffEnd()) {
     StartAttempt();
     return;
   }
@@ -414,7 +419,7 @@
         gateway_->random_);
   }
   if (endpoint_ == nullptr) {
-    Fail(Reason::kNoEndpoint, kDefaultRetryAfter);
+    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
     return;
   }
   EndpointCall call;
@@ -494,6 +499,9 @@
 void GatewayRequest::OnResponseHead(const EndpointResponseHead& head) {
   const TimePoint now = context_.clock.Now();
   RecordFirstResponseByte(*endpoint_, attempt_started_at_, now);
+  RecordEndpointNotice(context_.endpoints, context_.events,
+                       IncarnationOf(endpoint_->registration), head.notice,
+                       now);
   response_head_ = head;
   has_response_head_ = true;
   if (head.load) {
@@ -642,7 +650,7 @@
   if (response_head_.status >= kServerError && !is_response_head_sent_) {
     AttemptHistory next = attempt_history_;
     next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
-    if (next.MayRetry(*route_) &&
+    if (next.MayRetry(*route_) && HasUntriedEndpoint(next) &&
         context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
       ++gateway_->counters_.repeats;
       gateway_->reasons_.Add(Reason::kEndpointFailed);
@@ -681,11 +689,24 @@
   attempt_history_.Add(endpoint_->registration.id, outcome);
 }
 
+bool GatewayRequest::HasUntriedEndpoint(const AttemptHistory& history) const {
+  const auto& serving = context_.endpoints.Serving(pool_);
+  const TimePoint now = context_.clock.Now();
+  return std::any_of(
+      serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
+        const auto& tried = history.tried();
+        return !IsHeldOff(*endpoint, now) &&
+               std::find(tried.begin(), tried.end(),
+                         endpoint->registration.id) == tried.end();
+      });
+}
+
 bool GatewayRequest::TryTakeRetry(AttemptOutcome outcome) {
   // After a part of the response has been sent, only a stream can be continued
   // by another endpoint.
   if (!attempt_history_.MayRetry(*route_) ||
-      (is_response_head_sent_ && !IsStream())) {
+      (is_response_head_sent_ && !IsStream()) ||
+      !HasUntriedEndpoint(attempt_history_)) {
     return false;
   }
   if (outcome == AttemptOutcome::kNotSent) {
@@ -732,7 +753,23 @@
     StartAttempt();
     return;
   }
-  Fail(reason, kDefaultRetryAfter);
+  Fail(reason, EndpointRetryAfter());
+}
+
+std::optional<TimePoint> GatewayRequest::PoolHoldOffEnd() const {
+  return FindHoldOffEnd(context_.endpoints.Serving(pool_),
+                        context_.clock.Now());
+}
+
+Duration GatewayRequest::EndpointRetryAfter() {
+  const auto hold_off_end = PoolHoldOffEnd();
+  if (!hold_off_end) {
+    return kDefaultRetryAfter;
+  }
+  // The random part keeps refused callers from returning all at once.
+  return *hold_off_end - context_.clock.Now() +
+         FromMilliseconds(ToMilliseconds(kDefaultRetryAfter) *
+                          gateway_->random_.Unit());
 }
 
 void GatewayRequest::OnCallerDisconnected() {
