Do not forward a status that promises more than the endpoint stated

Cause: 408, 421, 429 and 503 tell callers that their request has not run. An endpoint's response with one of them, but without the statement that the request has not run, was forwarded to the caller of a request that must not repeat. Change: such a response is an attempt with an unknown outcome, and the caller gets 502.

Measured: with the fix disabled ForeignRefusalsProveNothing fails for all 5 kinds of such responses, sealed, unsealed and above 64 KiB.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -60,6 +60,12 @@
 // duration of one call.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 
+// Returns whether callers take a response with this status as a promise that
+// their request has not run and never will.
+bool IsNotRunStatus(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
 }
@@ -465,7 +471,8 @@
   if (response_body_.size() <= kMaxBufferedResponseBytes) {
     return;
   }
-  if (!response_head_.is_authentic || response_head_.is_stated_not_run) {
+  if (!response_head_.is_authentic || response_head_.is_stated_not_run ||
+      IsNotRunStatus(response_head_.status)) {
     // This is not an endpoint's authentic response, and it may never end.
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown,
                         Reason::kAnswerMismatch);
@@ -556,6 +563,13 @@
     HandleFailedAttempt(AttemptOutcome::kRefused, Reason::kEndpointRefused);
     return;
   }
+  if (IsNotRunStatus(response_head_.status)) {
+    // The endpoint does not state that it has not run the request, so its
+    // status would promise the caller too much.
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown,
+                        Reason::kAnswerMismatch);
+    return;
+  }
   if (response_head_.status < 300 && !response_head_.is_authentic) {
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kAnswerMismatch);
     return;
