Keep trailer fields out of the next response on the connection

Cause: the last trailer field of a chunked response stayed in the parser state and became a header field of the next response on the connection. A trailer that states "not run", or bears a request id, changed what the next call was taken for. Change: the state is cleared before each response.

Measured: with the fix disabled TrailersDoNotReachTheNextResponse fails for all 4 trailers.

--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -146,6 +146,10 @@
 void HttpClientConnection::StartParsing() {
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
+  // Trailer fields of the previous response may be left.
+  header_name_.clear();
+  header_value_.clear();
+  is_in_header_value_ = false;
   is_message_complete_ = false;
   is_skipped_ = false;
   ends_at_close_ = false;
