Do not reuse a connection on which input waits

Cause: a connection was taken from the idle ones although bytes, or its end, waited unread in the kernel's buffer. The bytes were taken for the response to the next call. Change: such a connection is closed, counted, and the next one is tried.

Measured: with the fix disabled CopiesBeforeTheNextRequestAreDiscarded fails for all 22 kinds of copies that wait unread; in 16 of them the next call got the copy as its response.

--- a/modules/peridotmill_http/client/http_client.cc
+++ b/modules/peridotmill_http/client/http_client.cc
@@ -104,13 +104,19 @@
   auto& connections = found->second;
   // The most recently used connection is the least likely to have been closed
   // by the server.
-  if (connections.empty() || connections.back()->idle_until() <= now ||
-      now - connections.back()->idle_since() > call.max_connection_idle) {
-    return nullptr;
+  while (!connections.empty() && connections.back()->idle_until() > now &&
+         now - connections.back()->idle_since() <= call.max_connection_idle) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (!connection->has_unread_input()) {
+      return connection;
+    }
+    // Bytes that arrived on the idle connection would be taken for the response
+    // to the call; a connection that has ended cannot carry it.
+    ++counters_.connections_closed_with_unread_input;
+    DeleteLater(std::move(connection));
   }
-  auto connection = std::move(connections.back());
-  connections.pop_back();
-  return connection;
+  return nullptr;
 }
 
 void HttpClient::AddIdle(std::unique_ptr<HttpClientConnection> connection) {
--- a/modules/peridotmill_http/client/http_client.h
+++ b/modules/peridotmill_http/client/http_client.h
@@ -25,6 +25,9 @@
   uint64_t mismatched_responses = 0;
   // Connections closed because bytes followed a complete response.
   uint64_t connections_closed_for_surplus_bytes = 0;
+  // Idle connections closed instead of reused because bytes or the end of the
+  // connection had arrived on them.
+  uint64_t connections_closed_with_unread_input = 0;
 };
 
 // HTTP/1.1 client on the default GLib main context with persistent connections.
--- a/modules/peridotmill_http/client/http_client_connection.h
+++ b/modules/peridotmill_http/client/http_client_connection.h
@@ -32,6 +32,7 @@
 
   const std::string& address() const { return call_.address; }
   bool is_open() const { return socket_ != nullptr && socket_->is_open(); }
+  bool has_unread_input() const { return socket_->has_unread_input(); }
   TimePoint idle_since() const { return idle_since_; }
   // Time after which the idle connection must not be reused.
   TimePoint idle_until() const { return idle_since_ + usable_idle_time_; }
--- a/modules/peridotmill_http/sockets/stream_socket.cc
+++ b/modules/peridotmill_http/sockets/stream_socket.cc
@@ -154,6 +154,13 @@
          recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+bool StreamSocket::has_unread_input() const {
+  char byte = 0;
+  return descriptor_ >= 0 && (recv(descriptor_, &byte, sizeof(byte),
+                                   MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+                              (errno != EAGAIN && errno != EINTR));
+}
+
 void StreamSocket::StartWriteWatch() {
   if (write_source_ == 0) {
     write_source_ = g_unix_fd_add(
--- a/modules/peridotmill_http/sockets/stream_socket.h
+++ b/modules/peridotmill_http/sockets/stream_socket.h
@@ -69,6 +69,9 @@
   size_t unsent_bytes() const { return unsent_.size() - unsent_start_; }
   // Returns whether received bytes wait in the kernel's buffer.
   bool has_unread_bytes() const;
+  // Returns whether received bytes, the end of the connection or an error wait
+  // to be read.
+  bool has_unread_input() const;
 
  private:
   StreamSocket(int descriptor, bool is_connected, Listener* listener);
