Give each stage call a connection of its own

Cause: responses to stage calls bear no id. A second copy of a response that came after the next call had begun on the connection was taken for the response to that call: its items got the results of other requests, or were taken as refused while they ran. The response to a release of results could take its place too. Change: a stage call opens a connection and closes it after the response, so that no earlier response can arrive on it. Releases share connections among themselves; their responses are ignored.

Measured: with the fix disabled three tests of StageCallTest fail; copies of successes and of refusals reach the next call.

--- a/modules/peridotmill_core/http/http_call.h
+++ b/modules/peridotmill_core/http/http_call.h
@@ -37,6 +37,10 @@
   // may have closed it already, and then it is unknown whether the server
   // executed the call.
   Duration max_connection_idle = std::chrono::seconds(10);
+  // Opens a connection for this call and closes it after the response. For
+  // calls whose responses do not identify their call, so that a late response
+  // to an earlier call on the connection would be taken for the next one.
+  bool has_own_connection = false;
   Duration connect_timeout = std::chrono::milliseconds(500);
   // A response with a longer body ends the call as kTruncated. 0 means no
   // limit, for bodies that are forwarded as they arrive.
--- a/modules/peridotmill_http/client/http_client.cc
+++ b/modules/peridotmill_http/client/http_client.cc
@@ -81,7 +81,7 @@
 
 std::unique_ptr<HttpCallHandle> HttpClient::Start(HttpCall call,
                                                   HttpCallListener* listener) {
-  auto connection = TakeIdle(call);
+  auto connection = call.has_own_connection ? nullptr : TakeIdle(call);
   if (connection == nullptr) {
     ++counters_.connections_opened;
     connection = std::make_unique<HttpClientConnection>(this);
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -195,7 +195,8 @@
 void HttpClientConnection::FinishResponse() {
   HttpCallListener* const listener = std::exchange(listener_, nullptr);
   const bool is_reusable = socket_->is_open() && socket_->unsent_bytes() == 0 &&
-                           http_should_keep_alive(&parser_) != 0;
+                           http_should_keep_alive(&parser_) != 0 &&
+                           !call_.has_own_connection;
   usable_idle_time_ = UsableIdleTime(head_.headers);
   idle_since_ = client_->clock_.Now();
   if (is_reusable) {
