Never join the body of a second endpoint to a plain response

Cause: two ways led to a second attempt after a part of a plain response had been forwarded: the timer of an idempotent attempt ran on while a response above 64 KiB arrived, and on a resumable stream route a large response that was no event stream counted as a stream. The second response was appended to the first. Change: after the head of a response that is no stream has been sent, only the same endpoint can complete it.

Measured: ALargeResponseThatTakesLongIsNotRepeated fails with the first half of the fix disabled, APlainResponseIsNeverResumed with the second.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -402,7 +402,7 @@
 
 void GatewayRequest::OnProgressTimeout() {
   progress_timer_.reset();
-  if (call_ == nullptr) {
+  if (call_ == nullptr || IsPlainResponseStarted()) {
     return;
   }
   // The attempt is ended only if another endpoint can take over.
@@ -621,8 +621,7 @@
 bool GatewayRequest::TryTakeRetry(AttemptOutcome outcome) {
   // After a part of the response has been sent, only a stream can be continued
   // by another endpoint.
-  if (!attempt_history_.MayRetry(*route_) ||
-      (is_response_head_sent_ && !IsStream())) {
+  if (!attempt_history_.MayRetry(*route_) || IsPlainResponseStarted()) {
     return false;
   }
   if (outcome == AttemptOutcome::kNotSent) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -95,6 +95,11 @@
   bool IsStream() const { return route_->kind == RequestKind::kStream; }
   // Returns whether the caller has received the head and an event of a stream.
   bool IsStreamStarted() const { return first_event_at_ != TimePoint(); }
+  // Returns whether the caller has received the head of a response that is no
+  // stream, which only the same endpoint can complete.
+  bool IsPlainResponseStarted() const {
+    return is_response_head_sent_ && !IsStreamStarted();
+  }
   // Returns whether the current response is an engine's event stream, which
   // starts or resumes the caller's.
   bool IsAuthenticStreamResponse() const;
