Break off streams whose event ids do not increase

Cause: the events of an endpoint that was to resume a stream were forwarded without a look at their ids. One that began again at the first event, or repeated the last one, gave the caller events twice. In a stream that ends with its connection, the head of an error response counted as an event. Change: an event whose id does not follow the last one, or that holds a status line, ends the attempt before the event is forwarded.

Measured: with the fix disabled NoErrorOrRepeatedEventEntersAResumedStream fails for all 6 kinds of such events, after a close and after a reset. The other second responses of the test (errors with and without seal, refusals, other kinds of content, large, cut and malformed ones) reached no caller before this change either.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -92,6 +92,9 @@
       request_.deadline ? std::min(*request_.deadline, route_->timeout)
                         : route_->timeout;
   deadline_ = accepted_at_ + time_limit;
+  if (route_->is_resumable && request_.resume_after_event) {
+    event_splitter_.set_last_event_id(*request_.resume_after_event);
+  }
 }
 
 GatewayRequest::~GatewayRequest() = default;
@@ -510,9 +513,16 @@
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
-  if (complete_events.empty()) {
-    return;
+  if (!complete_events.empty()) {
+    ForwardEvents(complete_events, events_before);
+  }
+  if (event_splitter_.is_next_event_invalid()) {
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
   }
+}
+
+void GatewayRequest::ForwardEvents(std::string_view complete_events,
+                                   uint64_t events_before) {
   if (!is_response_head_sent_) {
     first_event_at_ = context_.clock.Now();
     RecordFirstEventTime(gateway_->first_event_times_, route_->name,
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -104,6 +104,8 @@
   // starts or resumes the caller's.
   bool IsAuthenticStreamResponse() const;
   void ForwardStreamBytes(std::string_view bytes);
+  // `events_before` is the number of events received before these.
+  void ForwardEvents(std::string_view complete_events, uint64_t events_before);
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
 
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -15,10 +15,29 @@
   return crlf < lf ? crlf + 4 : lf + 2;
 }
 
+bool IsDecimal(std::string_view text) {
+  return !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string_view::npos;
+}
+
+// Returns whether an event with this id may follow the event with the id
+// `last`. The ids of a stream increase; those that are no numbers only have to
+// differ.
+bool IsLaterEventId(std::string_view id, std::string_view last) {
+  if (!IsDecimal(id) || !IsDecimal(last)) {
+    return id != last;
+  }
+  id.remove_prefix(std::min(id.find_first_not_of('0'), id.size()));
+  last.remove_prefix(std::min(last.find_first_not_of('0'), last.size()));
+  return id.size() != last.size() ? id.size() > last.size() : id > last;
+}
+
 struct EventFields {
   std::optional<std::string_view> id;
   // Whether the event has a line that is neither empty nor a comment.
   bool has_fields = false;
+  // A line is the status line of an HTTP response.
+  bool has_status_line = false;
 };
 
 EventFields ReadFields(std::string_view event) {
@@ -32,6 +51,8 @@
     }
     fields.has_fields =
         fields.has_fields || (!line.empty() && !line.starts_with(':'));
+    fields.has_status_line =
+        fields.has_status_line || line.starts_with("HTTP/1.");
     if (line.starts_with("id:")) {
       line.remove_prefix(3);
       if (line.starts_with(' ')) {
@@ -55,6 +76,11 @@
       break;
     }
     const EventFields fields = ReadFields(text.substr(start, end - start));
+    if (fields.has_status_line ||
+        (fields.id && !IsLaterEventId(*fields.id, last_event_id_))) {
+      is_next_event_invalid_ = true;
+      break;
+    }
     if (fields.id) {
       last_event_id_ = *fields.id;
     }
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace peridotmill {
 
@@ -15,21 +16,32 @@
 class EventSplitter {
  public:
   // Appends `bytes` and returns all events that are now complete, as the bytes
-  // that were received; empty if there are none.
+  // that were received; empty if there are none. Stops before an invalid event.
   std::string Add(std::string_view bytes);
 
   // Bytes received after the last complete event.
   const std::string& incomplete_event() const { return incomplete_event_; }
-  void DropIncompleteEvent() { incomplete_event_.clear(); }
+  // Returns whether the next event cannot belong to the stream: its id does not
+  // follow that of the events before it, or it holds the head of a response.
+  bool is_next_event_invalid() const { return is_next_event_invalid_; }
+  // Discards the bytes after the last complete event, before the stream is
+  // resumed.
+  void DropIncompleteEvent() {
+    incomplete_event_.clear();
+    is_next_event_invalid_ = false;
+  }
 
   // The id of the last complete event that had one; empty if none had.
   const std::string& last_event_id() const { return last_event_id_; }
+  // Sets the id of the event after which the stream begins.
+  void set_last_event_id(std::string id) { last_event_id_ = std::move(id); }
   // Number of complete events with at least one field. Events that hold only
   // comments are left out, since they merely keep the connection alive.
   uint64_t event_count() const { return event_count_; }
 
  private:
   std::string incomplete_event_;
+  bool is_next_event_invalid_ = false;
   std::string last_event_id_;
   uint64_t event_count_ = 0;
 };
