Treat a stream that ends inside an event as broken off

Cause: the last, incomplete event of a stream was forwarded and the stream finished as complete. If no complete event had come, the caller got a complete response with an empty body. Change: such a stream is resumed where its route allows it, else aborted. Comments and empty lines after the last event are no part of an event. An empty line may end in CR LF or LF whatever the line before it ends in.

Measured: with the fix disabled three tests fail: AStreamThatEndsInsideAnEventIsBrokenOff for 7 kinds of ends in each of 3 framings, AStreamCutAtAnyByteIsNeverComplete for 90 ends, NoErrorOrRepeatedEventEntersAResumedStream for bytes after the last event.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -590,6 +590,10 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
     return;
   }
+  if (IsAuthenticStreamResponse() && event_splitter_.ends_inside_event()) {
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
+    return;
+  }
   if (response_head_.status >= kServerError && !is_response_head_sent_) {
     AttemptHistory next = attempt_history_;
     next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
@@ -609,12 +613,14 @@
   EndAttempt(response_head_.status < kServerError ? CallOutcome::kSuccess
                                                   : CallOutcome::kFailure,
              AttemptOutcome::kCompleted);
+  // After the last event of a stream, only comments may be left.
+  const std::string& rest = IsAuthenticStreamResponse()
+                                ? event_splitter_.incomplete_event()
+                                : response_body_;
   if (!is_response_head_sent_) {
-    SendResponseHead(response_body_.size());
-    channel_->SendBody(response_body_);
-  } else if (!event_splitter_.incomplete_event().empty()) {
-    channel_->SendBody(event_splitter_.incomplete_event());
+    SendResponseHead(rest.size());
   }
+  channel_->SendBody(rest);
   channel_->Finish();
   ++gateway_->counters_.answered;
   End("answered", response_head_.status, "");
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -7,12 +7,18 @@
 
 // Returns the position after the empty line that ends the next event, or npos.
 size_t FindEventEnd(std::string_view text, size_t from) {
-  const size_t lf = text.find("\n\n", from);
-  const size_t crlf = text.find("\r\n\r\n", from);
-  if (lf == std::string_view::npos && crlf == std::string_view::npos) {
-    return std::string_view::npos;
+  for (size_t line_end = text.find('\n', from);
+       line_end != std::string_view::npos;
+       line_end = text.find('\n', line_end + 1)) {
+    const std::string_view rest = text.substr(line_end + 1);
+    if (rest.starts_with('\n')) {
+      return line_end + 2;
+    }
+    if (rest.starts_with("\r\n")) {
+      return line_end + 3;
+    }
   }
-  return crlf < lf ? crlf + 4 : lf + 2;
+  return std::string_view::npos;
 }
 
 bool IsDecimal(std::string_view text) {
@@ -92,4 +98,19 @@
   return complete_events;
 }
 
+bool EventSplitter::ends_inside_event() const {
+  std::string_view text = incomplete_event_;
+  while (!text.empty()) {
+    const size_t end = text.find('\n');
+    const bool is_empty_line =
+        text.starts_with('\n') || text.starts_with("\r\n") || text == "\r";
+    if (!is_empty_line &&
+        (end == std::string_view::npos || !text.starts_with(':'))) {
+      return true;
+    }
+    text.remove_prefix(std::min(end, text.size() - 1) + 1);
+  }
+  return false;
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -21,6 +21,9 @@
 
   // Bytes received after the last complete event.
   const std::string& incomplete_event() const { return incomplete_event_; }
+  // Returns whether the bytes after the last complete event hold a part of
+  // another one, and not only empty lines and comments.
+  bool ends_inside_event() const;
   // Returns whether the next event cannot belong to the stream: its id does not
   // follow that of the events before it, or it holds the head of a response.
   bool is_next_event_invalid() const { return is_next_event_invalid_; }
