Do not end a stream by a resumption without events

Cause: an endpoint that answered a request to resume a stream with an empty event stream made the stream complete, even when the first endpoint had broken off inside an event. Change: such a resumption is a failed attempt. Should the events before it have been all, the caller sees a broken stream and can resume it.

Measured: with the fix disabled NoErrorOrRepeatedEventEntersAResumedStream fails for all 4 kinds of streams without events.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -370,6 +370,10 @@
   has_response_head_ = false;
   response_body_.clear();
   event_splitter_.DropIncompleteEvent();
+  resumed_after_events_.reset();
+  if (IsStreamStarted()) {
+    resumed_after_events_ = event_splitter_.event_count();
+  }
   is_paused_ = false;
   attempt_started_at_ = now;
   BeginCall(*endpoint_, now);
@@ -590,7 +594,11 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
     return;
   }
-  if (IsAuthenticStreamResponse() && event_splitter_.ends_inside_event()) {
+  if (IsAuthenticStreamResponse() &&
+      (event_splitter_.ends_inside_event() ||
+       resumed_after_events_ == event_splitter_.event_count())) {
+    // A resumption without any event does not prove that the events so far are
+    // all of them.
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -154,6 +154,8 @@
   bool has_response_head_ = false;
   std::string response_body_;
   EventSplitter event_splitter_;
+  // Number of events received before the attempt, if it resumes the stream.
+  std::optional<uint64_t> resumed_after_events_;
   bool is_response_head_sent_ = false;
   bool is_paused_ = false;
   // The coordinator has been asked for an engine and has not responded yet.
