Reject responses with an unknown transfer coding

Cause: a response with a transfer coding beside or instead of chunked was forwarded without that coding's field, so that the caller took the coded bytes for the body. Change: such a response is malformed.

Measured: with the fix disabled ResponsesWithAmbiguousFramingAreRejected fails for all 3 codings; its other cases passed before.

--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -27,6 +27,15 @@
   return static_cast<HttpClientConnection*>(parser->data);
 }
 
+// Returns whether the body has a transfer coding other than chunked, so that
+// its bytes and its end are not known.
+bool HasUnknownTransferCoding(const HeaderList& headers) {
+  constexpr char kTransferEncoding[] = "Transfer-Encoding";
+  const auto coding = headers.Find(kTransferEncoding);
+  return coding && (headers.Count(kTransferEncoding) != 1 ||
+                    !EqualsIgnoringCase(*coding, "chunked"));
+}
+
 // Returns for how long an idle connection may be reused: the timeout that the
 // server announces in `headers` less a margin, or the default.
 Duration UsableIdleTime(const HeaderList& headers) {
@@ -296,6 +305,9 @@
   auto* const self = ConnectionOf(parser);
   self->FinishHeaderField();
   parser->upgrade = 0;
+  if (HasUnknownTransferCoding(self->head_.headers)) {
+    return -1;
+  }
   self->head_.status = parser->status_code;
   const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   const bool is_chunked = (parser->flags & F_CHUNKED) != 0;
