Send no body where a response cannot have one

Cause: an error of the gateway in response to HEAD carried its body, which the caller reads as the beginning of the next response. 204 and 304 bore a length, and HEAD the length 0 instead of the endpoint's. Change: the caller side sends no body after HEAD, 204 and 304, and no length with 204 and 304; HEAD keeps the endpoint's length.

Measured: with the fix disabled ResponsesWithoutBodyKeepTheConnectionInSync fails for 4 cases without the first part and 2 without the second.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -626,7 +626,9 @@
                                 ? event_splitter_.incomplete_event()
                                 : response_body_;
   if (!is_response_head_sent_) {
-    SendResponseHead(rest.size());
+    SendResponseHead(request_.message.method == "HEAD"
+                         ? response_head_.content_length
+                         : rest.size());
   }
   channel_->SendBody(rest);
   channel_->Finish();
--- a/modules/peridotmill_http/server/http_exchange.cc
+++ b/modules/peridotmill_http/server/http_exchange.cc
@@ -8,12 +8,14 @@
 
 void HttpExchange::SendHead(const HttpResponseHead& head) {
   if (connection_ != nullptr) {
-    connection_->SendHead(head, is_chunked_);
+    // RFC 9110, section 6.4.1.
+    has_body_ = !is_head_request_ && head.status != 204 && head.status != 304;
+    connection_->SendHead(head, has_body_, is_chunked_);
   }
 }
 
 void HttpExchange::SendBody(std::string_view bytes) {
-  if (connection_ == nullptr || bytes.empty()) {
+  if (connection_ == nullptr || bytes.empty() || !has_body_) {
     return;
   }
   if (!is_chunked_) {
--- a/modules/peridotmill_http/server/http_exchange.h
+++ b/modules/peridotmill_http/server/http_exchange.h
@@ -18,7 +18,9 @@
 class HttpExchange final : public ResponseWriter {
  public:
   HttpExchange(HttpServerConnection* connection, HttpRequest request)
-      : connection_(connection), request_(std::move(request)) {}
+      : connection_(connection),
+        request_(std::move(request)),
+        is_head_request_(request_.method == "HEAD") {}
 
   const HttpRequest& request() const { return request_; }
   // Moves the request out; request() is empty afterwards.
@@ -46,6 +48,9 @@
   // Null after Detach.
   HttpServerConnection* connection_;
   HttpRequest request_;
+  bool is_head_request_;
+  // Whether the response has a body. Without one, SendBody sends nothing.
+  bool has_body_ = true;
   std::function<void()> on_caller_disconnected_;
   std::function<void()> on_drained_;
   // Whether the response body is sent with the chunked transfer coding.
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -218,6 +218,7 @@
 }
 
 void HttpServerConnection::SendHead(const HttpResponseHead& head,
+                                    bool has_body,
                                     bool& is_chunked) {
   is_keep_alive_ = is_keep_alive_ && server_->is_keep_alive_enabled_;
   std::string bytes =
@@ -229,8 +230,12 @@
     bytes += value;
     bytes += "\r\n";
   }
-  if (head.content_length) {
+  const bool has_length =
+      head.content_length && head.status != 204 && head.status != 304;
+  if (has_length) {
     bytes += "Content-Length: " + std::to_string(*head.content_length) + "\r\n";
+  } else if (!has_body) {
+    // The response ends with its head.
   } else if (!is_http_1_0_) {
     is_chunked = true;
     bytes += "Transfer-Encoding: chunked\r\n";
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -63,7 +63,8 @@
   void Reject(int status, std::string_view message);
 
   // Called by HttpExchange.
-  void SendHead(const HttpResponseHead& head, bool& is_chunked);
+  // Sets `is_chunked` if the body is to be sent in chunks.
+  void SendHead(const HttpResponseHead& head, bool has_body, bool& is_chunked);
   void Send(std::string_view bytes) { socket_->Write(bytes); }
   void FinishResponse();
   void AbortResponse();
