Use a new connection when a request returns to an address

Cause: a request that an endpoint refuses with 421, because it has the address of another one, may be sent to the endpoint that is registered at that address now, over the same connection. A second copy of the refusal bears the id of the request, and was taken for the response to the new attempt: a request that must not repeat went on to a third endpoint while it ran. Change: a request uses no kept connection to an address that it has been sent to before.

Measured: with the fix disabled ACopyOfARefusalDoesNotReachTheNextAttempt fails, the request is sent to the other endpoint.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMaxIdleForNonRetryableCalls =
     std::chrono::milliseconds(300);
 constexpr Duration kMaxIdleForRetryableCalls = std::chrono::seconds(10);
+// No connection has been idle for a negative time.
+constexpr Duration kNoReuse = std::chrono::milliseconds(-1);
 // Time reserved for each later stage in the chain: one call with a half-full
 // batch.
 constexpr Duration kReservedStageTime = std::chrono::milliseconds(260);
@@ -367,6 +369,11 @@
   call.max_connection_idle = route_->IsSafeToRetry()
                                  ? kMaxIdleForRetryableCalls
                                  : kMaxIdleForNonRetryableCalls;
+  // The id of the request does not tell a late copy of the refusal of an
+  // earlier attempt from the response to this one.
+  if (!called_addresses_.insert(call.endpoint.address).second) {
+    call.max_connection_idle = kNoReuse;
+  }
   has_response_head_ = false;
   response_body_.clear();
   event_splitter_.DropIncompleteEvent();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -147,6 +148,9 @@
   int stage_rerun_count_ = 0;
 
   AttemptHistory attempt_history_;
+  // Addresses of the attempts so far. A new endpoint may have the address of
+  // one that was tried.
+  std::set<std::string> called_addresses_;
   EndpointPtr endpoint_;
   std::unique_ptr<EndpointCallHandle> call_;
   TimePoint attempt_started_at_;
