--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -27,6 +27,15 @@
   return static_cast<HttpClientConnection*>(parser->data);
 }
 
+// Returns whether the body has a transfer coding other than chunked, so that
+// its bytes and its end are not known.
+bool HasUnknownTransferCoding(const HeaderList& headers) {
+  constexpr char kTransferEncoding[] = "Transfer-Encoding";
+  const auto coding = headers.Find(kTransferEncoding);
+  return coding && (headers.Count(kTransferEncoding) != 1 ||
+                    !EqualsIgnoringCase(*coding, "chunked"));
+}
+
 // Returns for how long an idle connection may be reused: the timeout that the
 // server announces in `headers` less a margin, or the default.
 Duration UsableIdleTime(const HeaderList& headers) {
@@ -146,6 +155,10 @@
 void HttpClientConnection::StartParsing() {
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
+  // Trailer fields of the previous response may be left.
+  header_name_.clear();
+  header_value_.clear();
+  is_in_header_value_ = false;
   is_message_complete_ = false;
   is_skipped_ = false;
   ends_at_close_ = false;
@@ -191,7 +204,8 @@
 void HttpClientConnection::FinishResponse() {
   HttpCallListener* const listener = std::exchange(listener_, nullptr);
   const bool is_reusable = socket_->is_open() && socket_->unsent_bytes() == 0 &&
-                           http_should_keep_alive(&parser_) != 0;
+                           http_should_keep_alive(&parser_) != 0 &&
+                           !call_.has_own_connection;
   usable_idle_time_ = UsableIdleTime(head_.headers);
   idle_since_ = client_->clock_.Now();
   if (is_reusable) {
@@ -291,6 +305,9 @@
   auto* const self = ConnectionOf(parser);
   self->FinishHeaderField();
   parser->upgrade = 0;
+  if (HasUnknownTransferCoding(self->head_.headers)) {
+    return -1;
+  }
   self->head_.status = parser->status_code;
   const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
   const bool is_chunked = (parser->flags & F_CHUNKED) != 0;
