Estimate what a stopping node can finish from complete responses only

Callers would see: streams that a stopping node accepts and cuts although it has observed how long they last.

Calls that may not be sent again were begun with the same risk as others, and a route that had not been observed was refused although its calls are short.

Change: only successes are observed; requests that cannot go on elsewhere (not repeatable, or late) need the higher quantile; the prior of a response that is no stream follows from its route's target latency.

--- a/modules/peridotmill_gateway/estimates/completion_times.h
+++ b/modules/peridotmill_gateway/estimates/completion_times.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_gateway/configuration/gateway_config.h"
 #include "peridotmill_routing/estimates/quantile_histogram.h"
 
 namespace peridotmill {
@@ -26,19 +27,19 @@
 inline constexpr size_t kMaxCompletionRoutes = 256;
 
 void RecordPreparationTime(CompletionTimes& times,
-                           const std::string& route,
+                           const RouteDefinition& route,
                            Duration elapsed);
 void RecordOutputTime(CompletionTimes& times,
-                      const std::string& route,
+                      const RouteDefinition& route,
                       Duration elapsed);
 
 // Return the time within which the fraction `quantile` of the requests is
 // prepared, or has its whole output.
 Duration PredictPreparationTime(const CompletionTimes& times,
-                                const std::string& route,
+                                const RouteDefinition& route,
                                 double quantile);
 Duration PredictOutputTime(const CompletionTimes& times,
-                           const std::string& route,
+                           const RouteDefinition& route,
                            double quantile);
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -62,15 +62,14 @@
 // A caller whose request found no free endpoint should retry after about the
 // duration of one call.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
-// The load balancer stops sending connections to a stopping node within two
-// seconds, so the caller's next connection usually reaches another node.
+// A caller that a stopping node refuses should try another node at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
-// another node serves. A request that comes after the load balancer has removed
-// the node must be nearly certain to finish.
+// another node serves: most if it may not be sent again, or if it came after
+// the load balancer had removed the node.
 constexpr double kCompletionQuantile = 0.9;
-constexpr double kLateCompletionQuantile = 0.99;
+constexpr double kStrictCompletionQuantile = 0.99;
 
 // Returns whether callers take a response with this status as a promise that
 // their request has not run and never will.
@@ -164,10 +163,11 @@
 Duration GatewayRequest::PredictRemainingTime() const {
   const bool is_late =
       gateway_->stop_ && accepted_at_ >= gateway_->stop_->removed;
-  const double quantile =
-      is_late ? kLateCompletionQuantile : kCompletionQuantile;
+  const double quantile = is_late || !route_->IsSafeToRetry()
+                              ? kStrictCompletionQuantile
+                              : kCompletionQuantile;
   Duration remaining =
-      PredictOutputTime(gateway_->completion_times_, route_->name, quantile);
+      PredictOutputTime(gateway_->completion_times_, *route_, quantile);
   if (IsStream()) {
     remaining +=
         PredictFirstEventTime(gateway_->first_event_times_, route_->name);
@@ -176,9 +176,9 @@
   if (stages > 0) {
     const int all_stages = LongestRemainingChain(
         route_->stages, MakeStageProgress(request_.stage_item_counts));
-    remaining += PredictPreparationTime(gateway_->completion_times_,
-                                        route_->name, quantile) *
-                 stages / all_stages;
+    remaining +=
+        PredictPreparationTime(gateway_->completion_times_, *route_, quantile) *
+        stages / all_stages;
   }
   return remaining;
 }
@@ -330,7 +330,7 @@
   }
   if (AreAllStagesDone(stage_progress_)) {
     if (stage_rerun_count_ == 0) {
-      RecordPreparationTime(gateway_->completion_times_, route_->name,
+      RecordPreparationTime(gateway_->completion_times_, *route_,
                             TimeSinceAcceptance());
     }
     StartAttempt();
@@ -720,10 +720,12 @@
   }
   channel_->SendBody(rest);
   channel_->Finish();
-  RecordOutputTime(
-      gateway_->completion_times_, route_->name,
-      context_.clock.Now() -
-          (IsStreamStarted() ? first_event_at_ : attempt_started_at_));
+  if (response_head_.status < 300) {
+    RecordOutputTime(
+        gateway_->completion_times_, *route_,
+        context_.clock.Now() -
+            (IsStreamStarted() ? first_event_at_ : attempt_started_at_));
+  }
   ++gateway_->counters_.answered;
   End("answered", response_head_.status, "");
 }
--- a/modules/peridotmill_gateway/tests/stopping_test.cc
+++ b/modules/peridotmill_gateway/tests/stopping_test.cc
@@ -8,19 +8,19 @@
 
 using namespace std::chrono_literals;
 
-// A gateway that has served streams of one second on the routes "chat" and
-// "staged", and calls of 60 ms on "book".
+// A gateway that has served 40 streams of one second on the route "resume".
 class StoppingTest : public GatewayFixture {
  protected:
   StoppingTest() {
     for (int i = 0; i < 40; ++i) {
-      ServeStream(Send("chat"), 1000ms);
+      Send("resume");
+      ServeStream(1000ms);
     }
     endpoint_caller_.calls.clear();
   }
 
-  // Runs the stages of the last request, if it has any, and streams two events.
-  void ServeStream(const std::shared_ptr<FakeCallerChannel>&, Duration length) {
+  // Streams two events, `length` apart, in response to the last call.
+  void ServeStream(Duration length) {
     EndpointCallListener& engine =
         endpoint_caller_.listener(endpoint_caller_.calls.size() - 1);
     timers_.Advance(100ms);
@@ -42,10 +42,10 @@
 TEST_F(StoppingTest, RefusesAStreamThatOutlastsTheNode) {
   BeginStopping(7200ms);
   timers_.Advance(5000ms);
-  const auto served = Send("chat");
+  const auto served = Send("resume");
   EXPECT_TRUE(served->heads.empty());
   timers_.Advance(1500ms);
-  const auto refused = Send("chat");
+  const auto refused = Send("resume");
   ASSERT_EQ(refused->status(), 503);
   EXPECT_TRUE(refused->heads[0].headers.Find("Retry-After"));
   EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
@@ -55,8 +55,8 @@
 // next node may be about to stop too.
 TEST_F(StoppingTest, ServesWhatEndsBeforeTheNode) {
   BeginStopping(7200ms);
-  const auto caller = Send("chat");
-  ServeStream(caller, 1000ms);
+  const auto caller = Send("resume");
+  ServeStream(1000ms);
   EXPECT_EQ(caller->status(), 200);
   EXPECT_TRUE(caller->is_finished);
 }
@@ -68,7 +68,6 @@
   BeginStopping(7200ms);
   gateway_.RefuseUnfinishableRequests();
   EXPECT_TRUE(caller->heads.empty());
-  // The stage call is not answered, and ends by its timeout after 800 ms.
   BeginStopping(1500ms);
   gateway_.RefuseUnfinishableRequests();
   EXPECT_EQ(caller->status(), 503);
@@ -76,6 +75,91 @@
   EXPECT_EQ(gateway_.open_requests(), 0u);
 }
 
+// Guards against a stopping node that cuts more of the streams which only it
+// can finish: those that may not be resumed, and those whose callers came late.
+TEST_F(StoppingTest, IsStricterWithRequestsThatCannotGoElsewhere) {
+  for (int i = 0; i < 50; ++i) {
+    for (const char* const route : {"chat", "resume"}) {
+      Send(route);
+      ServeStream(i % 20 == 0 ? 5000ms : 500ms);
+    }
+  }
+  endpoint_caller_.calls.clear();
+  BeginStopping(7200ms);
+  timers_.Advance(2500ms);
+  EXPECT_TRUE(Send("resume")->heads.empty());
+  EXPECT_EQ(Send("chat")->status(), 503);
+  timers_.Advance(100ms);
+  EXPECT_EQ(Send("resume")->status(), 503);
+}
+
+// Guards against estimates that take an engine's quick errors for short
+// streams.
+TEST_F(StoppingTest, ErrorsAreNoObservationsOfStreams) {
+  for (int i = 0; i < 20; ++i) {
+    Send("resume");
+    ServeStream(5000ms);
+    EndpointResponseHead error;
+    error.status = 404;
+    error.is_authentic = true;
+    for (int j = 0; j < 10; ++j) {
+      Send("resume");
+      EndpointCallListener& engine =
+          endpoint_caller_.listener(endpoint_caller_.calls.size() - 1);
+      engine.OnResponseHead(error);
+      engine.OnResponseEnd(HttpCallEnd::kComplete);
+    }
+  }
+  BeginStopping(7200ms);
+  timers_.Advance(2500ms);
+  EXPECT_EQ(Send("resume")->status(), 503);
+}
+
+// Guards against estimates that leave out the stages before the engine.
+TEST_F(StoppingTest, RefusesARequestWhoseStagesUsuallyTakeTooLong) {
+  size_t answered = 0;
+  for (int i = 0; i < 30; ++i) {
+    Send("staged");
+    for (int stage = 0; stage < 2; ++stage) {
+      while (stage_caller_.calls.size() == answered) {
+        timers_.Advance(10ms);
+      }
+      timers_.Advance(170ms);
+      stage_caller_.Answer(answered++);
+    }
+    timers_.Advance(10ms);
+    ServeStream(100ms);
+  }
+  endpoint_caller_.calls.clear();
+  BeginStopping(7200ms);
+  timers_.Advance(4500ms);
+  EXPECT_TRUE(Send("staged")->heads.empty());
+  timers_.Advance(1200ms);
+  const auto refused = Send("staged");
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_NE(refused->body.find("shutting_down"), std::string::npos);
+  EXPECT_TRUE(endpoint_caller_.calls.empty());
+}
+
+// Guards against a request that is accepted during the stop and outlives it
+// after all: the estimate was wrong.
+TEST_F(StoppingTest, EndsRequestsThatWereAcceptedDuringTheStop) {
+  BeginStopping(7200ms);
+  timers_.Advance(4000ms);
+  const auto caller = Send("resume");
+  EXPECT_TRUE(caller->heads.empty());
+  timers_.Advance(3200ms);
+  EXPECT_EQ(caller->status(), 502);
+  EXPECT_EQ(gateway_.open_requests(), 0u);
+}
+
+// Guards against needless refusals by a node that has served a route rarely.
+TEST_F(StoppingTest, ServesShortCallsOfRoutesThatWereNotObserved) {
+  BeginStopping(7200ms);
+  timers_.Advance(3000ms);
+  EXPECT_TRUE(Send("book")->heads.empty());
+}
+
 // Guards against callers that get the end of their connection instead of a
 // response when a stopping process exits.
 TEST_F(StoppingTest, GivesEachOpenRequestAFinalResponse) {
@@ -106,22 +190,24 @@
 // Guards against estimates that suit one deployment's streams only.
 TEST(CompletionTimesTest, FollowsTheObservedTimesOfEachRoute) {
   CompletionTimes times;
-  const Duration prior = PredictOutputTime(times, "short", 0.9);
+  const RouteDefinition observed = {.name = "short"};
+  const RouteDefinition other = {.name = "other"};
+  const Duration prior = PredictOutputTime(times, observed, 0.9);
   for (int i = 0; i < 100; ++i) {
-    RecordOutputTime(times, "short", 60ms);
-    RecordPreparationTime(times, "short", i % 10 == 0 ? 900ms : 300ms);
+    RecordOutputTime(times, observed, 60ms);
+    RecordPreparationTime(times, observed, i % 10 == 0 ? 900ms : 300ms);
   }
-  EXPECT_LT(PredictOutputTime(times, "short", 0.9), 80ms);
-  EXPECT_EQ(PredictOutputTime(times, "other", 0.9), prior);
-  EXPECT_LT(PredictPreparationTime(times, "short", 0.5), 400ms);
-  EXPECT_GT(PredictPreparationTime(times, "short", 0.99), 800ms);
+  EXPECT_LT(PredictOutputTime(times, observed, 0.9), 80ms);
+  EXPECT_EQ(PredictOutputTime(times, other, 0.9), prior);
+  EXPECT_LT(PredictPreparationTime(times, observed, 0.5), 400ms);
+  EXPECT_GT(PredictPreparationTime(times, observed, 0.99), 800ms);
 }
 
 // Guards against memory that grows with the number of routes ever seen.
 TEST(CompletionTimesTest, KeepsABoundedNumberOfRoutes) {
   CompletionTimes times;
   for (size_t i = 0; i < 3 * kMaxCompletionRoutes; ++i) {
-    RecordOutputTime(times, "route" + std::to_string(i), 60ms);
+    RecordOutputTime(times, {.name = "route" + std::to_string(i)}, 60ms);
   }
   EXPECT_LE(times.routes.size(), kMaxCompletionRoutes);
 }
