Finish other nodes' tasks and the last connections before a node exits

Cause: the exit depended on the node's own requests and connections alone, and closed what was left without a look at it.

Change: a node exits when other nodes have no unfinished tasks there either, at the latest at the end of the stop. A forced exit leaves one interval after the last accept. What is left gets a 503 if its request is incomplete, and a reset if its response is. The margins are parts of the grace time, so that they lie in its last sixth also if it is short, and a reload does not change a stop that has begun. The log has open_connections and peer_tasks at the exit.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -27,11 +27,12 @@
 // The load balancer checks readiness once a second and stops using a node after
 // two failed checks. Idle connections stay open until then.
 constexpr Duration kLoadBalancerRemovalDelay = std::chrono::milliseconds(2600);
-// Times before the end of stop_grace, when the platform kills the process: at
+// Parts of stop_grace before its end, when the platform kills the process: at
 // the first each open request gets its final response and the node refuses
-// connections, at the second the process exits with what is left.
-constexpr Duration kFinalResponseMargin = std::chrono::milliseconds(800);
-constexpr Duration kForcedExitMargin = std::chrono::milliseconds(250);
+// connections, at the second the process exits with what is left. Both lie in
+// the last sixth, in which the platform accepts that requests are cut.
+constexpr int kFinalResponseDivisor = 10;
+constexpr int kForcedExitDivisor = 32;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 // Give each component its own seed for random choices.
 constexpr uint64_t kCoordinatorSeed = 1;
@@ -411,7 +412,9 @@
   coordinator_retry_budget_.set_settings(
       CoordinatorRetryBudgetSettings(new_settings.repeats));
   store_.set_address(new_settings.store_address);
-  settings_.stop_grace = new_settings.stop_grace;
+  if (!is_stopping_) {
+    settings_.stop_grace = new_settings.stop_grace;
+  }
   log_.Write("settings_reloaded",
              {{"file", settings_path_}, {"store", new_settings.store_address}});
 }
@@ -422,9 +425,10 @@
   }
   is_stopping_ = true;
   stop_request_time_ = clock_.Now();
-  stop_end_ =
-      stop_request_time_ +
-      std::max(settings_.stop_grace - kFinalResponseMargin, Duration::zero());
+  stop_end_ = stop_request_time_ + settings_.stop_grace -
+              settings_.stop_grace / kFinalResponseDivisor;
+  forced_exit_time_ = stop_request_time_ + settings_.stop_grace -
+                      settings_.stop_grace / kForcedExitDivisor;
   caller_server_->DisableKeepAlive();
   node_registration_.Stop();
   log_.Write("stopping",
@@ -435,9 +439,10 @@
       timers_.After(kStopCheckInterval, [this] { ContinueStopping(); });
 }
 
-bool GatewayProcess::HasNoCallers() const {
+bool GatewayProcess::IsUnused() const {
   return gateway_.open_requests() == 0 &&
-         caller_server_->connection_count() == 0;
+         caller_server_->connection_count() == 0 &&
+         stage_service_.unfinished_task_count() == 0;
 }
 
 void GatewayProcess::ContinueStopping() {
@@ -448,18 +453,24 @@
   if (is_removed) {
     caller_server_->CloseIdleConnections();
   }
-  if (now >= stop_end_ || (is_removed && HasNoCallers())) {
+  // The connections that StopListening accepts are served before the exit, also
+  // if the process was paused until then.
+  const bool was_listening = caller_server_->is_listening();
+  if (now >= stop_end_ || (is_removed && IsUnused())) {
     caller_server_->StopListening();
   }
-  // StopListening may have accepted connections.
-  const bool is_done = is_removed && HasNoCallers();
-  const bool is_forced =
-      !is_done && elapsed >= settings_.stop_grace - kForcedExitMargin;
+  const bool is_done = is_removed && IsUnused();
+  const bool is_forced = !is_done && !was_listening && now >= forced_exit_time_;
   if (is_done || is_forced) {
     gateway_.LogOpenRequests();
-    log_.Write("stopped",
-               {{"open_requests", std::to_string(gateway_.open_requests())},
-                {"forced", is_forced ? "1" : "0"}});
+    const size_t open_connections = caller_server_->connection_count();
+    caller_server_->EndAllConnections();
+    log_.Write(
+        "stopped",
+        {{"open_requests", std::to_string(gateway_.open_requests())},
+         {"open_connections", std::to_string(open_connections)},
+         {"peer_tasks", std::to_string(stage_service_.unfinished_task_count())},
+         {"forced", is_forced ? "1" : "0"}});
     g_main_loop_quit(loop_);
     return;
   }
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -68,8 +68,8 @@
   bool IsReady() const;
   void CheckSettingsFile();
   void ContinueStopping();
-  // Returns whether no request and no caller's connection is open.
-  bool HasNoCallers() const;
+  // Returns whether neither callers nor other nodes have work here.
+  bool IsUnused() const;
   std::string FormatMetrics() const;
 
   GatewaySettings settings_;
@@ -110,6 +110,7 @@
   TimePoint stop_request_time_;
   // When each open request gets its final response.
   TimePoint stop_end_;
+  TimePoint forced_exit_time_;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -1,5 +1,6 @@
 #include "peridotmill_gateway/peers/stage_service.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "peridotmill_gateway/peers/stage_message.h"
@@ -20,6 +21,12 @@
     link_ = make_link(this);
   }
 
+  size_t unfinished_task_count() const {
+    return static_cast<size_t>(std::count_if(
+        tasks_.begin(), tasks_.end(),
+        [](const auto& entry) { return !entry.second->is_ended(); }));
+  }
+
  private:
   // Runs one task and sends its result under the id that the other node chose.
   class SessionTask final : public StageTaskListener {
@@ -111,6 +118,14 @@
   sessions_.emplace(started, std::move(session));
 }
 
+size_t StageService::unfinished_task_count() const {
+  size_t count = 0;
+  for (const auto& [key, session] : sessions_) {
+    count += session->unfinished_task_count();
+  }
+  return count;
+}
+
 void StageService::CloseAllSessions() {
   sessions_.clear();
 }
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -40,6 +40,8 @@
   // tasks.
   void CloseAllSessions();
 
+  // Tasks of other nodes that have not ended.
+  size_t unfinished_task_count() const;
   size_t session_count() const { return sessions_.size(); }
 
  private:
--- a/modules/peridotmill_gateway/tests/stage_peers_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -174,6 +174,21 @@
   EXPECT_EQ(other_caller_.released.size(), 2u);
 }
 
+// Guards against a coordinator that exits while it has tasks of other nodes,
+// which lose their work and may fail for lack of retry budget.
+TEST_F(StagePeersTest, CountsTheUnfinishedTasksOfOtherNodes) {
+  const auto first = Submit();
+  auto second = Submit();
+  timers_.Advance(5ms);
+  EXPECT_EQ(service_.unfinished_task_count(), 2u);
+  other_caller_.Answer(0);
+  timers_.Advance(5ms);
+  EXPECT_EQ(results_.size(), 2u - service_.unfinished_task_count());
+  second.reset();
+  timers_.Advance(5ms);
+  EXPECT_EQ(service_.unfinished_task_count(), 0u);
+}
+
 // Guards against tasks that wait without limit for a paused or partitioned
 // coordinator.
 TEST_F(StagePeersTest, ReassignsTheTasksOfAnUnresponsiveCoordinator) {
--- a/modules/peridotmill_http/server/http_server.cc
+++ b/modules/peridotmill_http/server/http_server.cc
@@ -87,6 +87,19 @@
   }
 }
 
+void HttpServer::EndAllConnections() {
+  std::vector<HttpServerConnection*> open;
+  open.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) {
+    open.push_back(key);
+  }
+  for (HttpServerConnection* const connection : open) {
+    if (connections_.contains(connection)) {
+      connection->EndBeforeExit();
+    }
+  }
+}
+
 void HttpServer::RemoveConnection(HttpServerConnection* connection) {
   const auto found = connections_.find(connection);
   if (found != connections_.end()) {
--- a/modules/peridotmill_http/server/http_server.h
+++ b/modules/peridotmill_http/server/http_server.h
@@ -63,8 +63,13 @@
   void DisableKeepAlive() { is_keep_alive_enabled_ = false; }
   // Closes the connections that are idle; see HttpServerConnection::IsIdle.
   void CloseIdleConnections();
+  // Responds to the requests that are still being received as not run, and
+  // resets the connections whose response has not been sent completely. Called
+  // before the process exits.
+  void EndAllConnections();
   // Refuses connections from now on, except those that are established already.
   void StopListening() { listener_->StopListening(); }
+  bool is_listening() const { return listener_->is_listening(); }
 
   uint16_t port() const { return listener_->port(); }
   size_t connection_count() const { return connections_.size(); }
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -18,8 +18,8 @@
 // restarts the idle timeout, so occasional bytes would otherwise keep the
 // connection open indefinitely.
 constexpr double kMinBodyBytesPerMs = 1;
-// Time after the accept within which a caller sends the first byte of its first
-// request: callers allow a connection one second to be established.
+// A connection on which nothing has arrived for this time after the accept is
+// idle. The first byte may have to be sent again once.
 constexpr Duration kFirstByteTimeout = std::chrono::seconds(1);
 
 bool HasBareLineFeed(std::string_view text) {
@@ -56,6 +56,21 @@
          socket_->unsent_bytes() == 0 && !socket_->has_unread_bytes();
 }
 
+void HttpServerConnection::EndBeforeExit() {
+  const bool is_receiving =
+      state_ == State::kBody ||
+      (state_ == State::kHead && !receive_buffer_.empty());
+  if (is_receiving) {
+    Reject(503, "the server is stopping");
+    return;
+  }
+  if (state_ == State::kResponding || socket_->unsent_bytes() > 0) {
+    // A response without a length would look complete after an orderly close.
+    socket_->Abort();
+  }
+  CloseAndRemove();
+}
+
 void HttpServerConnection::CloseAndRemove() {
   socket_->Close();
   if (exchange_ != nullptr) {
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -31,6 +31,8 @@
   // has just connected is about to send a request, so its connection becomes
   // idle only after a while.
   bool IsIdle(TimePoint now) const;
+  // See HttpServer::EndAllConnections.
+  void EndBeforeExit();
   size_t unsent_bytes() const { return socket_->unsent_bytes(); }
   // Closes the connection and removes it from its server. Calls the exchange's
   // disconnect callback if a response is incomplete.
--- a/modules/peridotmill_http/sockets/tcp_listener.h
+++ b/modules/peridotmill_http/sockets/tcp_listener.h
@@ -31,6 +31,7 @@
   // Accepts the connections that are already established and refuses later
   // ones. Does nothing when called again.
   void StopListening();
+  bool is_listening() const { return descriptor_ >= 0; }
 
   // Returns the port that the listener is or was bound to.
   uint16_t port() const { return port_; }
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -313,6 +313,47 @@
   EXPECT_TRUE(caller.Has("answer to /")) << caller.received;
 }
 
+// Guards against a stop that waits for connections whose callers never send.
+TEST_F(HttpServerTest, StoppingClosesConnectionsThatNeverSend) {
+  HttpServerSettings settings;
+  settings.address = "127.0.0.1:0";
+  settings.limits.idle_timeout = 60s;
+  const auto server = *HttpServer::Create(settings, clock_, [](const auto&) {});
+  SocketPeer caller(server->port());
+  RunLoopFor(1050ms);
+  server->CloseIdleConnections();
+  ASSERT_TRUE(RunLoopUntil([&] { return caller.end.has_value(); }));
+  EXPECT_EQ(caller.end, SocketEnd::kOrderly);
+}
+
+// Guards against a process that exits without a word to callers whose requests
+// are being received, or with a cut response that looks complete.
+TEST_F(HttpServerTest, EndsAllConnectionsBeforeTheExit) {
+  SocketPeer sending(server_->port());
+  sending.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc");
+  RunLoopFor(20ms);
+  responds_immediately_ = false;
+  SocketPeer slow(server_->port());
+  slow.Send("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(RunLoopUntil([&] { return exchanges_.size() == 1; }));
+  slow.PauseReading();
+  HttpResponseHead head;
+  head.status = 200;
+  exchanges_[0]->SendHead(head);
+  while (exchanges_[0]->unsent_bytes() == 0) {
+    exchanges_[0]->SendBody(std::string(1 << 20, 'x'));
+  }
+  exchanges_[0]->Finish();
+  server_->EndAllConnections();
+  slow.ResumeReading();
+  ASSERT_TRUE(RunLoopUntil(
+      [&] { return sending.end.has_value() && slow.end.has_value(); }));
+  EXPECT_TRUE(sending.Has("HTTP/1.1 503 ")) << sending.received;
+  EXPECT_TRUE(sending.Has("not_run"));
+  EXPECT_EQ(slow.end, SocketEnd::kReset);
+  EXPECT_EQ(server_->connection_count(), 0u);
+}
+
 // Guards against a stopping process that resets connections which its callers
 // have established and it has not accepted yet.
 TEST_F(HttpServerTest, StoppingServesConnectionsThatWaitToBeAccepted) {
