Refuse requests on arrival whose later stage is held off for too long

Cause: a request ran its first stage, whose results were thrown away, although all endpoints of a later stage had asked for no work until after its deadline.

Change: the coordinator compares the planned start of each later stage with the end of the hold-off of its pool when the first task arrives, and refuses the request at once with the time after which it would reach that stage in time.

Measured: EndpointNoticesTest.RunsNoStagesIfALaterStageIsHeldOffForTooLong fails without the check.

--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -125,6 +125,13 @@
     dependencies_.endpoints.EjectReportedEndpoint(entry.task.failed_engine,
                                                   dependencies_.clock.Now());
   }
+  if (const auto retry_after = FindUnservableHoldOff(entry.task)) {
+    entry.end_timer = dependencies_.timers.After(
+        Duration::zero(), [this, id, delay = *retry_after] {
+          EndTask(id, StageItemOutcome::kRefused, delay);
+        });
+    return std::make_unique<Handle>(this, id);
+  }
   if (entry.task.prompt) {
     SetIntendedEngine(entry.task);
   }
@@ -268,6 +275,27 @@
   }
 }
 
+std::optional<Duration> StageCoordinator::FindUnservableHoldOff(
+    const StageTask& task) const {
+  const TimePoint now = dependencies_.clock.Now();
+  std::optional<Duration> retry_after;
+  for (const PlannedWork& work : task.plan) {
+    const auto hold_off_end =
+        FindHoldOffEnd(dependencies_.endpoints.Serving(work.pool), now);
+    // Work of the first stages is checked when it is dispatched.
+    if (!hold_off_end || work.start == Duration::zero()) {
+      continue;
+    }
+    const TimePoint latest_start =
+        task.deadline + (work.start - task.plan.front().end);
+    if (*hold_off_end > latest_start) {
+      retry_after = std::max(retry_after.value_or(Duration::zero()),
+                             *hold_off_end - now - work.start);
+    }
+  }
+  return retry_after;
+}
+
 void StageCoordinator::RefuseHeldOffTasks(const PoolId& id,
                                           const StagePoolDefinition& pool) {
   const TimePoint now = dependencies_.clock.Now();
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -110,6 +111,10 @@
   // Ends the tasks that cannot meet their deadline, and sends calls to idle
   // endpoints.
   void Dispatch(const PoolId& id);
+  // Returns the time after which the caller of a request should retry if the
+  // request cannot be served, since all endpoints of a later stage are held off
+  // for too long; otherwise returns nothing.
+  std::optional<Duration> FindUnservableHoldOff(const StageTask& task) const;
   // Refuses the tasks that cannot meet their deadline because all endpoints of
   // the pool are held off.
   void RefuseHeldOffTasks(const PoolId& id, const StagePoolDefinition& pool);
--- a/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_notices_test.cc
@@ -293,6 +293,20 @@
   EXPECT_EQ(stage_caller_.calls.size(), 1u);
 }
 
+// Guards against stages that run for a request whose later stage has no
+// endpoint that accepts its items in time.
+TEST_F(EndpointNoticesTest, RunsNoStagesIfALaterStageIsHeldOffForTooLong) {
+  HoldOffPool("rank", 1s);
+  EXPECT_EQ(Send("staged")->status(), 0);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  stage_caller_.Answer(0);
+  HoldOffPool("rank", 7s);
+  const auto refused = Send("staged");
+  ASSERT_EQ(refused->status(), 503);
+  EXPECT_GT(RetryAfterSeconds(*refused), 0);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+}
+
 // Guards against stage items that are sent to an endpoint which wants none for
 // a time, and against tasks that wait for it although they would miss their
 // deadline.
