--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -129,16 +129,19 @@
       retry_budget_(settings.repeats),
       coordinator_retry_budget_(
           CoordinatorRetryBudgetSettings(settings.repeats)),
+      prompt_quarantine_(clock, timers_, log),
       coordinator_({clock, timers_, stage_adapter_, endpoint_registry_,
-                    coordinator_retry_budget_, log},
+                    coordinator_retry_budget_, log, &prompt_quarantine_},
                    ComponentSeed(settings, kCoordinatorSeed)),
       stage_relay_({clock, timers_, peer_dialer_, coordinator_, node_directory_,
                     retry_budget_, endpoint_registry_, log, settings.node,
-                    MakeNodeRecord(settings)}),
-      stage_service_(coordinator_,
-                     clock,
-                     timers_,
-                     [this] { return endpoint_registry_.SuspectedDomains(); }),
+                    MakeNodeRecord(settings), &prompt_quarantine_}),
+      stage_service_(
+          coordinator_,
+          clock,
+          timers_,
+          [this] { return endpoint_registry_.SuspectedDomains(); },
+          &prompt_quarantine_),
       node_registration_(
           settings.node,
           MakeNodeRecord(settings),
@@ -148,10 +151,10 @@
           {.on_store_response = [this] { replica_sources_.OnStoreResponded(); },
            .on_store_contact_lost = [this] { OnStoreUnresponsive(); },
            .is_watching = [this] { return replica_.is_watching(); }}),
-      gateway_(
-          {clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
-           endpoint_registry_, retry_budget_, log, settings.failure_domain},
-          ComponentSeed(settings, kGatewaySeed)),
+      gateway_({clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
+                endpoint_registry_, retry_budget_, log, settings.failure_domain,
+                &prompt_quarantine_},
+               ComponentSeed(settings, kGatewaySeed)),
       registration_reconciler_(
           endpoint_registry_,
           timers_,
@@ -470,6 +473,11 @@
   add("stage_requests_waiting", coordinator_.waiting_request_count());
   add("stage_requests_started", coordinator_.started_request_count());
   add("stage_tasks_reassigned_total", stage_relay_.reassigned_task_count());
+  const PromptQuarantineCounters& quarantine = prompt_quarantine_.counters();
+  add("prompt_crashes_suspected_total", quarantine.suspected_crashes);
+  add("prompt_parts_quarantined_total", quarantine.quarantined_parts);
+  add("prompt_parts_cleared_total", quarantine.cleared_parts);
+  add("prompt_parts_probed_total", quarantine.probes);
   add("nodes", node_directory_.size());
   add("store_watching", replica_.is_watching() ? 1 : 0);
   add("replica_sources", replica_sources_.source_count());
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -85,6 +85,7 @@
   EndpointRegistry endpoint_registry_;
   PoolRetryBudget retry_budget_;
   PoolRetryBudget coordinator_retry_budget_;
+  PromptQuarantine prompt_quarantine_;
   StageCoordinator coordinator_;
   NodeDirectory node_directory_;
   FrameDialer peer_dialer_;
--- a/modules/peridotmill_core/reasons/reason.h
+++ b/modules/peridotmill_core/reasons/reason.h
@@ -38,6 +38,7 @@
   kNotConfigured,
   kShuttingDown,
   kCallerGone,
+  kPromptQuarantined,
   // Retries.
   kConnectFailed,
   kEndpointRefused,
@@ -46,6 +47,7 @@
   kAttemptTimeout,
   kHedge,
   kRetryBudgetExhausted,
+  kPromptSuspected,
   // Drops.
   kAnswerMismatch,
   kAnswerLate,
--- a/modules/peridotmill_gateway/calls/stage_call.cc
+++ b/modules/peridotmill_gateway/calls/stage_call.cc
@@ -16,6 +16,8 @@
       return "failed";
     case StageItemOutcome::kRefused:
       return "refused";
+    case StageItemOutcome::kQuarantined:
+      return "quarantined";
   }
   return "failed";
 }
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -38,6 +38,9 @@
   kFailed,
   // The item was not run, because its request cannot be served in time.
   kRefused,
+  // The item was not run, because a part of the request's prompt is
+  // quarantined.
+  kQuarantined,
 };
 
 // Returns the name of an outcome for the event log.
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -37,6 +37,15 @@
 struct NodeRecord;
 struct NodeRecordBuilder;
 
+struct CrashReport;
+struct CrashReportBuilder;
+
+struct QuarantineReport;
+struct QuarantineReportBuilder;
+
+struct PromptNews;
+struct PromptNewsBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -368,7 +377,8 @@
     VT_POOL = 4,
     VT_PREFIX_HASHES = 6,
     VT_PREFIX_TOKENS = 8,
-    VT_TOKENS = 10
+    VT_TOKENS = 10,
+    VT_PART_HASHES = 12
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -382,6 +392,9 @@
   int64_t tokens() const {
     return GetField<int64_t>(VT_TOKENS, 0);
   }
+  const flatbuffers::Vector<uint64_t> *part_hashes() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PART_HASHES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_POOL) &&
@@ -391,6 +404,8 @@
            VerifyOffset(verifier, VT_PREFIX_TOKENS) &&
            verifier.VerifyVector(prefix_tokens()) &&
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_PART_HASHES) &&
+           verifier.VerifyVector(part_hashes()) &&
            verifier.EndTable();
   }
 };
@@ -411,6 +426,9 @@
   void add_tokens(int64_t tokens) {
     fbb_.AddElement<int64_t>(Prompt::VT_TOKENS, tokens, 0);
   }
+  void add_part_hashes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> part_hashes) {
+    fbb_.AddOffset(Prompt::VT_PART_HASHES, part_hashes);
+  }
   explicit PromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -427,9 +445,11 @@
     flatbuffers::Offset<flatbuffers::String> pool = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix_hashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> part_hashes = 0) {
   PromptBuilder builder_(_fbb);
   builder_.add_tokens(tokens);
+  builder_.add_part_hashes(part_hashes);
   builder_.add_prefix_tokens(prefix_tokens);
   builder_.add_prefix_hashes(prefix_hashes);
   builder_.add_pool(pool);
@@ -441,16 +461,19 @@
     const char *pool = nullptr,
     const std::vector<uint64_t> *prefix_hashes = nullptr,
     const std::vector<int64_t> *prefix_tokens = nullptr,
-    int64_t tokens = 0) {
+    int64_t tokens = 0,
+    const std::vector<uint64_t> *part_hashes = nullptr) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto prefix_hashes__ = prefix_hashes ? _fbb.CreateVector<uint64_t>(*prefix_hashes) : 0;
   auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
+  auto part_hashes__ = part_hashes ? _fbb.CreateVector<uint64_t>(*part_hashes) : 0;
   return peridotmill::stagewire::CreatePrompt(
       _fbb,
       pool__,
       prefix_hashes__,
       prefix_tokens__,
-      tokens);
+      tokens,
+      part_hashes__);
 }
 
 struct PlannedWork FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -864,11 +887,297 @@
       replica_address__);
 }
 
+struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_STARTED_AT_MS = 6,
+    VT_PARTS = 8,
+    VT_AGES_MS = 10,
+    VT_SUCCESSES = 12,
+    VT_POSITIONS = 14
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PARTS);
+  }
+  const flatbuffers::Vector<uint32_t> *ages_ms() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_AGES_MS);
+  }
+  const flatbuffers::Vector<uint32_t> *successes() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_SUCCESSES);
+  }
+  const flatbuffers::Vector<uint8_t> *positions() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_POSITIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           VerifyOffset(verifier, VT_AGES_MS) &&
+           verifier.VerifyVector(ages_ms()) &&
+           VerifyOffset(verifier, VT_SUCCESSES) &&
+           verifier.VerifyVector(successes()) &&
+           VerifyOffset(verifier, VT_POSITIONS) &&
+           verifier.VerifyVector(positions()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CrashReportBuilder {
+  typedef CrashReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(CrashReport::VT_ENDPOINT, endpoint);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(CrashReport::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts) {
+    fbb_.AddOffset(CrashReport::VT_PARTS, parts);
+  }
+  void add_ages_ms(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> ages_ms) {
+    fbb_.AddOffset(CrashReport::VT_AGES_MS, ages_ms);
+  }
+  void add_successes(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> successes) {
+    fbb_.AddOffset(CrashReport::VT_SUCCESSES, successes);
+  }
+  void add_positions(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> positions) {
+    fbb_.AddOffset(CrashReport::VT_POSITIONS, positions);
+  }
+  explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    int64_t started_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> ages_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> successes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> positions = 0) {
+  CrashReportBuilder builder_(_fbb);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_positions(positions);
+  builder_.add_successes(successes);
+  builder_.add_ages_ms(ages_ms);
+  builder_.add_parts(parts);
+  builder_.add_endpoint(endpoint);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CrashReport> CreateCrashReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    int64_t started_at_ms = 0,
+    const std::vector<uint64_t> *parts = nullptr,
+    const std::vector<uint32_t> *ages_ms = nullptr,
+    const std::vector<uint32_t> *successes = nullptr,
+    const std::vector<uint8_t> *positions = nullptr) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
+  auto ages_ms__ = ages_ms ? _fbb.CreateVector<uint32_t>(*ages_ms) : 0;
+  auto successes__ = successes ? _fbb.CreateVector<uint32_t>(*successes) : 0;
+  auto positions__ = positions ? _fbb.CreateVector<uint8_t>(*positions) : 0;
+  return peridotmill::stagewire::CreateCrashReport(
+      _fbb,
+      endpoint__,
+      started_at_ms,
+      parts__,
+      ages_ms__,
+      successes__,
+      positions__);
+}
+
+struct QuarantineReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineReportBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_SINCE_AGE_MS = 6,
+    VT_LEFT_MS = 8,
+    VT_FAILED_PROBES = 10
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint32_t since_age_ms() const {
+    return GetField<uint32_t>(VT_SINCE_AGE_MS, 0);
+  }
+  int32_t left_ms() const {
+    return GetField<int32_t>(VT_LEFT_MS, 0);
+  }
+  uint8_t failed_probes() const {
+    return GetField<uint8_t>(VT_FAILED_PROBES, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SINCE_AGE_MS, 4) &&
+           VerifyField<int32_t>(verifier, VT_LEFT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FAILED_PROBES, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct QuarantineReportBuilder {
+  typedef QuarantineReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(QuarantineReport::VT_PART, part, 0);
+  }
+  void add_since_age_ms(uint32_t since_age_ms) {
+    fbb_.AddElement<uint32_t>(QuarantineReport::VT_SINCE_AGE_MS, since_age_ms, 0);
+  }
+  void add_left_ms(int32_t left_ms) {
+    fbb_.AddElement<int32_t>(QuarantineReport::VT_LEFT_MS, left_ms, 0);
+  }
+  void add_failed_probes(uint8_t failed_probes) {
+    fbb_.AddElement<uint8_t>(QuarantineReport::VT_FAILED_PROBES, failed_probes, 0);
+  }
+  explicit QuarantineReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineReport> CreateQuarantineReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint32_t since_age_ms = 0,
+    int32_t left_ms = 0,
+    uint8_t failed_probes = 0) {
+  QuarantineReportBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_left_ms(left_ms);
+  builder_.add_since_age_ms(since_age_ms);
+  builder_.add_failed_probes(failed_probes);
+  return builder_.Finish();
+}
+
+struct PromptNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptNewsBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_CRASHES = 4,
+    VT_CLEARED_PARTS = 6,
+    VT_CLEARED_AGES_MS = 8,
+    VT_QUARANTINES = 10
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>> *crashes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>> *>(VT_CRASHES);
+  }
+  const flatbuffers::Vector<uint64_t> *cleared_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_CLEARED_PARTS);
+  }
+  const flatbuffers::Vector<uint32_t> *cleared_ages_ms() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_CLEARED_AGES_MS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>> *quarantines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>> *>(VT_QUARANTINES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_CRASHES) &&
+           verifier.VerifyVector(crashes()) &&
+           verifier.VerifyVectorOfTables(crashes()) &&
+           VerifyOffset(verifier, VT_CLEARED_PARTS) &&
+           verifier.VerifyVector(cleared_parts()) &&
+           VerifyOffset(verifier, VT_CLEARED_AGES_MS) &&
+           verifier.VerifyVector(cleared_ages_ms()) &&
+           VerifyOffset(verifier, VT_QUARANTINES) &&
+           verifier.VerifyVector(quarantines()) &&
+           verifier.VerifyVectorOfTables(quarantines()) &&
+           verifier.EndTable();
+  }
+};
+
+struct PromptNewsBuilder {
+  typedef PromptNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_crashes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>>> crashes) {
+    fbb_.AddOffset(PromptNews::VT_CRASHES, crashes);
+  }
+  void add_cleared_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared_parts) {
+    fbb_.AddOffset(PromptNews::VT_CLEARED_PARTS, cleared_parts);
+  }
+  void add_cleared_ages_ms(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> cleared_ages_ms) {
+    fbb_.AddOffset(PromptNews::VT_CLEARED_AGES_MS, cleared_ages_ms);
+  }
+  void add_quarantines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>>> quarantines) {
+    fbb_.AddOffset(PromptNews::VT_QUARANTINES, quarantines);
+  }
+  explicit PromptNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptNews> CreatePromptNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>>> crashes = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> cleared_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> cleared_ages_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>>> quarantines = 0) {
+  PromptNewsBuilder builder_(_fbb);
+  builder_.add_quarantines(quarantines);
+  builder_.add_cleared_ages_ms(cleared_ages_ms);
+  builder_.add_cleared_parts(cleared_parts);
+  builder_.add_crashes(crashes);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PromptNews> CreatePromptNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>> *crashes = nullptr,
+    const std::vector<uint64_t> *cleared_parts = nullptr,
+    const std::vector<uint32_t> *cleared_ages_ms = nullptr,
+    const std::vector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>> *quarantines = nullptr) {
+  auto crashes__ = crashes ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::stagewire::CrashReport>>(*crashes) : 0;
+  auto cleared_parts__ = cleared_parts ? _fbb.CreateVector<uint64_t>(*cleared_parts) : 0;
+  auto cleared_ages_ms__ = cleared_ages_ms ? _fbb.CreateVector<uint32_t>(*cleared_ages_ms) : 0;
+  auto quarantines__ = quarantines ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::stagewire::QuarantineReport>>(*quarantines) : 0;
+  return peridotmill::stagewire::CreatePromptNews(
+      _fbb,
+      crashes__,
+      cleared_parts__,
+      cleared_ages_ms__,
+      quarantines__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_BODY = 6,
+    VT_PROMPT_NEWS = 8
   };
   peridotmill::stagewire::Body body_type() const {
     return static_cast<peridotmill::stagewire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
@@ -889,11 +1198,16 @@
   const peridotmill::stagewire::TaskEnded *body_as_TaskEnded() const {
     return body_type() == peridotmill::stagewire::Body::TaskEnded ? static_cast<const peridotmill::stagewire::TaskEnded *>(body()) : nullptr;
   }
+  const peridotmill::stagewire::PromptNews *prompt_news() const {
+    return GetPointer<const peridotmill::stagewire::PromptNews *>(VT_PROMPT_NEWS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_PROMPT_NEWS) &&
+           verifier.VerifyTable(prompt_news()) &&
            verifier.EndTable();
   }
 };
@@ -924,6 +1238,9 @@
   void add_body(flatbuffers::Offset<void> body) {
     fbb_.AddOffset(Message::VT_BODY, body);
   }
+  void add_prompt_news(flatbuffers::Offset<peridotmill::stagewire::PromptNews> prompt_news) {
+    fbb_.AddOffset(Message::VT_PROMPT_NEWS, prompt_news);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -938,8 +1255,10 @@
 inline flatbuffers::Offset<Message> CreateMessage(
     flatbuffers::FlatBufferBuilder &_fbb,
     peridotmill::stagewire::Body body_type = peridotmill::stagewire::Body::NONE,
-    flatbuffers::Offset<void> body = 0) {
+    flatbuffers::Offset<void> body = 0,
+    flatbuffers::Offset<peridotmill::stagewire::PromptNews> prompt_news = 0) {
   MessageBuilder builder_(_fbb);
+  builder_.add_prompt_news(prompt_news);
   builder_.add_body(body);
   builder_.add_body_type(body_type);
   return builder_.Finish();
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -13,6 +13,8 @@
 using StringVector =
     flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 
+constexpr int kMaxReportedFailedProbes = 255;
+
 std::string StringOrEmpty(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
 }
@@ -53,6 +55,19 @@
   return std::chrono::milliseconds(milliseconds);
 }
 
+uint32_t EncodeAge(TimePoint time, TimePoint now) {
+  return EncodeDelay(now - time);
+}
+
+std::vector<uint64_t> HashValues(const std::vector<PromptPartHash>& parts) {
+  std::vector<uint64_t> values;
+  values.reserve(parts.size());
+  for (const PromptPartHash part : parts) {
+    values.push_back(part.value());
+  }
+  return values;
+}
+
 flatbuffers::Offset<stagewire::Prompt> EncodePrompt(
     flatbuffers::FlatBufferBuilder& builder,
     const PromptDemand& prompt) {
@@ -65,8 +80,9 @@
   const auto pool = builder.CreateString(prompt.pool.value());
   const auto hash_vector = builder.CreateVector(hashes);
   const auto token_vector = builder.CreateVector(tokens);
+  const auto part_vector = builder.CreateVector(HashValues(prompt.parts));
   return stagewire::CreatePrompt(builder, pool, hash_vector, token_vector,
-                                 prompt.tokens);
+                                 prompt.tokens, part_vector);
 }
 
 PromptDemand DecodePrompt(const stagewire::Prompt& wire) {
@@ -81,9 +97,131 @@
           {wire.prefix_hashes()->Get(i), wire.prefix_tokens()->Get(i)});
     }
   }
+  if (wire.part_hashes() != nullptr) {
+    const auto count =
+        std::min<size_t>(wire.part_hashes()->size(), kMaxTrackedParts);
+    for (size_t i = 0; i < count; ++i) {
+      prompt.parts.emplace_back(
+          wire.part_hashes()->Get(static_cast<flatbuffers::uoffset_t>(i)));
+    }
+  }
   return prompt;
 }
 
+flatbuffers::Offset<stagewire::CrashReport> EncodeCrash(
+    flatbuffers::FlatBufferBuilder& builder,
+    const SuspectedCrash& crash,
+    TimePoint now) {
+  std::vector<uint64_t> parts;
+  std::vector<uint32_t> ages;
+  std::vector<uint32_t> successes;
+  std::vector<uint8_t> positions;
+  for (const SuspectPart& suspect : crash.parts) {
+    parts.push_back(suspect.part.value());
+    ages.push_back(EncodeAge(suspect.at, now));
+    successes.push_back(suspect.successes);
+    positions.push_back(static_cast<uint8_t>(suspect.position));
+  }
+  const auto endpoint =
+      builder.CreateString(crash.incarnation.endpoint.value());
+  const auto part_vector = builder.CreateVector(parts);
+  const auto age_vector = builder.CreateVector(ages);
+  const auto success_vector = builder.CreateVector(successes);
+  const auto position_vector = builder.CreateVector(positions);
+  return stagewire::CreateCrashReport(
+      builder, endpoint, crash.incarnation.started_at_ms, part_vector,
+      age_vector, success_vector, position_vector);
+}
+
+flatbuffers::Offset<stagewire::PromptNews> EncodePromptNews(
+    flatbuffers::FlatBufferBuilder& builder,
+    const PromptNews& news,
+    TimePoint now) {
+  std::vector<flatbuffers::Offset<stagewire::CrashReport>> crashes;
+  for (const SuspectedCrash& crash : news.crashes) {
+    crashes.push_back(EncodeCrash(builder, crash, now));
+  }
+  std::vector<uint64_t> cleared_parts;
+  std::vector<uint32_t> cleared_ages;
+  for (const ClearedPart& cleared : news.cleared) {
+    cleared_parts.push_back(cleared.part.value());
+    cleared_ages.push_back(EncodeAge(cleared.at, now));
+  }
+  std::vector<flatbuffers::Offset<stagewire::QuarantineReport>> quarantines;
+  for (const PartQuarantine& quarantine : news.quarantines) {
+    quarantines.push_back(stagewire::CreateQuarantineReport(
+        builder, quarantine.part.value(), EncodeAge(quarantine.since, now),
+        EncodeRelativeTime(quarantine.until, now),
+        static_cast<uint8_t>(
+            std::min(quarantine.failed_probes, kMaxReportedFailedProbes))));
+  }
+  const auto crash_vector = builder.CreateVector(crashes);
+  const auto part_vector = builder.CreateVector(cleared_parts);
+  const auto age_vector = builder.CreateVector(cleared_ages);
+  const auto quarantine_vector = builder.CreateVector(quarantines);
+  return stagewire::CreatePromptNews(builder, crash_vector, part_vector,
+                                     age_vector, quarantine_vector);
+}
+
+std::optional<SuspectedCrash> DecodeCrash(const stagewire::CrashReport& wire,
+                                          TimePoint now) {
+  if (wire.parts() == nullptr || wire.ages_ms() == nullptr ||
+      wire.successes() == nullptr || wire.positions() == nullptr) {
+    return std::nullopt;
+  }
+  SuspectedCrash crash;
+  crash.incarnation = {EndpointId(StringOrEmpty(wire.endpoint())),
+                       wire.started_at_ms()};
+  const size_t count = std::min<size_t>(
+      {wire.parts()->size(), wire.ages_ms()->size(), wire.successes()->size(),
+       wire.positions()->size(), kMaxPartsPerCrash});
+  for (size_t n = 0; n < count; ++n) {
+    const auto i = static_cast<flatbuffers::uoffset_t>(n);
+    crash.parts.push_back({.part = PromptPartHash(wire.parts()->Get(i)),
+                           .at = now - DecodeDelay(wire.ages_ms()->Get(i)),
+                           .successes = wire.successes()->Get(i),
+                           .position = wire.positions()->Get(i)});
+  }
+  return crash;
+}
+
+PromptNews DecodePromptNews(const stagewire::PromptNews& wire, TimePoint now) {
+  PromptNews news;
+  if (wire.crashes() != nullptr) {
+    for (const stagewire::CrashReport* const report : *wire.crashes()) {
+      auto crash = DecodeCrash(*report, now);
+      if (crash && news.crashes.size() < kMaxCrashes) {
+        news.crashes.push_back(*std::move(crash));
+      }
+    }
+  }
+  if (wire.cleared_parts() != nullptr && wire.cleared_ages_ms() != nullptr) {
+    const auto count =
+        std::min(wire.cleared_parts()->size(), wire.cleared_ages_ms()->size());
+    for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
+      news.cleared.push_back(
+          {.part = PromptPartHash(wire.cleared_parts()->Get(i)),
+           .at = now - DecodeDelay(wire.cleared_ages_ms()->Get(i))});
+    }
+  }
+  if (wire.quarantines() != nullptr) {
+    for (const stagewire::QuarantineReport* const report :
+         *wire.quarantines()) {
+      if (news.quarantines.size() >= kMaxQuarantinedParts) {
+        break;
+      }
+      news.quarantines.push_back(
+          {.part = PromptPartHash(report->part()),
+           .since = now - DecodeDelay(report->since_age_ms()),
+           .until = now + std::min<Duration>(
+                              std::chrono::milliseconds(report->left_ms()),
+                              kMaxQuarantine),
+           .failed_probes = report->failed_probes()});
+    }
+  }
+  return news;
+}
+
 // Visitor that encodes one alternative of StageMessage.
 struct MessageEncoder {
   flatbuffers::FlatBufferBuilder& builder;
@@ -152,6 +290,13 @@
             .Union());
   }
 
+  flatbuffers::Offset<stagewire::Message> operator()(const PromptNews& news) {
+    const auto wire = EncodePromptNews(builder, news, now);
+    return stagewire::CreateMessage(
+        builder, stagewire::Body::TaskAccepted,
+        stagewire::CreateTaskAccepted(builder, 0).Union(), wire);
+  }
+
   flatbuffers::Offset<stagewire::Message> MakeMessage(
       stagewire::Body type,
       flatbuffers::Offset<void> body) {
@@ -209,7 +354,7 @@
   message.id = wire.task();
   const auto outcome = static_cast<StageItemOutcome>(wire.outcome());
   // An outcome that only a newer version knows is decoded as a failure.
-  message.result.outcome = outcome > StageItemOutcome::kRefused
+  message.result.outcome = outcome > StageItemOutcome::kQuarantined
                                ? StageItemOutcome::kFailed
                                : outcome;
   message.result.handles = DecodeHandles(wire.handles());
@@ -241,6 +386,9 @@
   if (message->body() == nullptr) {
     return malformed;
   }
+  if (message->prompt_news() != nullptr) {
+    return DecodePromptNews(*message->prompt_news(), now);
+  }
   switch (message->body_type()) {
     case stagewire::Body::SubmitTask:
       return DecodeSubmit(*message->body_as_SubmitTask(), now);
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "peridotmill_core/errors/error.h"
+#include "peridotmill_gateway/quarantine/prompt_news.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
 namespace peridotmill {
@@ -40,7 +41,8 @@
 using StageMessage = std::variant<SubmitTaskMessage,
                                   CancelTaskMessage,
                                   TaskAcceptedMessage,
-                                  TaskEndedMessage>;
+                                  TaskEndedMessage,
+                                  PromptNews>;
 
 // Encodes times relative to `now`, because the clocks of hosts differ.
 std::string EncodeStageMessage(const StageMessage& message, TimePoint now);
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -18,6 +18,16 @@
   Session(StageService* service, const LinkMaker& make_link)
       : service_(service) {
     link_ = make_link(this);
+    if (service_->quarantine_ != nullptr) {
+      const PromptNews news = service_->quarantine_->Snapshot();
+      if (!news.empty()) {
+        Send(news);
+      }
+    }
+  }
+
+  void Send(const StageMessage& message) {
+    link_->Send(EncodeStageMessage(message, service_->clock_.Now()));
   }
 
  private:
@@ -61,6 +71,9 @@
     } else if (const auto* const cancel =
                    std::get_if<CancelTaskMessage>(&*message)) {
       tasks_.erase(cancel->id);
+    } else if (const auto* const news = std::get_if<PromptNews>(&*message);
+               news != nullptr && service_->quarantine_ != nullptr) {
+      service_->quarantine_->Apply(*news);
     }
   }
   void OnLinkLost() override { service_->CloseSession(this); }
@@ -83,10 +96,6 @@
     });
   }
 
-  void Send(const StageMessage& message) {
-    link_->Send(EncodeStageMessage(message, service_->clock_.Now()));
-  }
-
   StageService* service_;
   std::map<RemoteTaskId, std::unique_ptr<SessionTask>> tasks_;
   std::unique_ptr<PeerLink> link_;
@@ -97,13 +106,27 @@
     StageTaskExecutor& executor,
     const Clock& clock,
     TimerQueue& timers,
-    std::function<std::vector<FailureDomainId>()> suspected_domains)
+    std::function<std::vector<FailureDomainId>()> suspected_domains,
+    PromptQuarantine* quarantine)
     : executor_(executor),
       clock_(clock),
       timers_(timers),
-      suspected_domains_(std::move(suspected_domains)) {}
+      suspected_domains_(std::move(suspected_domains)),
+      quarantine_(quarantine) {
+  if (quarantine_ != nullptr) {
+    quarantine_->set_on_news([this](const PromptNews& news) {
+      for (const auto& [key, session] : sessions_) {
+        session->Send(news);
+      }
+    });
+  }
+}
 
-StageService::~StageService() = default;
+StageService::~StageService() {
+  if (quarantine_ != nullptr) {
+    quarantine_->set_on_news(nullptr);
+  }
+}
 
 void StageService::Accept(const LinkMaker& make_link) {
   auto session = std::make_unique<Session>(this, make_link);
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -9,6 +9,7 @@
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/peers/peer_link.h"
+#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
 namespace peridotmill {
@@ -22,11 +23,12 @@
       std::function<std::unique_ptr<PeerLink>(PeerLinkListener* listener)>;
 
   // `suspected_domains` returns the failure domains that no longer respond to
-  // this node.
+  // this node. `quarantine` is exchanged with the other nodes; may be null.
   StageService(StageTaskExecutor& executor,
                const Clock& clock,
                TimerQueue& timers,
-               std::function<std::vector<FailureDomainId>()> suspected_domains);
+               std::function<std::vector<FailureDomainId>()> suspected_domains,
+               PromptQuarantine* quarantine = nullptr);
   ~StageService();
   StageService(const StageService&) = delete;
   StageService& operator=(const StageService&) = delete;
@@ -51,6 +53,7 @@
   const Clock& clock_;
   TimerQueue& timers_;
   std::function<std::vector<FailureDomainId>()> suspected_domains_;
+  PromptQuarantine* quarantine_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- a/modules/peridotmill_gateway/placement/prompt_demand.h
+++ b/modules/peridotmill_gateway/placement/prompt_demand.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "peridotmill_gateway/calls/caller_request.h"
+#include "peridotmill_gateway/quarantine/prompt_part.h"
 
 namespace peridotmill {
 
@@ -24,6 +25,8 @@
   std::vector<SharedPrefix> shared;
   // All tokens of the prompt, shared or not.
   int64_t tokens = 0;
+  // The parts that may be quarantined.
+  std::vector<PromptPartHash> parts = {};
 };
 
 // Returns the parts of a prompt that other requests may share: all parts but
--- /dev/null
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -0,0 +1,119 @@
+#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_EVIDENCE_H_
+#define PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_EVIDENCE_H_
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "peridotmill_core/ids/ids.h"
+#include "peridotmill_core/time/clock.h"
+#include "peridotmill_gateway/quarantine/prompt_part.h"
+
+namespace peridotmill {
+
+// One run of an endpoint's process, which crashes at most once.
+struct EndpointIncarnation {
+  EndpointId endpoint;
+  int64_t started_at_ms = 0;
+
+  friend bool operator==(const EndpointIncarnation&,
+                         const EndpointIncarnation&) = default;
+};
+
+// A part of a request that was at an endpoint without a response when the
+// endpoint seems to have crashed.
+struct SuspectPart {
+  PromptPartHash part;
+  TimePoint at;
+  // Answers to prompts with this part that the reporting node had seen before.
+  uint32_t successes = 0;
+  // Index of the part in its prompt.
+  uint32_t position = 0;
+};
+
+// A seeming crash, with the parts of all requests that may have caused it.
+struct SuspectedCrash {
+  EndpointIncarnation incarnation;
+  std::vector<SuspectPart> parts;
+};
+
+// Answers to prompts with one part.
+struct PartSuccess {
+  TimePoint last_at;
+  uint32_t count = 0;
+};
+
+inline constexpr size_t kMaxCrashes = 128;
+inline constexpr size_t kMaxPartsPerCrash = 64;
+inline constexpr size_t kMaxPartSuccesses = 1024;
+// Time for which a suspicion that no success refutes is kept.
+inline constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
+// Crashes within this time count as one incident: a failed host or failure
+// domain takes several endpoints at once, whatever they were processing.
+inline constexpr Duration kIncidentSpan = std::chrono::milliseconds(50);
+// Incidents without a success in between after which a part is blamed, and the
+// same for a part with kEstablishedSuccesses before: such a part is more likely
+// to have been at engines that failed for another reason.
+inline constexpr int kIncidentsToBlame = 3;
+inline constexpr int kIncidentsToBlameEstablished = 5;
+inline constexpr uint32_t kEstablishedSuccesses = 10;
+// Time in which the reports of all nodes about one crash arrive. A crash counts
+// only afterwards, so that the culprit is known before other parts are blamed.
+inline constexpr Duration kReportTime = std::chrono::milliseconds(200);
+
+// Suspected crashes and successes by prompt part, of the whole fleet as far as
+// this node knows. All sizes are bounded; the oldest entries are dropped first.
+struct CrashEvidence {
+  std::deque<SuspectedCrash> crashes;
+  // Number of crashes of which each part is suspected, so that the successes of
+  // other parts need no search.
+  std::unordered_map<PromptPartHash, int> crash_counts;
+  // Two generations: when the first is full it replaces the second.
+  std::unordered_map<PromptPartHash, PartSuccess> successes;
+  std::unordered_map<PromptPartHash, PartSuccess> older_successes;
+};
+
+// Adds a crash, or further suspects of a known one. Skips parts that have
+// succeeded since. Returns the parts that are new.
+std::vector<SuspectPart> AddCrash(CrashEvidence& evidence,
+                                  const SuspectedCrash& crash);
+
+// Records an answer to a prompt with `part` and removes all suspicions of the
+// part from before. Returns whether there were any.
+bool AddSuccess(CrashEvidence& evidence, PromptPartHash part, TimePoint at);
+
+// Returns the successes of a part; zeros if none are known.
+PartSuccess FindSuccess(const CrashEvidence& evidence, PromptPartHash part);
+
+// Drops suspicions that are older than kEvidenceLifetime.
+void ExpireEvidence(CrashEvidence& evidence, TimePoint now);
+
+// Returns the number of crashes of which a part is suspected, except those that
+// coincided with a part for which `explains` returns true.
+int CountCrashes(const CrashEvidence& evidence,
+                 PromptPartHash part,
+                 const std::function<bool(PromptPartHash)>& explains);
+
+// Returns the part that is to blame for enough incidents before
+// `reported_until` or nullopt. Crashes with a part for which `explains` returns
+// true are left out, so that parts which merely share prompts with the culprit
+// are not blamed too.
+std::optional<PromptPartHash> FindCulprit(
+    const CrashEvidence& evidence,
+    TimePoint reported_until,
+    const std::function<bool(PromptPartHash)>& explains);
+
+// Returns the time of the first crash after `reported_until`, if there is one.
+std::optional<TimePoint> FirstCrashAfter(const CrashEvidence& evidence,
+                                         TimePoint reported_until);
+
+// Returns the time of the last crash of which the part is suspected.
+TimePoint LastCrashAt(const CrashEvidence& evidence, PromptPartHash part);
+
+}  // namespace peridotmill
+
+#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_EVIDENCE_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/quarantine/part_quarantine.cc
@@ -0,0 +1,107 @@
+#include "peridotmill_gateway/quarantine/part_quarantine.h"
+
+#include <algorithm>
+
+namespace peridotmill {
+namespace {
+
+// A quarantine lasts this many times longer after each failed probe.
+constexpr int kGrowth = 4;
+
+auto HasPart(PromptPartHash part) {
+  return [part](const PartQuarantine& entry) { return entry.part == part; };
+}
+
+void Insert(PartQuarantines& quarantines, const PartQuarantine& quarantine) {
+  if (quarantines.size() >= kMaxQuarantinedParts) {
+    quarantines.erase(quarantines.begin());
+  }
+  quarantines.push_back(quarantine);
+}
+
+}  // namespace
+
+PartQuarantine* FindQuarantine(PartQuarantines& quarantines,
+                               PromptPartHash part) {
+  const auto found =
+      std::find_if(quarantines.begin(), quarantines.end(), HasPart(part));
+  return found == quarantines.end() ? nullptr : &*found;
+}
+
+const PartQuarantine* FindQuarantine(const PartQuarantines& quarantines,
+                                     PromptPartHash part) {
+  const auto found =
+      std::find_if(quarantines.begin(), quarantines.end(), HasPart(part));
+  return found == quarantines.end() ? nullptr : &*found;
+}
+
+Duration QuarantineTime(int failed_probes) {
+  Duration time = kFirstQuarantine;
+  for (int i = 0; i < failed_probes && time < kMaxQuarantine; ++i) {
+    time *= kGrowth;
+  }
+  return std::min(time, kMaxQuarantine);
+}
+
+void Quarantine(PartQuarantines& quarantines,
+                PromptPartHash part,
+                TimePoint crashed_at) {
+  PartQuarantine* const found = FindQuarantine(quarantines, part);
+  if (found == nullptr) {
+    Insert(quarantines, {.part = part,
+                         .since = crashed_at,
+                         .until = crashed_at + QuarantineTime(0)});
+    return;
+  }
+  if (crashed_at <= found->since) {
+    return;
+  }
+  if (crashed_at > found->until) {
+    ++found->failed_probes;
+    found->probe = RequestId();
+    found->probe_until = TimePoint();
+  }
+  found->since = crashed_at;
+  found->until =
+      std::max(found->until, crashed_at + QuarantineTime(found->failed_probes));
+}
+
+bool MergeQuarantine(PartQuarantines& quarantines,
+                     const PartQuarantine& reported) {
+  // Reported times vary by the time that messages take.
+  constexpr Duration kTolerance = std::chrono::seconds(1);
+  PartQuarantine* const found = FindQuarantine(quarantines, reported.part);
+  if (found == nullptr) {
+    Insert(quarantines, reported);
+    return true;
+  }
+  const bool is_later = reported.until > found->until + kTolerance ||
+                        reported.failed_probes > found->failed_probes;
+  if (is_later) {
+    found->since = std::max(found->since, reported.since);
+    found->until = std::max(found->until, reported.until);
+    found->failed_probes =
+        std::max(found->failed_probes, reported.failed_probes);
+  }
+  return is_later;
+}
+
+void ExpireQuarantines(PartQuarantines& quarantines, TimePoint now) {
+  std::erase_if(quarantines, [now](const PartQuarantine& entry) {
+    return now - entry.until > kMaxQuarantine;
+  });
+}
+
+Duration TimeUntilProbe(const PartQuarantine& quarantine,
+                        const RequestId& request,
+                        TimePoint now) {
+  if (now < quarantine.until) {
+    return quarantine.until - now;
+  }
+  if (now < quarantine.probe_until && quarantine.probe != request) {
+    return quarantine.probe_until - now;
+  }
+  return Duration::zero();
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -21,9 +21,18 @@
 }  // namespace
 
 Gateway::Gateway(const GatewayContext& context, uint64_t seed)
-    : context_(context), random_(seed) {}
+    : context_(context), random_(seed) {
+  if (context_.quarantine != nullptr) {
+    context_.quarantine->set_on_quarantined(
+        [this](const auto& parts) { EndQuarantinedRequests(parts); });
+  }
+}
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() {
+  if (context_.quarantine != nullptr) {
+    context_.quarantine->set_on_quarantined(nullptr);
+  }
+}
 
 bool Gateway::SetConfiguration(ActiveConfigurationPtr configuration) {
   if (configuration_ != nullptr &&
@@ -85,6 +94,18 @@
   }
 }
 
+void Gateway::EndQuarantinedRequests(const std::vector<PromptPartHash>& parts) {
+  // Requests that end are removed from the map.
+  std::vector<GatewayRequest*> open_requests;
+  open_requests.reserve(requests_.size());
+  for (const auto& [key, request] : requests_) {
+    open_requests.push_back(key);
+  }
+  for (GatewayRequest* const request : open_requests) {
+    request->OnPartsQuarantined(parts);
+  }
+}
+
 void Gateway::Deny(const CallerRequest& request,
                    ResponseWriter& channel,
                    int status,
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -14,6 +14,7 @@
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/estimates/first_event_times.h"
 #include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/retries/pool_retry_budget.h"
 #include "peridotmill_gateway/stages/stage_task.h"
@@ -33,6 +34,8 @@
   PoolRetryBudget& retry_budget;
   EventSink& events;
   FailureDomainId failure_domain;
+  // May be null.
+  PromptQuarantine* quarantine = nullptr;
 };
 
 // Numbers of requests by outcome since the process started, for the metrics
@@ -92,6 +95,8 @@
             ResponseWriter& channel,
             int status,
             Reason reason);
+  // Ends the requests that wait with one of these parts in their prompts.
+  void EndQuarantinedRequests(const std::vector<PromptPartHash>& parts);
   // Returns one of the route's pools, drawn at random by weight.
   PoolId ChoosePool(const RouteDefinition& route);
   // Removes an ended request. It is destroyed later from the main loop,
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -12,6 +12,7 @@
 namespace peridotmill {
 namespace {
 
+constexpr int kFirstNonSuccess = 300;
 constexpr int kServerError = 500;
 constexpr int kConflict = 409;
 // Non-stream responses up to this size are buffered and checked as a whole
@@ -59,6 +60,9 @@
 // A caller whose request found no free endpoint should retry after about the
 // duration of one call.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
+// A stream with this many events shows that the engine does not crash on its
+// prompt. The first event may still leave an engine that crashes.
+constexpr uint64_t kEventsThatClearPrompt = 2;
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -86,6 +90,9 @@
       request_.deadline ? std::min(*request_.deadline, route_->timeout)
                         : route_->timeout;
   deadline_ = accepted_at_ + time_limit;
+  if (request_.generation && context_.quarantine != nullptr) {
+    prompt_parts_ = HashSharedParts(*request_.generation);
+  }
 }
 
 GatewayRequest::~GatewayRequest() = default;
@@ -99,6 +106,12 @@
   }
   deadline_timer_ = context_.timers.After(deadline_ - accepted_at_,
                                           [this] { OnDeadlineExpired(); });
+  if (context_.quarantine != nullptr) {
+    if (const auto left = context_.quarantine->QuarantineLeft(prompt_parts_)) {
+      Fail(Reason::kPromptQuarantined, *left);
+      return;
+    }
+  }
   pool_ = gateway_->ChoosePool(*route_);
   context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
   if (!HasStages()) {
@@ -149,7 +162,8 @@
 PromptDemand GatewayRequest::MakePromptDemand() const {
   return {.pool = pool_,
           .shared = ComputeSharedPrefixes(*request_.generation),
-          .tokens = request_.generation->prompt_tokens};
+          .tokens = request_.generation->prompt_tokens,
+          .parts = prompt_parts_};
 }
 
 Duration GatewayRequest::CallerTimeout() const {
@@ -254,6 +268,10 @@
 }
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
+  if (result.outcome == StageItemOutcome::kQuarantined) {
+    Fail(Reason::kPromptQuarantined, result.retry_after);
+    return;
+  }
   if (std::exchange(is_awaiting_engine_, false)) {
     suggested_engine_ = std::move(result.engine);
     StartAttempt();
@@ -326,6 +344,9 @@
 }
 
 void GatewayRequest::StartAttempt() {
+  if (FailIfQuarantined()) {
+    return;
+  }
   if (are_results_released_) {
     if (!RerunStages()) {
       Fail(Reason::kStageFailed, kDefaultRetryAfter);
@@ -363,6 +384,7 @@
   event_splitter_.DropIncompleteEvent();
   is_paused_ = false;
   attempt_started_at_ = now;
+  events_before_attempt_ = event_splitter_.event_count();
   BeginCall(*endpoint_, now);
   call_ = context_.endpoint_caller.Start(call, this);
   context_.events.Write(
@@ -499,6 +521,7 @@
 void GatewayRequest::ForwardStreamBytes(std::string_view bytes) {
   const uint64_t events_before = event_splitter_.event_count();
   const std::string complete_events = event_splitter_.Add(bytes);
+  RecordPromptProgress(events_before);
   if (event_splitter_.incomplete_event().size() > kMaxEventBytes) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
@@ -532,6 +555,7 @@
 
 void GatewayRequest::OnResponseEnd(HttpCallEnd end) {
   progress_timer_.reset();
+  RecordPromptOutcome(end);
   if (end == HttpCallEnd::kNotSent) {
     HandleFailedAttempt(AttemptOutcome::kNotSent, Reason::kConnectFailed);
     return;
@@ -614,6 +638,11 @@
   if (outcome == AttemptOutcome::kNotSent) {
     return true;
   }
+  if (is_crash_suspect_ &&
+      context_.quarantine->IsRepeatedSuspect(prompt_parts_)) {
+    gateway_->reasons_.Add(Reason::kPromptSuspected);
+    return false;
+  }
   if (!context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
     gateway_->reasons_.Add(Reason::kRetryBudgetExhausted);
     return false;
@@ -658,6 +687,72 @@
   Fail(reason, kDefaultRetryAfter);
 }
 
+bool GatewayRequest::FailIfQuarantined() {
+  if (prompt_parts_.empty()) {
+    return false;
+  }
+  const auto retry_after =
+      context_.quarantine->TryRun(request_.id, prompt_parts_);
+  if (retry_after) {
+    Fail(Reason::kPromptQuarantined, *retry_after);
+  }
+  return retry_after.has_value();
+}
+
+void GatewayRequest::OnPartsQuarantined(
+    const std::vector<PromptPartHash>& parts) {
+  const bool is_affected =
+      std::find_first_of(prompt_parts_.begin(), prompt_parts_.end(),
+                         parts.begin(), parts.end()) != prompt_parts_.end();
+  if (is_ended_ || !is_affected) {
+    return;
+  }
+  const auto left = context_.quarantine->QuarantineLeft(prompt_parts_);
+  if (!left) {
+    // Another node has reported a quarantine that is over.
+    return;
+  }
+  if (call_ != nullptr) {
+    if (AttemptEventCount() > 0 || is_response_head_sent_) {
+      return;
+    }
+    EndAttempt(CallOutcome::kCancelled, AttemptOutcome::kOutcomeUnknown);
+  }
+  Fail(Reason::kPromptQuarantined, *left);
+}
+
+void GatewayRequest::RecordPromptProgress(uint64_t events_before) {
+  const uint64_t before = events_before - events_before_attempt_;
+  if (!prompt_parts_.empty() && before < kEventsThatClearPrompt &&
+      AttemptEventCount() >= kEventsThatClearPrompt) {
+    context_.quarantine->RecordSuccess(prompt_parts_);
+  }
+}
+
+void GatewayRequest::RecordPromptOutcome(HttpCallEnd end) {
+  if (prompt_parts_.empty() || end == HttpCallEnd::kNotSent) {
+    return;
+  }
+  // A response that ends with its connection looks complete after a crash too.
+  const bool is_cut_stream =
+      IsAuthenticStreamResponse() &&
+      (AttemptEventCount() == 0 || !event_splitter_.incomplete_event().empty());
+  if (end == HttpCallEnd::kComplete && !is_cut_stream) {
+    if (response_head_.status < kFirstNonSuccess &&
+        response_head_.is_authentic) {
+      context_.quarantine->RecordSuccess(prompt_parts_);
+    }
+    return;
+  }
+  if (AttemptEventCount() < kEventsThatClearPrompt) {
+    is_crash_suspect_ = true;
+    context_.quarantine->RecordCrash(
+        request_.id,
+        {endpoint_->registration.id, endpoint_->registration.started_at_ms},
+        prompt_parts_);
+  }
+}
+
 void GatewayRequest::OnCallerDisconnected() {
   ++gateway_->counters_.caller_gone;
   if (call_ != nullptr) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -39,6 +39,10 @@
   // that is still open when the process exits.
   void LogUnfinished() const;
 
+  // Ends the request if its prompt has one of these parts, unless an engine
+  // has begun to answer it.
+  void OnPartsQuarantined(const std::vector<PromptPartHash>& parts);
+
  private:
   // EndpointCallListener
   void OnResponseHead(const EndpointResponseHead& head) override;
@@ -102,6 +106,18 @@
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
 
+  // Prompt quarantine.
+  // Refuses the request if a part of its prompt is quarantined, and returns
+  // whether it did.
+  bool FailIfQuarantined();
+  // Returns the number of events that the current attempt has sent.
+  uint64_t AttemptEventCount() const {
+    return event_splitter_.event_count() - events_before_attempt_;
+  }
+  // Tells the quarantine whether the endpoint survived the prompt.
+  void RecordPromptOutcome(HttpCallEnd end);
+  void RecordPromptProgress(uint64_t events_before);
+
   // Ending the request.
   // Sends an error response, or aborts the response if its head has been sent.
   void Fail(Reason reason, Duration retry_after);
@@ -145,6 +161,11 @@
   TimePoint attempt_started_at_;
   EndpointResponseHead response_head_;
   bool has_response_head_ = false;
+  uint64_t events_before_attempt_ = 0;
+  // Parts of the prompt that may be quarantined.
+  std::vector<PromptPartHash> prompt_parts_;
+  // The request may have crashed an endpoint.
+  bool is_crash_suspect_ = false;
   std::string response_body_;
   EventSplitter event_splitter_;
   bool is_response_head_sent_ = false;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -125,6 +125,17 @@
     dependencies_.endpoints.EjectReportedEndpoint(entry.task.failed_engine,
                                                   dependencies_.clock.Now());
   }
+  if (entry.task.prompt && dependencies_.quarantine != nullptr) {
+    const auto retry_after = dependencies_.quarantine->TryRun(
+        entry.task.request, entry.task.prompt->parts);
+    if (retry_after) {
+      entry.end_timer =
+          dependencies_.timers.After(Duration::zero(), [this, id, retry_after] {
+            EndTask(id, StageItemOutcome::kQuarantined, *retry_after);
+          });
+      return std::make_unique<Handle>(this, id);
+    }
+  }
   if (entry.task.prompt) {
     SetIntendedEngine(entry.task);
   }
@@ -510,6 +521,7 @@
         break;
       case StageItemOutcome::kFailed:
       case StageItemOutcome::kRefused:
+      case StageItemOutcome::kQuarantined:
         unfinished.push_back(part.items[i]);
         break;
     }
--- a/modules/peridotmill_gateway/tests/gateway_fixture.h
+++ b/modules/peridotmill_gateway/tests/gateway_fixture.h
@@ -36,13 +36,14 @@
   GatewayFixture()
       : timers_(clock_),
         retry_budget_({.ratio = 0.2, .node_allowance = 4}),
+        quarantine_(clock_, timers_, events_),
         coordinator_({clock_, timers_, stage_caller_, endpoints_, retry_budget_,
-                      events_},
+                      events_, &quarantine_},
                      1),
-        gateway_(
-            {clock_, timers_, endpoint_caller_, stage_caller_, coordinator_,
-             endpoints_, retry_budget_, events_, FailureDomainId("valley")},
-            2) {
+        gateway_({clock_, timers_, endpoint_caller_, stage_caller_,
+                  coordinator_, endpoints_, retry_budget_, events_,
+                  FailureDomainId("valley"), &quarantine_},
+                 2) {
     auto active = std::make_shared<const ActiveConfiguration>(MakeConfig(1));
     gateway_.SetConfiguration(active);
     coordinator_.SetConfiguration(active);
@@ -129,6 +130,7 @@
   RecordingEvents events_;
   EndpointRegistry endpoints_;
   PoolRetryBudget retry_budget_;
+  PromptQuarantine quarantine_;
   StageCoordinator coordinator_;
   Gateway gateway_;
   int sent_request_count_ = 0;
--- a/modules/peridotmill_gateway/tests/peer_network.h
+++ b/modules/peridotmill_gateway/tests/peer_network.h
@@ -29,6 +29,7 @@
     acceptors_[address] = std::move(acceptor);
   }
   void Isolate(const std::string& address) { isolated_nodes_.insert(address); }
+  void Reconnect(const std::string& address) { isolated_nodes_.erase(address); }
   // Delivers `frame` to the accepting end of every link.
   void SendToAll(const std::string& frame) {
     for (const auto& pair : std::vector(pairs_)) {
