--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -98,10 +98,9 @@
                  PromptPartHash part,
                  const std::function<bool(PromptPartHash)>& explains);
 
-// Returns the part that is to blame for enough incidents before
-// `reported_until` or nullopt. Crashes with a part for which `explains` returns
-// true are left out, so that parts which merely share prompts with the culprit
-// are not blamed too.
+// Returns the part that is to blame for the crashes until `reported_until`, or
+// nullopt. Crashes with a part for which `explains` returns true are left out,
+// so that parts which merely share prompts with the culprit are not blamed too.
 std::optional<PromptPartHash> FindCulprit(
     const CrashEvidence& evidence,
     TimePoint reported_until,
--- a/modules/peridotmill_gateway/quarantine/prompt_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/prompt_quarantine.h
@@ -76,7 +76,7 @@
   const PromptQuarantineCounters& counters() const { return counters_; }
 
  private:
-  // Adds the suspects that are new and returns them.
+  // Adds the suspects that are new.
   void AddSuspects(const SuspectedCrash& crash, bool is_observed);
   void Clear(PromptPartHash part, TimePoint at, bool is_observed);
   // Quarantines the parts that are to blame for the crashes that all nodes have
