--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -29,6 +29,8 @@
 constexpr Duration kMaxIdleForNonRetryableCalls =
     std::chrono::milliseconds(300);
 constexpr Duration kMaxIdleForRetryableCalls = std::chrono::seconds(10);
+// No connection has been idle for a negative time.
+constexpr Duration kNoReuse = std::chrono::milliseconds(-1);
 // Time reserved for each later stage in the chain: one call with a half-full
 // batch.
 constexpr Duration kReservedStageTime = std::chrono::milliseconds(260);
@@ -60,15 +62,20 @@
 // A caller whose request found no free endpoint should retry after about the
 // duration of one call.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
-// The load balancer stops sending connections to a stopping node within two
-// seconds, so the caller's next connection usually reaches another node.
+// A caller that a stopping node refuses should try another node at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
-// another node serves. A request that comes after the load balancer has removed
-// the node must be nearly certain to finish.
+// another node serves: most if it may not be sent again, or if it came after
+// the load balancer had removed the node.
 constexpr double kCompletionQuantile = 0.9;
-constexpr double kLateCompletionQuantile = 0.99;
+constexpr double kStrictCompletionQuantile = 0.99;
+
+// Returns whether callers take a response with this status as a promise that
+// their request has not run and never will.
+bool IsNotRunStatus(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
 
 std::string Milliseconds(Duration duration) {
   return std::to_string(std::lround(ToMilliseconds(duration)));
@@ -96,6 +103,9 @@
       request_.deadline ? std::min(*request_.deadline, route_->timeout)
                         : route_->timeout;
   deadline_ = accepted_at_ + time_limit;
+  if (route_->is_resumable && request_.resume_after_event) {
+    event_splitter_.set_last_event_id(*request_.resume_after_event);
+  }
 }
 
 GatewayRequest::~GatewayRequest() = default;
@@ -153,10 +163,11 @@
 Duration GatewayRequest::PredictRemainingTime() const {
   const bool is_late =
       gateway_->stop_ && accepted_at_ >= gateway_->stop_->removed;
-  const double quantile =
-      is_late ? kLateCompletionQuantile : kCompletionQuantile;
+  const double quantile = is_late || !route_->IsSafeToRetry()
+                              ? kStrictCompletionQuantile
+                              : kCompletionQuantile;
   Duration remaining =
-      PredictOutputTime(gateway_->completion_times_, route_->name, quantile);
+      PredictOutputTime(gateway_->completion_times_, *route_, quantile);
   if (IsStream()) {
     remaining +=
         PredictFirstEventTime(gateway_->first_event_times_, route_->name);
@@ -165,9 +176,9 @@
   if (stages > 0) {
     const int all_stages = LongestRemainingChain(
         route_->stages, MakeStageProgress(request_.stage_item_counts));
-    remaining += PredictPreparationTime(gateway_->completion_times_,
-                                        route_->name, quantile) *
-                 stages / all_stages;
+    remaining +=
+        PredictPreparationTime(gateway_->completion_times_, *route_, quantile) *
+        stages / all_stages;
   }
   return remaining;
 }
@@ -319,7 +330,7 @@
   }
   if (AreAllStagesDone(stage_progress_)) {
     if (stage_rerun_count_ == 0) {
-      RecordPreparationTime(gateway_->completion_times_, route_->name,
+      RecordPreparationTime(gateway_->completion_times_, *route_,
                             TimeSinceAcceptance());
     }
     StartAttempt();
@@ -436,9 +447,18 @@
   call.max_connection_idle = route_->IsSafeToRetry()
                                  ? kMaxIdleForRetryableCalls
                                  : kMaxIdleForNonRetryableCalls;
+  // The id of the request does not tell a late copy of the refusal of an
+  // earlier attempt from the response to this one.
+  if (!called_addresses_.insert(call.endpoint.address).second) {
+    call.max_connection_idle = kNoReuse;
+  }
   has_response_head_ = false;
   response_body_.clear();
   event_splitter_.DropIncompleteEvent();
+  resumed_after_events_.reset();
+  if (IsStreamStarted()) {
+    resumed_after_events_ = event_splitter_.event_count();
+  }
   is_paused_ = false;
   attempt_started_at_ = now;
   BeginCall(*endpoint_, now);
@@ -474,7 +494,7 @@
 
 void GatewayRequest::OnProgressTimeout() {
   progress_timer_.reset();
-  if (call_ == nullptr) {
+  if (call_ == nullptr || IsPlainResponseStarted()) {
     return;
   }
   // The attempt is ended only if another endpoint can take over.
@@ -546,7 +566,8 @@
   if (response_body_.size() <= kMaxBufferedResponseBytes) {
     return;
   }
-  if (!response_head_.is_authentic || response_head_.is_stated_not_run) {
+  if (!response_head_.is_authentic || response_head_.is_stated_not_run ||
+      IsNotRunStatus(response_head_.status)) {
     // This is not an endpoint's authentic response, and it may never end.
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown,
                         Reason::kAnswerMismatch);
@@ -584,9 +605,16 @@
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
-  if (complete_events.empty()) {
-    return;
+  if (!complete_events.empty()) {
+    ForwardEvents(complete_events, events_before);
+  }
+  if (event_splitter_.is_next_event_invalid()) {
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
   }
+}
+
+void GatewayRequest::ForwardEvents(std::string_view complete_events,
+                                   uint64_t events_before) {
   if (!is_response_head_sent_) {
     first_event_at_ = context_.clock.Now();
     RecordFirstEventTime(gateway_->first_event_times_, route_->name,
@@ -637,6 +665,13 @@
     HandleFailedAttempt(AttemptOutcome::kRefused, Reason::kEndpointRefused);
     return;
   }
+  if (IsNotRunStatus(response_head_.status)) {
+    // The endpoint does not state that it has not run the request, so its
+    // status would promise the caller too much.
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown,
+                        Reason::kAnswerMismatch);
+    return;
+  }
   if (response_head_.status < 300 && !response_head_.is_authentic) {
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kAnswerMismatch);
     return;
@@ -647,6 +682,14 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
     return;
   }
+  if (IsAuthenticStreamResponse() &&
+      (event_splitter_.ends_inside_event() ||
+       resumed_after_events_ == event_splitter_.event_count())) {
+    // A resumption without any event does not prove that the events so far are
+    // all of them.
+    HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
+    return;
+  }
   if (response_head_.status >= kServerError && !is_response_head_sent_) {
     AttemptHistory next = attempt_history_;
     next.Add(endpoint_->registration.id, AttemptOutcome::kFailed);
@@ -666,17 +709,23 @@
   EndAttempt(response_head_.status < kServerError ? CallOutcome::kSuccess
                                                   : CallOutcome::kFailure,
              AttemptOutcome::kCompleted);
+  // After the last event of a stream, only comments may be left.
+  const std::string& rest = IsAuthenticStreamResponse()
+                                ? event_splitter_.incomplete_event()
+                                : response_body_;
   if (!is_response_head_sent_) {
-    SendResponseHead(response_body_.size());
-    channel_->SendBody(response_body_);
-  } else if (!event_splitter_.incomplete_event().empty()) {
-    channel_->SendBody(event_splitter_.incomplete_event());
+    SendResponseHead(request_.message.method == "HEAD"
+                         ? response_head_.content_length
+                         : rest.size());
   }
+  channel_->SendBody(rest);
   channel_->Finish();
-  RecordOutputTime(
-      gateway_->completion_times_, route_->name,
-      context_.clock.Now() -
-          (IsStreamStarted() ? first_event_at_ : attempt_started_at_));
+  if (response_head_.status < 300) {
+    RecordOutputTime(
+        gateway_->completion_times_, *route_,
+        context_.clock.Now() -
+            (IsStreamStarted() ? first_event_at_ : attempt_started_at_));
+  }
   ++gateway_->counters_.answered;
   End("answered", response_head_.status, "");
 }
@@ -704,8 +753,7 @@
 bool GatewayRequest::TryTakeRetry(AttemptOutcome outcome) {
   // After a part of the response has been sent, only a stream can be continued
   // by another endpoint.
-  if (!attempt_history_.MayRetry(*route_) ||
-      (is_response_head_sent_ && !IsStream()) ||
+  if (!attempt_history_.MayRetry(*route_) || IsPlainResponseStarted() ||
       !HasUntriedEndpoint(attempt_history_)) {
     return false;
   }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -113,10 +114,17 @@
   bool IsStream() const { return route_->kind == RequestKind::kStream; }
   // Returns whether the caller has received the head and an event of a stream.
   bool IsStreamStarted() const { return first_event_at_ != TimePoint(); }
+  // Returns whether the caller has received the head of a response that is no
+  // stream, which only the same endpoint can complete.
+  bool IsPlainResponseStarted() const {
+    return is_response_head_sent_ && !IsStreamStarted();
+  }
   // Returns whether the current response is an engine's event stream, which
   // starts or resumes the caller's.
   bool IsAuthenticStreamResponse() const;
   void ForwardStreamBytes(std::string_view bytes);
+  // `events_before` is the number of events received before these.
+  void ForwardEvents(std::string_view complete_events, uint64_t events_before);
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
 
@@ -160,6 +168,9 @@
   int stage_rerun_count_ = 0;
 
   AttemptHistory attempt_history_;
+  // Addresses of the attempts so far. A new endpoint may have the address of
+  // one that was tried.
+  std::set<std::string> called_addresses_;
   EndpointPtr endpoint_;
   std::unique_ptr<EndpointCallHandle> call_;
   TimePoint attempt_started_at_;
@@ -167,6 +178,8 @@
   bool has_response_head_ = false;
   std::string response_body_;
   EventSplitter event_splitter_;
+  // Number of events received before the attempt, if it resumes the stream.
+  std::optional<uint64_t> resumed_after_events_;
   bool is_response_head_sent_ = false;
   bool is_paused_ = false;
   // The coordinator has been asked for an engine and has not responded yet.
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -31,6 +31,8 @@
   // has just connected is about to send a request, so its connection becomes
   // idle only after a while.
   bool IsIdle(TimePoint now) const;
+  // See HttpServer::EndAllConnections.
+  void EndBeforeExit();
   size_t unsent_bytes() const { return socket_->unsent_bytes(); }
   // Closes the connection and removes it from its server. Calls the exchange's
   // disconnect callback if a response is incomplete.
@@ -62,7 +64,8 @@
   void Reject(int status, std::string_view message);
 
   // Called by HttpExchange.
-  void SendHead(const HttpResponseHead& head, bool& is_chunked);
+  // Sets `is_chunked` if the body is to be sent in chunks.
+  void SendHead(const HttpResponseHead& head, bool has_body, bool& is_chunked);
   void Send(std::string_view bytes) { socket_->Write(bytes); }
   void FinishResponse();
   void AbortResponse();
