Begin no stream at a stopping node that the load balancer has removed

Cause: the quantile of observed outputs does not bound a stream. Long ones are missing while a process is young, and an engine may turn slow.

Change: requests for streams that come after the load balancer has had time to remove the node are refused at once as not run, unless their own deadline ends first. Calls are served as before.

StoppingTest.BeginsNoStreamAfterTheNodeWasRemoved; the other tests of the class stop within the time before the removal, with the same checks.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -174,9 +174,7 @@
 }
 
 Duration GatewayRequest::PredictRemainingTime() const {
-  const bool is_late =
-      gateway_->stop_ && accepted_at_ >= gateway_->stop_->removed;
-  const double quantile = is_late || !route_->IsSafeToRetry()
+  const double quantile = IsLateForStop() || !route_->IsSafeToRetry()
                               ? kStrictCompletionQuantile
                               : kCompletionQuantile;
   Duration remaining =
@@ -202,10 +200,18 @@
   }
   const TimePoint end = gateway_->stop_->end;
   const bool expires_before_end = !is_deadline_end_of_stop_ && deadline_ <= end;
-  return !expires_before_end &&
+  if (expires_before_end) {
+    return false;
+  }
+  // Nothing bounds how long a stream lasts: its engine may turn slow.
+  return (IsStream() && IsLateForStop()) ||
          context_.clock.Now() + PredictRemainingTime() > end;
 }
 
+bool GatewayRequest::IsLateForStop() const {
+  return gateway_->stop_ && accepted_at_ >= gateway_->stop_->removed;
+}
+
 void GatewayRequest::RefuseIfUnfinishable() {
   if (call_ == nullptr && !is_response_head_sent_ &&
       attempt_history_.IsKnownNotRunYet() && IsUnfinishable()) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -76,6 +76,9 @@
   // Returns whether the node stops, and the request is unlikely to finish
   // before the end of the stop.
   bool IsUnfinishable() const;
+  // Returns whether the request came after the load balancer had removed the
+  // stopping node.
+  bool IsLateForStop() const;
   // Returns how long the caller waits for the first event.
   Duration CallerTimeout() const;
   StageTask MakeStageTask(size_t stage) const;
--- a/modules/peridotmill_gateway/tests/stopping_test.cc
+++ b/modules/peridotmill_gateway/tests/stopping_test.cc
@@ -31,8 +31,10 @@
     engine.OnResponseEnd(HttpCallEnd::kComplete);
   }
 
-  void BeginStopping(Duration time_left) {
-    gateway_.BeginStopping(clock_.Now() + 2600ms, clock_.Now() + time_left);
+  // Begins a stop; the load balancer removes the node after `until_removed`.
+  void BeginStopping(Duration time_left, Duration until_removed = 8000ms) {
+    gateway_.BeginStopping(clock_.Now() + until_removed,
+                           clock_.Now() + time_left);
     timers_.Advance(Duration::zero());
   }
 };
@@ -75,9 +77,9 @@
   EXPECT_EQ(gateway_.open_requests(), 0u);
 }
 
-// Guards against a stopping node that cuts more of the streams which only it
-// can finish: those that may not be resumed, and those whose callers came late.
-TEST_F(StoppingTest, IsStricterWithRequestsThatCannotGoElsewhere) {
+// Guards against a stopping node that cuts more of the streams which cannot be
+// resumed at another node.
+TEST_F(StoppingTest, IsStricterWithStreamsThatCannotBeResumed) {
   for (int i = 0; i < 50; ++i) {
     for (const char* const route : {"chat", "resume"}) {
       Send(route);
@@ -89,8 +91,17 @@
   timers_.Advance(2500ms);
   EXPECT_TRUE(Send("resume")->heads.empty());
   EXPECT_EQ(Send("chat")->status(), 503);
-  timers_.Advance(100ms);
+}
+
+// Guards against streams that are cut although their callers came late: nothing
+// bounds how long a stream lasts.
+TEST_F(StoppingTest, BeginsNoStreamAfterTheNodeWasRemoved) {
+  BeginStopping(7200ms, 2600ms);
+  timers_.Advance(2599ms);
+  EXPECT_TRUE(Send("resume")->heads.empty());
+  timers_.Advance(1ms);
   EXPECT_EQ(Send("resume")->status(), 503);
+  EXPECT_TRUE(Send("book")->heads.empty());
 }
 
 // Guards against estimates that take an engine's quick errors for short
@@ -132,9 +143,9 @@
   }
   endpoint_caller_.calls.clear();
   BeginStopping(7200ms);
-  timers_.Advance(4500ms);
+  timers_.Advance(6000ms);
   EXPECT_TRUE(Send("staged")->heads.empty());
-  timers_.Advance(1200ms);
+  timers_.Advance(600ms);
   const auto refused = Send("staged");
   EXPECT_EQ(refused->status(), 503);
   EXPECT_NE(refused->body.find("shutting_down"), std::string::npos);
@@ -155,7 +166,7 @@
 
 // Guards against needless refusals by a node that has served a route rarely.
 TEST_F(StoppingTest, ServesShortCallsOfRoutesThatWereNotObserved) {
-  BeginStopping(7200ms);
+  BeginStopping(7200ms, 2600ms);
   timers_.Advance(3000ms);
   EXPECT_TRUE(Send("book")->heads.empty());
 }
