Retry requests whose engines failed together

Cause (found by the review): a request was not retried if one of its parts had been at two crashed engines, also when both failed at the same moment, as the engines of one host do, or when the part is known to be answered.

Change: incidents count instead of crashes, and not for established parts.

Measured: PromptQuarantineTest.RetriesRequestsAfterEnginesFailedTogether fails with crashes counted and passes now; 194 other tests of the module pass.

--- a/modules/peridotmill_gateway/quarantine/crash_evidence.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.cc
@@ -151,14 +151,16 @@
   });
 }
 
-int CountCrashes(const CrashEvidence& evidence,
-                 PromptPartHash part,
-                 const std::function<bool(PromptPartHash)>& explains) {
-  return static_cast<int>(std::count_if(
-      evidence.crashes.begin(), evidence.crashes.end(),
-      [&](const SuspectedCrash& crash) {
-        return HasPart(crash, part) && !IsExplained(crash, explains);
-      }));
+int CountIncidents(const CrashEvidence& evidence,
+                   PromptPartHash part,
+                   const std::function<bool(PromptPartHash)>& explains) {
+  std::vector<TimePoint> crashes;
+  for (const SuspectedCrash& crash : evidence.crashes) {
+    if (HasPart(crash, part) && !IsExplained(crash, explains)) {
+      crashes.push_back(CrashedAt(crash));
+    }
+  }
+  return CountIncidents(std::move(crashes));
 }
 
 std::optional<PromptPartHash> FindCulprit(
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -92,11 +92,11 @@
 // Drops suspicions that are older than kEvidenceLifetime.
 void ExpireEvidence(CrashEvidence& evidence, TimePoint now);
 
-// Returns the number of crashes of which a part is suspected, except those that
-// coincided with a part for which `explains` returns true.
-int CountCrashes(const CrashEvidence& evidence,
-                 PromptPartHash part,
-                 const std::function<bool(PromptPartHash)>& explains);
+// Returns the number of incidents of which a part is suspected, except crashes
+// that coincided with a part for which `explains` returns true.
+int CountIncidents(const CrashEvidence& evidence,
+                   PromptPartHash part,
+                   const std::function<bool(PromptPartHash)>& explains);
 
 // Returns the part that is to blame for the crashes until `reported_until`, or
 // nullopt. Crashes with a part for which `explains` returns true are left out,
--- a/modules/peridotmill_gateway/quarantine/prompt_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/prompt_quarantine.cc
@@ -141,7 +141,10 @@
     return IsQuarantined(part);
   };
   return std::any_of(parts.begin(), parts.end(), [&](PromptPartHash part) {
-    return IsQuarantined(part) || CountCrashes(evidence_, part, explains) > 1;
+    const bool is_established =
+        FindSuccess(evidence_, part).count >= kEstablishedSuccesses;
+    return IsQuarantined(part) ||
+           (!is_established && CountIncidents(evidence_, part, explains) > 1);
   });
 }
 
--- a/modules/peridotmill_gateway/tests/crash_evidence_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_evidence_test.cc
@@ -123,7 +123,7 @@
   EXPECT_FALSE(AddSuccess(evidence, kOther, kStart + 6s));
   EXPECT_TRUE(
       AddCrash(evidence, MakeCrash("e2", kStart + 2s, {kOther})).empty());
-  EXPECT_EQ(CountCrashes(evidence, kOther, Nothing), 0);
+  EXPECT_EQ(CountIncidents(evidence, kOther, Nothing), 0);
   EXPECT_EQ(AddCrash(evidence, MakeCrash("e3", kStart + 7s, {kOther})).size(),
             1u);
 }
--- a/modules/peridotmill_gateway/tests/prompt_quarantine_test.cc
+++ b/modules/peridotmill_gateway/tests/prompt_quarantine_test.cc
@@ -161,6 +161,24 @@
   EXPECT_EQ(gateway_.reasons().Get(Reason::kPromptSuspected), 2u);
 }
 
+// Guards against the loss of requests that were at engines which failed
+// together, as the engines of one host do.
+TEST_F(PromptQuarantineTest, RetriesRequestsAfterEnginesFailedTogether) {
+  const auto engine = [this](size_t call) {
+    return endpoint_caller_.calls[call]->call.endpoint.id;
+  };
+  SendPrompt("resume", {"shared", "0"});
+  for (int i = 1; engine(endpoint_caller_.calls.size() - 1) == engine(0); ++i) {
+    SendPrompt("resume", {"shared", std::to_string(i)});
+  }
+  const size_t calls = endpoint_caller_.calls.size();
+  for (const size_t call : {size_t{0}, calls - 1}) {
+    endpoint_caller_.listener(call).OnResponseEnd(HttpCallEnd::kNoResponse);
+  }
+  EXPECT_EQ(endpoint_caller_.calls.size(), calls + 2);
+  EXPECT_EQ(gateway_.reasons().Get(Reason::kPromptSuspected), 0u);
+}
+
 // Guards against the loss of streams whose engine crashed under another
 // request.
 TEST_F(PromptQuarantineTest, ResumesASoundStreamAfterCrashes) {
