--- a/modules/peridotmill_net/tests/caller_server_test.cc
+++ b/modules/peridotmill_net/tests/caller_server_test.cc
@@ -399,6 +399,18 @@
   EXPECT_TRUE(RunUntil([&] { return !server_->has_open_calls(); }));
 }
 
+// Guards against a shutdown that closes a connection between its accept and the
+// first byte of its request.
+TEST_F(CallerServerTest, StoppingServesCallersThatHaveJustConnected) {
+  RawClient caller(server_->port());
+  ASSERT_TRUE(RunUntil([&] { return server_->connection_count() == 1; }));
+  server_->StopListening();
+  caller.Send("GET /readyz HTTP/1.1\r\nHost: n\r\n\r\n");
+  EXPECT_TRUE(
+      RunUntil([&] { return caller.Has("HTTP/1.1 ") || caller.is_closed(); }));
+  EXPECT_TRUE(caller.Has("HTTP/1.1 ")) << caller.received();
+}
+
 // Guards against bytes that are no UTF-8 in answers and against crashes on
 // bytes that are no HTTP.
 TEST_F(CallerServerTest, SurvivesMalformedBytes) {
