Add failing tests of large configurations on slow links

On 413 sources are dropped as silent although they send, all 48 nodes begin to watch the store, and a change of one route costs each node the whole document (483,472 bytes).

ReplicaNode moves from store_replica_test.cc to a header of its own so that both tests use it; its code is unchanged.

--- a/modules/peridotmill_gateway/tests/peer_network.h
+++ b/modules/peridotmill_gateway/tests/peer_network.h
@@ -1,7 +1,9 @@
 #ifndef PERIDOTMILL_GATEWAY_TESTS_PEER_NETWORK_H_
 #define PERIDOTMILL_GATEWAY_TESTS_PEER_NETWORK_H_
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 
@@ -23,13 +26,23 @@
       std::function<std::unique_ptr<PeerLink>(PeerLinkListener* listener)>;
   using Acceptor = std::function<void(MakeLink)>;
 
-  explicit PeerNetwork(TimerQueue& timers) : timers_(timers) {}
+  PeerNetwork(TimerQueue& timers, const Clock& clock)
+      : timers_(timers), clock_(clock) {}
 
   void AddNode(const std::string& address, Acceptor acceptor) {
     acceptors_[address] = std::move(acceptor);
   }
   void Isolate(const std::string& address) { isolated_nodes_.insert(address); }
   void Reconnect(const std::string& address) { isolated_nodes_.erase(address); }
+  // Limits what a node sends and what it receives, over all its links. Frames
+  // of nodes without a limit take no time to send.
+  void SetBandwidth(const std::string& address, double bytes_per_second) {
+    interfaces_[address].bytes_per_second = bytes_per_second;
+  }
+  // Bytes of all frames that were delivered to a node.
+  size_t received_bytes(const std::string& address) {
+    return interfaces_[address].received_bytes;
+  }
   // Delivers `frame` to the accepting end of every link.
   void SendToAll(const std::string& frame) {
     for (const auto& pair : std::vector(pairs_)) {
@@ -73,12 +86,15 @@
       });
     }
     void Send(std::string_view frame) override {
-      network_->Schedule([network = network_, pair = pair_, other = 1 - side_,
-                          bytes = std::string(frame)] {
+      const auto deliver = [network = network_, pair = pair_, other = 1 - side_,
+                            bytes = std::string(frame)] {
         if (pair->ends[other] != nullptr && !network->HasIsolatedNode(*pair)) {
+          network->interfaces_[pair->nodes[other]].received_bytes +=
+              bytes.size();
           pair->ends[other]->OnLinkFrame(bytes);
         }
-      });
+      };
+      network_->Transmit(pair_, side_, frame.size(), deliver);
     }
 
    private:
@@ -109,17 +125,69 @@
            isolated_nodes_.contains(pair.nodes[1]);
   }
 
-  void Schedule(std::function<void()> action) {
+  // The network interface of a node. Frames wait until the ones before them
+  // have passed it.
+  struct Interface {
+    double bytes_per_second = 0;
+    Duration send_backlog_end = Duration::zero();
+    Duration receive_backlog_end = Duration::zero();
+    size_t received_bytes = 0;
+  };
+
+  // Passes a frame through the interfaces of the sender and the receiver. The
+  // frames of a link that the receiver has closed take none of its bandwidth.
+  void Transmit(const std::shared_ptr<Pair>& pair,
+                size_t side,
+                size_t bytes,
+                std::function<void()> deliver) {
+    Interface& sender = interfaces_[pair->nodes[side]];
+    const Duration sent = Occupy(sender, sender.send_backlog_end, bytes);
+    Schedule(
+        [this, pair, other = 1 - side, bytes, deliver = std::move(deliver)] {
+          if (pair->ends[other] == nullptr) {
+            return;
+          }
+          Interface& receiver = interfaces_[pair->nodes[other]];
+          const Duration received =
+              Occupy(receiver, receiver.receive_backlog_end, bytes);
+          if (received == Duration::zero()) {
+            deliver();
+          } else {
+            Schedule(deliver, received);
+          }
+        },
+        sent);
+  }
+  // Appends a frame to a backlog and returns the time until it has passed.
+  Duration Occupy(const Interface& interface,
+                  Duration& backlog_end,
+                  size_t bytes) {
+    if (interface.bytes_per_second <= 0) {
+      return Duration::zero();
+    }
+    const Duration now = clock_.Now() - TimePoint();
+    backlog_end =
+        std::max(backlog_end, now) +
+        std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+            static_cast<double>(bytes) / interface.bytes_per_second));
+    return backlog_end - now;
+  }
+
+  void Schedule(std::function<void()> action,
+                Duration delay = Duration::zero()) {
     const uint64_t id = next_delivery_id_++;
-    deliveries_[id] = timers_.After(
-        std::chrono::milliseconds(1), [this, id, action = std::move(action)] {
-          const auto timer = std::move(deliveries_[id]);
-          deliveries_.erase(id);
-          action();
-        });
+    deliveries_[id] = timers_.After(delay + std::chrono::milliseconds(1),
+                                    [this, id, action = std::move(action)] {
+                                      const auto timer =
+                                          std::move(deliveries_[id]);
+                                      deliveries_.erase(id);
+                                      action();
+                                    });
   }
 
   TimerQueue& timers_;
+  const Clock& clock_;
+  std::map<std::string, Interface> interfaces_;
   std::map<std::string, Acceptor> acceptors_;
   std::set<std::string> isolated_nodes_;
   std::vector<std::shared_ptr<Pair>> pairs_;
--- a/modules/peridotmill_gateway/tests/prompt_quarantine_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/prompt_quarantine_fleet_test.cc
@@ -94,7 +94,7 @@
  protected:
   static constexpr size_t kNodes = 12;
 
-  PromptQuarantineFleetTest() : network_(timers_) {
+  PromptQuarantineFleetTest() : network_(timers_, clock_) {
     std::vector<StoreEntry> records;
     for (size_t i = 0; i < kNodes; ++i) {
       StoreEntry entry;
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -18,6 +18,7 @@
 #include "peridotmill_gateway/tests/memory_store.h"
 #include "peridotmill_gateway/tests/peer_network.h"
 #include "peridotmill_gateway/tests/recording_events.h"
+#include "peridotmill_gateway/tests/replica_node.h"
 
 namespace peridotmill {
 namespace {
@@ -180,136 +181,14 @@
   }
 }
 
-// A node with the components that replicate the store.
-class ReplicaNode {
- public:
-  ReplicaNode(const std::string& name,
-              const std::string& domain,
-              double processor_share,
-              ManualClock& clock,
-              ManualTimerQueue& timers,
-              MemoryStore& store,
-              PeerNetwork& network)
-      : id(name),
-        record{.peer_address = name,
-               .failure_domain = FailureDomainId(domain),
-               .processor_share = processor_share,
-               .replica_address = name},
-        channel(store, timers, name),
-        retry_queue(timers, Hash64(name, 1)),
-        replica(
-            {clock, timers, channel, retry_queue, events},
-            {{{.prefix = "config", .watch_timeout = 2s, .watch_delay = 200ms},
-              {.prefix = "endpoints/",
-               .watch_timeout = 2s,
-               .watch_delay = 300ms},
-              {.prefix = kNodeKeyPrefix,
-               .watch_timeout = 5s,
-               .watch_delay = 3s}}},
-            {.on_snapshot =
-                 [this](ReplicaPart part,
-                        const std::vector<StoreEntry>& entries,
-                        bool was_unreachable) {
-                   const bool is_registration_outage =
-                       was_unreachable && part == ReplicaPart::kRegistrations;
-                   outage_snapshots += is_registration_outage ? 1 : 0;
-                   OnSnapshot(part, entries);
-                 },
-             .on_change =
-                 [this](ReplicaPart part, const StoreChange& change) {
-                   OnChange(part, change);
-                 }}),
-        service(replica, clock, timers, events),
-        dialer(network, name),
-        sources({clock, timers, dialer, directory, replica, service, events, id,
-                 record, [this] { Renew(); }, [this] { replica.ReadNodes(); }}),
-        registration(
-            id,
-            record,
-            channel,
-            timers,
-            events,
-            {.on_store_response = [this] { sources.OnStoreResponded(); },
-             .on_store_contact_lost =
-                 [this] {
-                   sources.OnStoreUnresponsive();
-                   replica.ReloadAll();
-                 },
-             .is_watching = [this] { return replica.is_watching(); }}) {
-    network.AddNode(name, [this](const PeerNetwork::MakeLink& make) {
-      service.Accept(make);
-    });
-  }
-
-  void Start() {
-    replica.ReadNodes();
-    registration.Start();
-  }
-  void Renew() { registration.RenewNow(); }
-
-  // The configuration and the endpoints as this node sees them.
-  std::string configuration;
-  std::set<std::string> endpoints;
-  // Number of configurations that arrived after a later one.
-  int reverts = 0;
-  // Number of registration snapshots marked as following an outage.
-  int outage_snapshots = 0;
-
-  NodeId id;
-  NodeRecord record;
-  RecordingEvents events;
-  NodeDirectory directory;
-  MemoryStoreChannel channel;
-  StoreRetryQueue retry_queue;
-  StoreReplica replica;
-  ReplicaService service;
-  PeerNetwork::Dialer dialer;
-  ReplicaSources sources;
-  NodeRegistration registration;
-
- private:
-  void OnSnapshot(ReplicaPart part, const std::vector<StoreEntry>& entries) {
-    if (part == ReplicaPart::kNodes) {
-      directory.Replace(entries, false);
-      sources.OnNodesChanged();
-    } else if (part == ReplicaPart::kRegistrations) {
-      endpoints.clear();
-      for (const StoreEntry& entry : entries) {
-        endpoints.insert(entry.key);
-      }
-    } else {
-      for (const StoreEntry& entry : entries) {
-        SetConfiguration(entry.value);
-      }
-    }
-  }
-  void OnChange(ReplicaPart part, const StoreChange& change) {
-    if (part == ReplicaPart::kNodes) {
-      directory.Apply(change);
-      sources.OnNodesChanged();
-    } else if (part == ReplicaPart::kRegistrations) {
-      if (change.is_removed) {
-        endpoints.erase(change.entry.key);
-      } else {
-        endpoints.insert(change.entry.key);
-      }
-    } else {
-      SetConfiguration(change.entry.value);
-    }
-  }
-  void SetConfiguration(const std::string& value) {
-    reverts += value < configuration ? 1 : 0;
-    configuration = value;
-  }
-};
-
 // A fleet with one store and three failure domains of eight nodes each.
 class ReplicaFleetTest : public testing::Test {
  protected:
   static constexpr int kDomains = 3;
   static constexpr int kNodesPerDomain = 8;
 
-  ReplicaFleetTest() : timers_(clock_), store_(timers_), network_(timers_) {
+  ReplicaFleetTest()
+      : timers_(clock_), store_(timers_), network_(timers_, clock_) {
     store_.Write("config", "c100");
     store_.Write("endpoints/a", "1");
     store_.Write("endpoints/b", "1");
