--- a/modules/peridotmill_core/peridotmill_core.h
+++ b/modules/peridotmill_core/peridotmill_core.h
@@ -1,15 +1,18 @@
 // peridotmill_core: types and functions that all other modules use.
 //
 // Strongly typed ids and units, the clock interface, findings and error codes,
-// reason codes with their counters, hashing, random numbers, and the requests
+// reason codes with their counters, hashing, compression, random numbers, and
+// the requests
 // and responses of the platform's key-value store.
 //
-// Dependencies: GLib (SHA-256), libxxhash, tl::expected.
+// Dependencies: GLib (SHA-256), libxxhash, zlib, tl::expected.
 
 #ifndef PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
 #define PERIDOTMILL_CORE_PERIDOTMILL_CORE_H_
 
 #include "peridotmill_core/attempts/attempt_outcome.h"
+#include "peridotmill_core/compression/deflate.h"
+#include "peridotmill_core/compression/delta.h"
 #include "peridotmill_core/errors/error.h"
 #include "peridotmill_core/errors/finding.h"
 #include "peridotmill_core/hashing/hashing.h"
--- a/modules/peridotmill_gateway/replication/prefix_state.cc
+++ b/modules/peridotmill_gateway/replication/prefix_state.cc
@@ -26,6 +26,20 @@
   }
 }
 
+// Replaced values of at least this size are kept.
+constexpr size_t kMinReplacedValueBytes = size_t{16} << 10;
+constexpr size_t kMaxReplacedValues = 2;
+
+void KeepReplacedValue(PrefixState& state, StoreEntry entry) {
+  if (entry.value.size() < kMinReplacedValueBytes) {
+    return;
+  }
+  state.replaced_values.push_back(std::move(entry));
+  if (state.replaced_values.size() > kMaxReplacedValues) {
+    state.replaced_values.pop_front();
+  }
+}
+
 // Returns whether the change was new.
 bool ApplyChange(PrefixState& state, const StoreChange& change) {
   const auto existing = state.entries.find(change.entry.key);
@@ -35,6 +49,9 @@
       existing->second.mod_revision >= change.entry.mod_revision) {
     return false;
   }
+  if (existing != state.entries.end()) {
+    KeepReplacedValue(state, std::move(existing->second));
+  }
   if (change.is_removed) {
     if (existing != state.entries.end()) {
       state.entries.erase(existing);
@@ -128,6 +145,22 @@
   return since;
 }
 
+const StoreEntry* FindVersion(const PrefixState& state,
+                              const std::string& key,
+                              int64_t mod_revision) {
+  const auto current = state.entries.find(key);
+  if (current != state.entries.end() &&
+      current->second.mod_revision == mod_revision) {
+    return &current->second;
+  }
+  const auto replaced = std::find_if(
+      state.replaced_values.begin(), state.replaced_values.end(),
+      [&](const StoreEntry& entry) {
+        return entry.key == key && entry.mod_revision == mod_revision;
+      });
+  return replaced == state.replaced_values.end() ? nullptr : &*replaced;
+}
+
 std::vector<StoreEntry> CopyEntries(const PrefixState& state) {
   std::vector<StoreEntry> entries;
   entries.reserve(state.entries.size());
--- a/modules/peridotmill_gateway/replication/prefix_state.h
+++ b/modules/peridotmill_gateway/replication/prefix_state.h
@@ -36,6 +36,9 @@
   int64_t history_start_revision = 0;
   // Total size of the values in `history`.
   size_t history_value_bytes = 0;
+  // The latest large values that were replaced, oldest first. Differences to
+  // them are sent to nodes that still have them.
+  std::deque<StoreEntry> replaced_values;
 };
 
 // Replaces the entries by a complete snapshot of the prefix and returns the
@@ -57,6 +60,12 @@
 std::optional<PrefixChanges> ChangesSince(const PrefixState& state,
                                           int64_t revision);
 
+// Returns a version of an entry that is current or was replaced lately, or
+// null.
+const StoreEntry* FindVersion(const PrefixState& state,
+                              const std::string& key,
+                              int64_t mod_revision);
+
 std::vector<StoreEntry> CopyEntries(const PrefixState& state);
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/replication/replica_message.cc
+++ b/modules/peridotmill_gateway/replication/replica_message.cc
@@ -17,14 +17,29 @@
 
 constexpr uint32_t kNoStoreContactAgeMs = std::numeric_limits<uint32_t>::max();
 
+Offset<flatbuffers::Vector<uint8_t>> EncodeBytes(FlatBufferBuilder& builder,
+                                                 std::string_view bytes) {
+  return builder.CreateVector(reinterpret_cast<const uint8_t*>(bytes.data()),
+                              bytes.size());
+}
+
+std::string DecodeBytes(const flatbuffers::Vector<uint8_t>* wire) {
+  return wire == nullptr
+             ? std::string()
+             : std::string(reinterpret_cast<const char*>(wire->data()),
+                           wire->size());
+}
+
 Offset<replicawire::Entry> EncodeEntry(FlatBufferBuilder& builder,
                                        const StoreEntry& entry,
-                                       bool is_removed) {
+                                       bool is_removed,
+                                       size_t max_value_bytes) {
+  const bool is_omitted = entry.value.size() > max_value_bytes;
   const auto key = builder.CreateString(entry.key);
-  const auto value = builder.CreateVector(
-      reinterpret_cast<const uint8_t*>(entry.value.data()), entry.value.size());
-  return replicawire::CreateEntry(builder, key, value, entry.create_revision,
-                                  entry.mod_revision, is_removed);
+  const auto value = EncodeBytes(builder, is_omitted ? "" : entry.value);
+  return replicawire::CreateEntry(
+      builder, key, value, entry.create_revision, entry.mod_revision,
+      is_removed, is_omitted ? static_cast<uint32_t>(entry.value.size()) : 0);
 }
 
 StoreEntry DecodeEntry(const replicawire::Entry& wire) {
@@ -32,10 +47,7 @@
   if (wire.key() != nullptr) {
     entry.key = wire.key()->str();
   }
-  if (wire.value() != nullptr) {
-    entry.value.assign(reinterpret_cast<const char*>(wire.value()->data()),
-                       wire.value()->size());
-  }
+  entry.value = DecodeBytes(wire.value());
   entry.create_revision = wire.create_revision();
   entry.mod_revision = wire.mod_revision();
   return entry;
@@ -44,18 +56,21 @@
 // Visitor that serializes one alternative of ReplicaMessage.
 struct MessageEncoder {
   FlatBufferBuilder& builder;
+  size_t max_value_bytes;
 
   Offset<replicawire::Message> operator()(const SubscribeMessage& message) {
     const auto revisions = builder.CreateVector(message.revisions.data(),
                                                 message.revisions.size());
-    return BuildMessage(
-        replicawire::Body::Subscribe,
-        replicawire::CreateSubscribe(builder, revisions).Union());
+    return BuildMessage(replicawire::Body::Subscribe,
+                        replicawire::CreateSubscribe(
+                            builder, revisions, message.accepts_omitted_values)
+                            .Union());
   }
   Offset<replicawire::Message> operator()(const SnapshotMessage& message) {
     std::vector<Offset<replicawire::Entry>> entries;
     for (const StoreEntry& entry : message.entries) {
-      entries.push_back(EncodeEntry(builder, entry, /*is_removed=*/false));
+      entries.push_back(
+          EncodeEntry(builder, entry, /*is_removed=*/false, max_value_bytes));
     }
     const auto vector = builder.CreateVector(entries);
     return BuildMessage(
@@ -68,7 +83,8 @@
   Offset<replicawire::Message> operator()(const ChangesMessage& message) {
     std::vector<Offset<replicawire::Entry>> entries;
     for (const StoreChange& change : message.changes.changes) {
-      entries.push_back(EncodeEntry(builder, change.entry, change.is_removed));
+      entries.push_back(EncodeEntry(builder, change.entry, change.is_removed,
+                                    max_value_bytes));
     }
     const auto vector = builder.CreateVector(entries);
     return BuildMessage(
@@ -91,6 +107,27 @@
         replicawire::CreateFreshness(builder, revisions, age).Union());
   }
 
+  Offset<replicawire::Message> operator()(const FetchValueMessage& message) {
+    const auto key = builder.CreateString(message.version.key);
+    return BuildMessage(replicawire::Body::FetchValue,
+                        replicawire::CreateFetchValue(
+                            builder, static_cast<uint8_t>(message.version.part),
+                            key, message.version.mod_revision,
+                            message.base_revision, message.offset, message.size)
+                            .Union());
+  }
+  Offset<replicawire::Message> operator()(const ValueChunkMessage& message) {
+    const auto key = builder.CreateString(message.version.key);
+    const auto bytes = EncodeBytes(builder, message.bytes);
+    return BuildMessage(replicawire::Body::ValueChunk,
+                        replicawire::CreateValueChunk(
+                            builder, static_cast<uint8_t>(message.version.part),
+                            key, message.version.mod_revision,
+                            message.base_revision, message.transfer_digest,
+                            message.transfer_size, message.offset, bytes)
+                            .Union());
+  }
+
   Offset<replicawire::Message> BuildMessage(replicawire::Body type,
                                             Offset<void> body) {
     return replicawire::CreateMessage(builder, type, body);
@@ -119,7 +156,20 @@
   if (!revisions) {
     return std::nullopt;
   }
-  return SubscribeMessage{*revisions};
+  return SubscribeMessage{
+      .revisions = *revisions,
+      .accepts_omitted_values = wire.accepts_omitted_values()};
+}
+
+// Adds the version of the entry's value to `omitted_values` if the value is not
+// in the message.
+void AddIfOmitted(ReplicaPart part,
+                  const replicawire::Entry& wire,
+                  const StoreEntry& entry,
+                  std::vector<ValueVersion>& omitted_values) {
+  if (wire.omitted_bytes() > 0 && !wire.is_removed()) {
+    omitted_values.push_back({part, entry.key, entry.mod_revision});
+  }
 }
 
 std::optional<ReplicaMessage> DecodeSnapshot(
@@ -135,6 +185,8 @@
   if (wire.entries() != nullptr) {
     for (const replicawire::Entry* const entry : *wire.entries()) {
       message.entries.push_back(DecodeEntry(*entry));
+      AddIfOmitted(*part, *entry, message.entries.back(),
+                   message.omitted_values);
     }
   }
   return message;
@@ -154,6 +206,8 @@
     for (const replicawire::Entry* const entry : *wire.entries()) {
       message.changes.changes.push_back(
           {.entry = DecodeEntry(*entry), .is_removed = entry->is_removed()});
+      AddIfOmitted(*part, *entry, message.changes.changes.back().entry,
+                   message.omitted_values);
     }
   }
   return message;
@@ -173,6 +227,42 @@
   return message;
 }
 
+std::optional<ValueVersion> DecodeVersion(uint8_t wire_part,
+                                          const flatbuffers::String* key,
+                                          int64_t mod_revision) {
+  const auto part = DecodePart(wire_part);
+  if (!part || key == nullptr || mod_revision <= 0) {
+    return std::nullopt;
+  }
+  return ValueVersion{*part, key->str(), mod_revision};
+}
+
+std::optional<ReplicaMessage> DecodeFetchValue(
+    const replicawire::FetchValue& wire) {
+  auto version = DecodeVersion(wire.part(), wire.key(), wire.mod_revision());
+  if (!version) {
+    return std::nullopt;
+  }
+  return FetchValueMessage{.version = *std::move(version),
+                           .base_revision = wire.base_revision(),
+                           .offset = wire.offset(),
+                           .size = wire.size()};
+}
+
+std::optional<ReplicaMessage> DecodeValueChunk(
+    const replicawire::ValueChunk& wire) {
+  auto version = DecodeVersion(wire.part(), wire.key(), wire.mod_revision());
+  if (!version) {
+    return std::nullopt;
+  }
+  return ValueChunkMessage{.version = *std::move(version),
+                           .base_revision = wire.base_revision(),
+                           .transfer_digest = wire.transfer_digest(),
+                           .transfer_size = wire.transfer_size(),
+                           .offset = wire.offset(),
+                           .bytes = DecodeBytes(wire.bytes())};
+}
+
 std::optional<ReplicaMessage> DecodeBody(const replicawire::Message& message) {
   switch (message.body_type()) {
     case replicawire::Body::Subscribe:
@@ -183,6 +273,10 @@
       return DecodeChanges(*message.body_as_Changes());
     case replicawire::Body::Freshness:
       return DecodeFreshness(*message.body_as_Freshness());
+    case replicawire::Body::FetchValue:
+      return DecodeFetchValue(*message.body_as_FetchValue());
+    case replicawire::Body::ValueChunk:
+      return DecodeValueChunk(*message.body_as_ValueChunk());
     default:
       return std::nullopt;
   }
@@ -190,9 +284,10 @@
 
 }  // namespace
 
-std::string EncodeReplicaMessage(const ReplicaMessage& message) {
+std::string EncodeReplicaMessage(const ReplicaMessage& message,
+                                 size_t max_value_bytes) {
   FlatBufferBuilder builder;
-  builder.Finish(std::visit(MessageEncoder{builder}, message));
+  builder.Finish(std::visit(MessageEncoder{builder, max_value_bytes}, message));
   return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
           builder.GetSize()};
 }
--- a/modules/peridotmill_gateway/replication/replica_message.h
+++ b/modules/peridotmill_gateway/replication/replica_message.h
@@ -26,6 +26,17 @@
 // Requests everything newer than the given revisions, and all later changes.
 struct SubscribeMessage {
   ReplicaRevisions revisions = {};
+  // The sender fetches values that are omitted from updates.
+  bool accepts_omitted_values = false;
+};
+
+// One version of an entry's value.
+struct ValueVersion {
+  ReplicaPart part = ReplicaPart::kConfiguration;
+  std::string key;
+  int64_t mod_revision = 0;
+
+  bool operator==(const ValueVersion&) const = default;
 };
 
 // One frame of a snapshot, with some or all entries of a part. `is_last` marks
@@ -38,6 +49,8 @@
   bool is_after_outage = false;
   bool is_last = true;
   std::vector<StoreEntry> entries;
+  // The entries that were sent without their values.
+  std::vector<ValueVersion> omitted_values;
 };
 
 struct ChangesMessage {
@@ -46,6 +59,32 @@
   // The store has just become reachable again, so removals may be entries whose
   // leases expired during the outage.
   bool is_after_outage = false;
+  // The entries that were sent without their values.
+  std::vector<ValueVersion> omitted_values;
+};
+
+// Requests a range of the transfer of a value. A transfer is the compressed
+// difference between the value and the version that the receiver has.
+struct FetchValueMessage {
+  ValueVersion version;
+  // The version that the receiver has; 0 if none.
+  int64_t base_revision = 0;
+  uint32_t offset = 0;
+  uint32_t size = 0;
+};
+
+// A range of a transfer.
+struct ValueChunkMessage {
+  ValueVersion version;
+  // The version that the transfer is a difference to; 0 if the sender does not
+  // have the version that the receiver named.
+  int64_t base_revision = 0;
+  // Identifies the bytes of the transfer, which may differ between nodes.
+  uint64_t transfer_digest = 0;
+  // Size of the whole transfer; 0 if the sender does not have this version.
+  uint32_t transfer_size = 0;
+  uint32_t offset = 0;
+  std::string bytes;
 };
 
 // Sent regularly to subscribers: the revision of the sender's latest change of
@@ -59,9 +98,14 @@
 using ReplicaMessage = std::variant<SubscribeMessage,
                                     SnapshotMessage,
                                     ChangesMessage,
-                                    FreshnessMessage>;
+                                    FreshnessMessage,
+                                    FetchValueMessage,
+                                    ValueChunkMessage>;
 
-std::string EncodeReplicaMessage(const ReplicaMessage& message);
+// Encodes a message. Omits the values of entries that are longer than
+// `max_value_bytes`.
+std::string EncodeReplicaMessage(const ReplicaMessage& message,
+                                 size_t max_value_bytes = SIZE_MAX);
 
 // Errors: kMalformed.
 Result<ReplicaMessage> DecodeReplicaMessage(std::string_view bytes);
--- a/modules/peridotmill_gateway/replication/replica_service.cc
+++ b/modules/peridotmill_gateway/replication/replica_service.cc
@@ -13,12 +13,17 @@
 constexpr Duration kFreshnessReportInterval = std::chrono::milliseconds(400);
 // Limit on the total size of the values in one snapshot frame. A larger value
 // is sent in a frame of its own.
-constexpr size_t kMaxSnapshotFrameValueBytes = size_t{64} << 10;
+constexpr size_t kMaxSnapshotFrameValueBytes = size_t{16} << 10;
+// Sizes of the chunks of a transfer and of the range that one request may name.
+// Freshness reports are sent between the chunks.
+constexpr size_t kMaxChunkBytes = size_t{16} << 10;
+constexpr size_t kMaxRangeBytes = size_t{64} << 10;
 // Incoming links that may be open at a time.
 constexpr size_t kMaxIncomingLinks = 512;
 
 std::vector<std::string> EncodeSnapshot(const StoreReplica& replica,
-                                        ReplicaPart part) {
+                                        ReplicaPart part,
+                                        size_t max_value_bytes) {
   std::vector<std::string> frames;
   SnapshotMessage message = {.part = part,
                              .revision = replica.state(part).revision,
@@ -28,7 +33,7 @@
   for (const auto& [key, entry] : replica.state(part).entries) {
     if (value_bytes + entry.value.size() > kMaxSnapshotFrameValueBytes &&
         !message.entries.empty()) {
-      frames.push_back(EncodeReplicaMessage(message));
+      frames.push_back(EncodeReplicaMessage(message, max_value_bytes));
       message.entries.clear();
       value_bytes = 0;
     }
@@ -36,7 +41,7 @@
     message.entries.push_back(entry);
   }
   message.is_last = true;
-  frames.push_back(EncodeReplicaMessage(message));
+  frames.push_back(EncodeReplicaMessage(message, max_value_bytes));
   return frames;
 }
 
@@ -51,25 +56,39 @@
   }
 
   bool is_subscribed() const { return is_subscribed_; }
+  // Size up to which values are part of updates to this node.
+  size_t max_value_bytes() const { return max_value_bytes_; }
   void Send(std::string_view frame) { link_->Send(frame); }
 
  private:
   void OnLinkFrame(std::string_view frame) override {
     const auto message = DecodeReplicaMessage(frame);
-    const auto* const subscribe =
-        message ? std::get_if<SubscribeMessage>(&*message) : nullptr;
-    if (subscribe == nullptr) {
+    if (!message) {
+      service_->OnMalformedFrame(this);
+    } else if (const auto* const subscribe =
+                   std::get_if<SubscribeMessage>(&*message)) {
+      OnSubscribe(*subscribe);
+    } else if (const auto* const fetch =
+                   std::get_if<FetchValueMessage>(&*message)) {
+      for (const std::string& chunk : service_->TransferFrames(*fetch)) {
+        link_->Send(chunk);
+      }
+    } else {
       service_->OnMalformedFrame(this);
-      return;
     }
+  }
+  void OnLinkLost() override { service_->CloseSession(this); }
+
+  void OnSubscribe(const SubscribeMessage& subscribe) {
     is_subscribed_ = true;
-    SendUpdates(ReplicaPart::kConfiguration, subscribe->revisions);
-    SendUpdates(ReplicaPart::kRegistrations, subscribe->revisions);
-    SendUpdates(ReplicaPart::kNodes, subscribe->revisions);
+    max_value_bytes_ =
+        subscribe.accepts_omitted_values ? kMaxInlineValueBytes : SIZE_MAX;
+    SendUpdates(ReplicaPart::kConfiguration, subscribe.revisions);
+    SendUpdates(ReplicaPart::kRegistrations, subscribe.revisions);
+    SendUpdates(ReplicaPart::kNodes, subscribe.revisions);
     link_->Send(service_->EncodeFreshness());
     service_->ScheduleFreshnessReport();
   }
-  void OnLinkLost() override { service_->CloseSession(this); }
 
   void SendUpdates(ReplicaPart part,
                    const ReplicaRevisions& subscriber_revisions) {
@@ -80,10 +99,12 @@
     }
     if (auto changes = ChangesSince(replica.state(part), revision)) {
       link_->Send(EncodeReplicaMessage(
-          ChangesMessage{.part = part, .changes = *std::move(changes)}));
+          ChangesMessage{.part = part, .changes = *std::move(changes)},
+          max_value_bytes_));
       return;
     }
-    for (const std::string& frame : service_->SnapshotFrames(part)) {
+    for (const std::string& frame :
+         service_->SnapshotFrames(part, max_value_bytes_)) {
       link_->Send(frame);
     }
   }
@@ -91,6 +112,7 @@
   ReplicaService* service_;
   std::unique_ptr<PeerLink> link_;
   bool is_subscribed_ = false;
+  size_t max_value_bytes_ = SIZE_MAX;
 };
 
 ReplicaService::ReplicaService(StoreReplica& replica,
@@ -123,8 +145,10 @@
 }
 
 const std::vector<std::string>& ReplicaService::SnapshotFrames(
-    ReplicaPart part) {
-  CachedSnapshot& cached = snapshots_[static_cast<size_t>(part)];
+    ReplicaPart part,
+    size_t max_value_bytes) {
+  CachedSnapshot& cached =
+      snapshots_[static_cast<size_t>(part)][max_value_bytes];
   const int64_t last_change_revision =
       replica_.state(part).last_change_revision;
   const bool is_after_outage = replica_.is_after_outage(part);
@@ -132,36 +156,69 @@
       cached.is_after_outage != is_after_outage) {
     cached = {.last_change_revision = last_change_revision,
               .is_after_outage = is_after_outage,
-              .frames = EncodeSnapshot(replica_, part)};
+              .frames = EncodeSnapshot(replica_, part, max_value_bytes)};
   }
   return cached.frames;
 }
 
 void ReplicaService::OnReplicaSnapshot(ReplicaPart part) {
-  if (subscriber_count() == 0) {
-    return;
-  }
-  for (const std::string& frame : SnapshotFrames(part)) {
-    SendToSubscribers(frame);
+  for (const auto& [raw, session] : sessions_) {
+    if (!session->is_subscribed()) {
+      continue;
+    }
+    for (const std::string& frame :
+         SnapshotFrames(part, session->max_value_bytes())) {
+      session->Send(frame);
+    }
   }
 }
 
 void ReplicaService::OnReplicaChanges(const ChangesMessage& message) {
   // Frees the outdated snapshot, which may be large.
-  snapshots_[static_cast<size_t>(message.part)] = CachedSnapshot();
-  if (subscriber_count() > 0) {
-    SendToSubscribers(EncodeReplicaMessage(message));
-  }
+  snapshots_[static_cast<size_t>(message.part)].clear();
+  SendToSubscribers(message);
 }
 
-void ReplicaService::SendToSubscribers(const std::string& frame) {
+void ReplicaService::SendToSubscribers(const ReplicaMessage& message) {
+  std::map<size_t, std::string> frames;
   for (const auto& [raw, session] : sessions_) {
-    if (session->is_subscribed()) {
-      session->Send(frame);
+    if (!session->is_subscribed()) {
+      continue;
     }
+    const size_t max_value_bytes = session->max_value_bytes();
+    const auto [frame, is_new] = frames.try_emplace(max_value_bytes);
+    if (is_new) {
+      frame->second = EncodeReplicaMessage(message, max_value_bytes);
+    }
+    session->Send(frame->second);
   }
 }
 
+std::vector<std::string> ReplicaService::TransferFrames(
+    const FetchValueMessage& request) {
+  const auto transfer = transfers_.Get(replica_.state(request.version.part),
+                                       request.version, request.base_revision);
+  ValueChunkMessage chunk = {.version = request.version,
+                             .offset = request.offset};
+  if (transfer == nullptr || request.offset >= transfer->bytes.size()) {
+    return {EncodeReplicaMessage(chunk)};
+  }
+  chunk.base_revision = transfer->base_revision;
+  chunk.transfer_digest = transfer->digest;
+  chunk.transfer_size = static_cast<uint32_t>(transfer->bytes.size());
+  const size_t end =
+      std::min(transfer->bytes.size(),
+               request.offset + std::min<size_t>(request.size, kMaxRangeBytes));
+  std::vector<std::string> frames;
+  for (size_t offset = request.offset; offset < end; offset += kMaxChunkBytes) {
+    chunk.offset = static_cast<uint32_t>(offset);
+    chunk.bytes =
+        transfer->bytes.substr(offset, std::min(kMaxChunkBytes, end - offset));
+    frames.push_back(EncodeReplicaMessage(chunk));
+  }
+  return frames;
+}
+
 void ReplicaService::OnMalformedFrame(Session* session) {
   ++malformed_frames_;
   log_.Write("replica_frame_malformed",
@@ -182,7 +239,12 @@
     if (subscriber_count() == 0) {
       return;
     }
-    SendToSubscribers(EncodeFreshness());
+    const std::string frame = EncodeFreshness();
+    for (const auto& [raw, session] : sessions_) {
+      if (session->is_subscribed()) {
+        session->Send(frame);
+      }
+    }
     ScheduleFreshnessReport();
   });
 }
--- a/modules/peridotmill_gateway/replication/replica_service.h
+++ b/modules/peridotmill_gateway/replication/replica_service.h
@@ -13,11 +13,13 @@
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 #include "peridotmill_gateway/replication/store_replica.h"
+#include "peridotmill_gateway/replication/value_transfer.h"
 
 namespace peridotmill {
 
 // Sends snapshots and changes of this node's replica to the nodes that
-// subscribe to it.
+// subscribe to it. Large values are omitted from both and sent in ranges when
+// the subscriber requests them.
 class ReplicaService final : public ReplicaObserver {
  public:
   // Returns the accepted link, which reports to the given listener.
@@ -46,8 +48,13 @@
   void OnReplicaSnapshot(ReplicaPart part) override;
   void OnReplicaChanges(const ChangesMessage& message) override;
   // Returns the encoded snapshot, which is cached until the part changes.
-  const std::vector<std::string>& SnapshotFrames(ReplicaPart part);
-  void SendToSubscribers(const std::string& frame);
+  // Values that are longer than `max_value_bytes` are omitted.
+  const std::vector<std::string>& SnapshotFrames(ReplicaPart part,
+                                                 size_t max_value_bytes);
+  // Sends an update to all subscribers in the form that each of them accepts.
+  void SendToSubscribers(const ReplicaMessage& message);
+  // Returns the frames of a range of a value's transfer.
+  std::vector<std::string> TransferFrames(const FetchValueMessage& request);
   void OnMalformedFrame(Session* session);
   void CloseSession(Session* session);
   // Starts the regular freshness reports to all subscribers unless they are
@@ -65,7 +72,9 @@
     bool is_after_outage = false;
     std::vector<std::string> frames;
   };
-  std::array<CachedSnapshot, kReplicaPartCount> snapshots_;
+  // By the maximum size of values that are not omitted.
+  std::array<std::map<size_t, CachedSnapshot>, kReplicaPartCount> snapshots_;
+  ValueTransferCache transfers_;
   std::unique_ptr<Timer> freshness_report_timer_;
   uint64_t malformed_frames_ = 0;
 };
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_gateway/replication/replica_sources.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -54,7 +55,6 @@
         opened_(owner->dependencies_.clock.Now()),
         last_frame_(opened_) {
     link_ = owner->dependencies_.dialer.Dial(address, this);
-    SendSubscribe(owner->dependencies_.replica.revisions());
   }
 
   const NodeId& node() const { return node_; }
@@ -65,8 +65,8 @@
     return store_contact_ && now - *store_contact_ <= kStoreContactStaleAfter;
   }
 
-  void SendSubscribe(const ReplicaRevisions& revisions) {
-    link_->Send(EncodeReplicaMessage(SubscribeMessage{revisions}));
+  void Send(const ReplicaMessage& message) {
+    link_->Send(EncodeReplicaMessage(message));
   }
 
   void RecordFrame(TimePoint now) { last_frame_ = now; }
@@ -76,6 +76,8 @@
 
   // The frames received so far of a snapshot that is not complete.
   std::optional<SnapshotMessage> partial_snapshot;
+  // An update was ignored while the values of another one were fetched.
+  bool has_ignored_update = false;
 
  private:
   void OnLinkFrame(std::string_view frame) override {
@@ -94,7 +96,30 @@
 };
 
 ReplicaSources::ReplicaSources(const Dependencies& dependencies)
-    : dependencies_(dependencies) {}
+    : dependencies_(dependencies),
+      configuration_fetcher_(
+          dependencies.clock,
+          dependencies.log,
+          dependencies.replica.state(ReplicaPart::kConfiguration),
+          {.sources =
+               [this] {
+                 std::vector<NodeId> nodes;
+                 for (const auto& [node, subscription] : subscriptions_) {
+                   nodes.push_back(node);
+                 }
+                 return nodes;
+               },
+           .send =
+               [this](const NodeId& node, const FetchValueMessage& request) {
+                 const auto found = subscriptions_.find(node);
+                 if (found != subscriptions_.end()) {
+                   found->second->Send(request);
+                 }
+               },
+           .on_complete =
+               [this](const ReplicaUpdate& update) {
+                 OnUpdateFetched(update);
+               }}) {}
 
 ReplicaSources::~ReplicaSources() = default;
 
@@ -165,6 +190,7 @@
   for (const NodeId& node : unresponsive) {
     DropSource(node, "silent");
   }
+  configuration_fetcher_.CheckProgress();
   UpdateSubscriptions();
   UpdateStaleness();
   if (ShouldWatchStore()) {
@@ -278,6 +304,7 @@
     if (is_new) {
       subscription =
           std::make_unique<Subscription>(this, node, record->replica_address);
+      Subscribe(*subscription);
     }
     selected.push_back(node);
     ++subscribed_count;
@@ -298,56 +325,120 @@
 
 void ReplicaSources::OnFrame(Subscription& subscription,
                              std::string_view frame) {
-  const TimePoint now = dependencies_.clock.Now();
-  StoreReplica& replica = dependencies_.replica;
   auto message = DecodeReplicaMessage(frame);
   if (!message) {
     DropSource(subscription.node(), "malformed frame");
     return;
   }
-  subscription.RecordFrame(now);
+  subscription.RecordFrame(dependencies_.clock.Now());
   if (auto* const snapshot = std::get_if<SnapshotMessage>(&*message)) {
-    if (subscription.partial_snapshot &&
-        subscription.partial_snapshot->part == snapshot->part &&
-        subscription.partial_snapshot->revision == snapshot->revision) {
-      snapshot->entries.insert(snapshot->entries.begin(),
-                               subscription.partial_snapshot->entries.begin(),
-                               subscription.partial_snapshot->entries.end());
-    }
-    subscription.partial_snapshot.reset();
-    if (snapshot->is_last) {
-      replica.ApplyPeerSnapshot(*snapshot);
-    } else if (snapshot->entries.size() <= kMaxSnapshotEntries) {
-      subscription.partial_snapshot = std::move(*snapshot);
-    } else {
-      DropSource(subscription.node(), "snapshot too large");
-    }
-  } else if (const auto* const changes =
-                 std::get_if<ChangesMessage>(&*message)) {
-    if (!replica.ApplyPeerChanges(*changes)) {
-      subscription.SendSubscribe(replica.revisions());
-    }
+    OnSnapshot(subscription, std::move(*snapshot));
+  } else if (auto* const changes = std::get_if<ChangesMessage>(&*message)) {
+    ReceiveUpdate(subscription, std::move(*changes));
+  } else if (const auto* const chunk =
+                 std::get_if<ValueChunkMessage>(&*message)) {
+    configuration_fetcher_.OnChunk(*chunk);
   } else if (const auto* const freshness =
                  std::get_if<FreshnessMessage>(&*message)) {
-    backoffs_.erase(subscription.node());
-    const ReplicaRevisions own_revisions = replica.revisions();
-    for (size_t part = 0; part < own_revisions.size(); ++part) {
-      if (own_revisions[part] < freshness->revisions[part]) {
-        // Requests changes that were lost without a detectable gap.
-        subscription.SendSubscribe(own_revisions);
-        break;
-      }
-    }
-    if (freshness->store_contact_age != Duration::max()) {
-      const TimePoint store_contact = now - freshness->store_contact_age;
-      subscription.RecordStoreContact(store_contact);
-      replica.RecordStoreContact(store_contact);
-    }
+    OnFreshness(subscription, *freshness);
   } else {
     DropSource(subscription.node(), "unexpected message");
   }
 }
 
+void ReplicaSources::OnSnapshot(Subscription& subscription,
+                                SnapshotMessage snapshot) {
+  if (subscription.partial_snapshot &&
+      subscription.partial_snapshot->part == snapshot.part &&
+      subscription.partial_snapshot->revision == snapshot.revision) {
+    SnapshotMessage& partial = *subscription.partial_snapshot;
+    std::move(snapshot.entries.begin(), snapshot.entries.end(),
+              std::back_inserter(partial.entries));
+    std::move(snapshot.omitted_values.begin(), snapshot.omitted_values.end(),
+              std::back_inserter(partial.omitted_values));
+    partial.is_last = snapshot.is_last;
+    snapshot = std::move(partial);
+  }
+  subscription.partial_snapshot.reset();
+  if (snapshot.is_last) {
+    ReceiveUpdate(subscription, std::move(snapshot));
+  } else if (snapshot.entries.size() <= kMaxSnapshotEntries) {
+    subscription.partial_snapshot = std::move(snapshot);
+  } else {
+    DropSource(subscription.node(), "snapshot too large");
+  }
+}
+
+void ReplicaSources::OnFreshness(Subscription& subscription,
+                                 const FreshnessMessage& freshness) {
+  backoffs_.erase(subscription.node());
+  const ReplicaRevisions own_revisions = dependencies_.replica.revisions();
+  for (size_t part = 0; part < own_revisions.size(); ++part) {
+    const bool is_fetching =
+        part == static_cast<size_t>(ReplicaPart::kConfiguration) &&
+        configuration_fetcher_.is_fetching();
+    if (own_revisions[part] < freshness.revisions[part] && !is_fetching) {
+      // Requests changes that were lost without a detectable gap.
+      Subscribe(subscription);
+      break;
+    }
+  }
+  if (freshness.store_contact_age != Duration::max()) {
+    const TimePoint store_contact =
+        dependencies_.clock.Now() - freshness.store_contact_age;
+    subscription.RecordStoreContact(store_contact);
+    dependencies_.replica.RecordStoreContact(store_contact);
+  }
+}
+
+void ReplicaSources::ReceiveUpdate(Subscription& subscription,
+                                   ReplicaUpdate update) {
+  const bool is_configuration =
+      UpdatePart(update) == ReplicaPart::kConfiguration;
+  if (is_configuration && configuration_fetcher_.is_fetching()) {
+    subscription.has_ignored_update =
+        subscription.has_ignored_update ||
+        UpdateRevision(update) > configuration_fetcher_.revision();
+    return;
+  }
+  const bool has_omitted_values = std::visit(
+      [](const auto& message) { return !message.omitted_values.empty(); },
+      update);
+  if (has_omitted_values) {
+    if (is_configuration) {
+      configuration_fetcher_.Start(std::move(update), subscription.node());
+    } else {
+      DropSource(subscription.node(), "unexpected message");
+    }
+  } else if (!ApplyUpdate(update)) {
+    Subscribe(subscription);
+  }
+}
+
+bool ReplicaSources::ApplyUpdate(const ReplicaUpdate& update) {
+  if (const auto* const snapshot = std::get_if<SnapshotMessage>(&update)) {
+    dependencies_.replica.ApplyPeerSnapshot(*snapshot);
+    return true;
+  }
+  return dependencies_.replica.ApplyPeerChanges(
+      std::get<ChangesMessage>(update));
+}
+
+void ReplicaSources::OnUpdateFetched(const ReplicaUpdate& update) {
+  const bool is_applied = ApplyUpdate(update);
+  for (const auto& [node, subscription] : subscriptions_) {
+    if (std::exchange(subscription->has_ignored_update, false) || !is_applied) {
+      Subscribe(*subscription);
+    }
+  }
+}
+
+void ReplicaSources::Subscribe(Subscription& subscription) {
+  subscription.Send(
+      SubscribeMessage{.revisions = dependencies_.replica.revisions(),
+                       .accepts_omitted_values = true});
+}
+
 // NOLINTNEXTLINE(performance-unnecessary-value-param)
 void ReplicaSources::DropSource(NodeId node, std::string_view reason) {
   const auto subscription = subscriptions_.find(node);
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -15,6 +15,7 @@
 #include "peridotmill_gateway/replication/replica_role.h"
 #include "peridotmill_gateway/replication/replica_service.h"
 #include "peridotmill_gateway/replication/store_replica.h"
+#include "peridotmill_gateway/replication/value_fetcher.h"
 
 namespace peridotmill {
 
@@ -88,6 +89,18 @@
   bool HasTooFewPeers() const;
   bool IsInBackoff(const NodeId& node) const;
   void OnFrame(Subscription& subscription, std::string_view frame);
+  void OnSnapshot(Subscription& subscription, SnapshotMessage snapshot);
+  void OnFreshness(Subscription& subscription,
+                   const FreshnessMessage& freshness);
+  // Applies an update whose values are all there, or begins to fetch the
+  // omitted ones.
+  void ReceiveUpdate(Subscription& subscription, ReplicaUpdate update);
+  // Returns false if earlier changes are missing.
+  bool ApplyUpdate(const ReplicaUpdate& update);
+  // Applies an update whose omitted values were fetched.
+  void OnUpdateFetched(const ReplicaUpdate& update);
+  // Requests all that is newer than this node's copy.
+  void Subscribe(Subscription& subscription);
   // Closes the subscription to a node and starts the node's backoff. Takes the
   // id by value, since the subscription's own copy is destroyed with it.
   // NOLINTNEXTLINE(performance-unnecessary-value-param)
@@ -98,6 +111,8 @@
   bool is_role_outdated_ = false;
   std::map<NodeId, std::unique_ptr<Subscription>> subscriptions_;
   std::map<NodeId, SourceBackoff> backoffs_;
+  // Only configurations have values that are omitted.
+  ValueFetcher configuration_fetcher_;
   // When the store last responded to this node, and since when it has done so
   // without a failure.
   std::optional<TimePoint> own_store_contact_;
--- a/modules/peridotmill_gateway/replication/schema/replica_generated.h
+++ b/modules/peridotmill_gateway/replication/schema/replica_generated.h
@@ -31,6 +31,12 @@
 struct Freshness;
 struct FreshnessBuilder;
 
+struct FetchValue;
+struct FetchValueBuilder;
+
+struct ValueChunk;
+struct ValueChunkBuilder;
+
 struct Message;
 struct MessageBuilder;
 
@@ -40,35 +46,41 @@
   Snapshot = 2,
   Changes = 3,
   Freshness = 4,
+  FetchValue = 5,
+  ValueChunk = 6,
   MIN = NONE,
-  MAX = Freshness
+  MAX = ValueChunk
 };
 
-inline const Body (&EnumValuesBody())[5] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body::NONE,
     Body::Subscribe,
     Body::Snapshot,
     Body::Changes,
-    Body::Freshness
+    Body::Freshness,
+    Body::FetchValue,
+    Body::ValueChunk
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[6] = {
+  static const char * const names[8] = {
     "NONE",
     "Subscribe",
     "Snapshot",
     "Changes",
     "Freshness",
+    "FetchValue",
+    "ValueChunk",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Freshness)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ValueChunk)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -93,21 +105,34 @@
   static const Body enum_value = Body::Freshness;
 };
 
+template<> struct BodyTraits<peridotmill::replicawire::FetchValue> {
+  static const Body enum_value = Body::FetchValue;
+};
+
+template<> struct BodyTraits<peridotmill::replicawire::ValueChunk> {
+  static const Body enum_value = Body::ValueChunk;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
 struct Subscribe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef SubscribeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISIONS = 4
+    VT_REVISIONS = 4,
+    VT_ACCEPTS_OMITTED_VALUES = 6
   };
   const flatbuffers::Vector<int64_t> *revisions() const {
     return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_REVISIONS);
   }
+  bool accepts_omitted_values() const {
+    return GetField<uint8_t>(VT_ACCEPTS_OMITTED_VALUES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REVISIONS) &&
            verifier.VerifyVector(revisions()) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_OMITTED_VALUES, 1) &&
            verifier.EndTable();
   }
 };
@@ -119,6 +144,9 @@
   void add_revisions(flatbuffers::Offset<flatbuffers::Vector<int64_t>> revisions) {
     fbb_.AddOffset(Subscribe::VT_REVISIONS, revisions);
   }
+  void add_accepts_omitted_values(bool accepts_omitted_values) {
+    fbb_.AddElement<uint8_t>(Subscribe::VT_ACCEPTS_OMITTED_VALUES, static_cast<uint8_t>(accepts_omitted_values), 0);
+  }
   explicit SubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -132,19 +160,23 @@
 
 inline flatbuffers::Offset<Subscribe> CreateSubscribe(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<int64_t>> revisions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<int64_t>> revisions = 0,
+    bool accepts_omitted_values = false) {
   SubscribeBuilder builder_(_fbb);
   builder_.add_revisions(revisions);
+  builder_.add_accepts_omitted_values(accepts_omitted_values);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<Subscribe> CreateSubscribeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<int64_t> *revisions = nullptr) {
+    const std::vector<int64_t> *revisions = nullptr,
+    bool accepts_omitted_values = false) {
   auto revisions__ = revisions ? _fbb.CreateVector<int64_t>(*revisions) : 0;
   return peridotmill::replicawire::CreateSubscribe(
       _fbb,
-      revisions__);
+      revisions__,
+      accepts_omitted_values);
 }
 
 struct Entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -154,7 +186,8 @@
     VT_VALUE = 6,
     VT_CREATE_REVISION = 8,
     VT_MOD_REVISION = 10,
-    VT_IS_REMOVED = 12
+    VT_IS_REMOVED = 12,
+    VT_OMITTED_BYTES = 14
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -171,6 +204,9 @@
   bool is_removed() const {
     return GetField<uint8_t>(VT_IS_REMOVED, 0) != 0;
   }
+  uint32_t omitted_bytes() const {
+    return GetField<uint32_t>(VT_OMITTED_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -180,6 +216,7 @@
            VerifyField<int64_t>(verifier, VT_CREATE_REVISION, 8) &&
            VerifyField<int64_t>(verifier, VT_MOD_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_OMITTED_BYTES, 4) &&
            verifier.EndTable();
   }
 };
@@ -203,6 +240,9 @@
   void add_is_removed(bool is_removed) {
     fbb_.AddElement<uint8_t>(Entry::VT_IS_REMOVED, static_cast<uint8_t>(is_removed), 0);
   }
+  void add_omitted_bytes(uint32_t omitted_bytes) {
+    fbb_.AddElement<uint32_t>(Entry::VT_OMITTED_BYTES, omitted_bytes, 0);
+  }
   explicit EntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -220,10 +260,12 @@
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
     int64_t create_revision = 0,
     int64_t mod_revision = 0,
-    bool is_removed = false) {
+    bool is_removed = false,
+    uint32_t omitted_bytes = 0) {
   EntryBuilder builder_(_fbb);
   builder_.add_mod_revision(mod_revision);
   builder_.add_create_revision(create_revision);
+  builder_.add_omitted_bytes(omitted_bytes);
   builder_.add_value(value);
   builder_.add_key(key);
   builder_.add_is_removed(is_removed);
@@ -236,7 +278,8 @@
     const std::vector<uint8_t> *value = nullptr,
     int64_t create_revision = 0,
     int64_t mod_revision = 0,
-    bool is_removed = false) {
+    bool is_removed = false,
+    uint32_t omitted_bytes = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return peridotmill::replicawire::CreateEntry(
@@ -245,7 +288,8 @@
       value__,
       create_revision,
       mod_revision,
-      is_removed);
+      is_removed,
+      omitted_bytes);
 }
 
 struct Snapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -511,6 +555,254 @@
       store_contact_age_ms);
 }
 
+struct FetchValue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef FetchValueBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_KEY = 6,
+    VT_MOD_REVISION = 8,
+    VT_BASE_REVISION = 10,
+    VT_OFFSET = 12,
+    VT_SIZE = 14
+  };
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  int64_t mod_revision() const {
+    return GetField<int64_t>(VT_MOD_REVISION, 0);
+  }
+  int64_t base_revision() const {
+    return GetField<int64_t>(VT_BASE_REVISION, 0);
+  }
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  uint32_t size() const {
+    return GetField<uint32_t>(VT_SIZE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<int64_t>(verifier, VT_MOD_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_BASE_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct FetchValueBuilder {
+  typedef FetchValue Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(FetchValue::VT_PART, part, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(FetchValue::VT_KEY, key);
+  }
+  void add_mod_revision(int64_t mod_revision) {
+    fbb_.AddElement<int64_t>(FetchValue::VT_MOD_REVISION, mod_revision, 0);
+  }
+  void add_base_revision(int64_t base_revision) {
+    fbb_.AddElement<int64_t>(FetchValue::VT_BASE_REVISION, base_revision, 0);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(FetchValue::VT_OFFSET, offset, 0);
+  }
+  void add_size(uint32_t size) {
+    fbb_.AddElement<uint32_t>(FetchValue::VT_SIZE, size, 0);
+  }
+  explicit FetchValueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<FetchValue> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<FetchValue>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<FetchValue> CreateFetchValue(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t part = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    int64_t mod_revision = 0,
+    int64_t base_revision = 0,
+    uint32_t offset = 0,
+    uint32_t size = 0) {
+  FetchValueBuilder builder_(_fbb);
+  builder_.add_base_revision(base_revision);
+  builder_.add_mod_revision(mod_revision);
+  builder_.add_size(size);
+  builder_.add_offset(offset);
+  builder_.add_key(key);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<FetchValue> CreateFetchValueDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t part = 0,
+    const char *key = nullptr,
+    int64_t mod_revision = 0,
+    int64_t base_revision = 0,
+    uint32_t offset = 0,
+    uint32_t size = 0) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  return peridotmill::replicawire::CreateFetchValue(
+      _fbb,
+      part,
+      key__,
+      mod_revision,
+      base_revision,
+      offset,
+      size);
+}
+
+struct ValueChunk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ValueChunkBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_KEY = 6,
+    VT_MOD_REVISION = 8,
+    VT_BASE_REVISION = 10,
+    VT_TRANSFER_DIGEST = 12,
+    VT_TRANSFER_SIZE = 14,
+    VT_OFFSET = 16,
+    VT_BYTES = 18
+  };
+  uint8_t part() const {
+    return GetField<uint8_t>(VT_PART, 0);
+  }
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  int64_t mod_revision() const {
+    return GetField<int64_t>(VT_MOD_REVISION, 0);
+  }
+  int64_t base_revision() const {
+    return GetField<int64_t>(VT_BASE_REVISION, 0);
+  }
+  uint64_t transfer_digest() const {
+    return GetField<uint64_t>(VT_TRANSFER_DIGEST, 0);
+  }
+  uint32_t transfer_size() const {
+    return GetField<uint32_t>(VT_TRANSFER_SIZE, 0);
+  }
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_PART, 1) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyField<int64_t>(verifier, VT_MOD_REVISION, 8) &&
+           VerifyField<int64_t>(verifier, VT_BASE_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TRANSFER_DIGEST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TRANSFER_SIZE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ValueChunkBuilder {
+  typedef ValueChunk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint8_t part) {
+    fbb_.AddElement<uint8_t>(ValueChunk::VT_PART, part, 0);
+  }
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(ValueChunk::VT_KEY, key);
+  }
+  void add_mod_revision(int64_t mod_revision) {
+    fbb_.AddElement<int64_t>(ValueChunk::VT_MOD_REVISION, mod_revision, 0);
+  }
+  void add_base_revision(int64_t base_revision) {
+    fbb_.AddElement<int64_t>(ValueChunk::VT_BASE_REVISION, base_revision, 0);
+  }
+  void add_transfer_digest(uint64_t transfer_digest) {
+    fbb_.AddElement<uint64_t>(ValueChunk::VT_TRANSFER_DIGEST, transfer_digest, 0);
+  }
+  void add_transfer_size(uint32_t transfer_size) {
+    fbb_.AddElement<uint32_t>(ValueChunk::VT_TRANSFER_SIZE, transfer_size, 0);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(ValueChunk::VT_OFFSET, offset, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(ValueChunk::VT_BYTES, bytes);
+  }
+  explicit ValueChunkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ValueChunk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ValueChunk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ValueChunk> CreateValueChunk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t part = 0,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    int64_t mod_revision = 0,
+    int64_t base_revision = 0,
+    uint64_t transfer_digest = 0,
+    uint32_t transfer_size = 0,
+    uint32_t offset = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  ValueChunkBuilder builder_(_fbb);
+  builder_.add_transfer_digest(transfer_digest);
+  builder_.add_base_revision(base_revision);
+  builder_.add_mod_revision(mod_revision);
+  builder_.add_bytes(bytes);
+  builder_.add_offset(offset);
+  builder_.add_transfer_size(transfer_size);
+  builder_.add_key(key);
+  builder_.add_part(part);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ValueChunk> CreateValueChunkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t part = 0,
+    const char *key = nullptr,
+    int64_t mod_revision = 0,
+    int64_t base_revision = 0,
+    uint64_t transfer_digest = 0,
+    uint32_t transfer_size = 0,
+    uint32_t offset = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return peridotmill::replicawire::CreateValueChunk(
+      _fbb,
+      part,
+      key__,
+      mod_revision,
+      base_revision,
+      transfer_digest,
+      transfer_size,
+      offset,
+      bytes__);
+}
+
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef MessageBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -536,6 +828,12 @@
   const peridotmill::replicawire::Freshness *body_as_Freshness() const {
     return body_type() == peridotmill::replicawire::Body::Freshness ? static_cast<const peridotmill::replicawire::Freshness *>(body()) : nullptr;
   }
+  const peridotmill::replicawire::FetchValue *body_as_FetchValue() const {
+    return body_type() == peridotmill::replicawire::Body::FetchValue ? static_cast<const peridotmill::replicawire::FetchValue *>(body()) : nullptr;
+  }
+  const peridotmill::replicawire::ValueChunk *body_as_ValueChunk() const {
+    return body_type() == peridotmill::replicawire::Body::ValueChunk ? static_cast<const peridotmill::replicawire::ValueChunk *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -561,6 +859,14 @@
   return body_as_Freshness();
 }
 
+template<> inline const peridotmill::replicawire::FetchValue *Message::body_as<peridotmill::replicawire::FetchValue>() const {
+  return body_as_FetchValue();
+}
+
+template<> inline const peridotmill::replicawire::ValueChunk *Message::body_as<peridotmill::replicawire::ValueChunk>() const {
+  return body_as_ValueChunk();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -613,6 +919,14 @@
       auto ptr = reinterpret_cast<const peridotmill::replicawire::Freshness *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::FetchValue: {
+      auto ptr = reinterpret_cast<const peridotmill::replicawire::FetchValue *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::ValueChunk: {
+      auto ptr = reinterpret_cast<const peridotmill::replicawire::ValueChunk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/modules/peridotmill_gateway/tests/large_configuration_test.cc
+++ b/modules/peridotmill_gateway/tests/large_configuration_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -160,5 +161,57 @@
   EXPECT_LT(network_.received_bytes(slow_node) - before, kSmallChangeBytes);
 }
 
+// Guards against nodes that stay behind when the source of a large value is
+// lost in the middle of it.
+TEST_F(LargeConfigurationTest, ALostWatcherDelaysNoLargeChange) {
+  document_.AddRoutes(2800);
+  MeasurePropagationTime();
+  timers_.Advance(5s);
+  document_.AddRoutes(1400);
+  const std::string text = document_.Publish();
+  store_.Write("config", text);
+  timers_.Advance(30ms);
+  const auto lost = std::find_if(
+      nodes_.begin(), nodes_.end(),
+      [](const auto& node) { return node->replica.is_watching(); });
+  network_.Isolate((*lost)->id.value());
+  store_.Disconnect((*lost)->id.value());
+  timers_.Advance(3s);
+  for (const auto& node : nodes_) {
+    EXPECT_TRUE(node == *lost || node->configuration == text)
+        << node->id.value();
+  }
+}
+
+// Guards against an upgrade in which nodes of the version before, which do not
+// fetch values, get a configuration without its text.
+TEST_F(LargeConfigurationTest, NodesThatDoNotFetchGetWholeValues) {
+  document_.AddRoutes(1400);
+  const std::string text = document_.Publish();
+  store_.Write("config", text);
+  timers_.Advance(5s);
+  class OldSubscriber final : public PeerLinkListener {
+   public:
+    void OnLinkFrame(std::string_view frame) override {
+      const auto message = DecodeReplicaMessage(frame);
+      ASSERT_TRUE(message);
+      if (const auto* const snapshot =
+              std::get_if<SnapshotMessage>(&*message)) {
+        for (const StoreEntry& entry : snapshot->entries) {
+          values[entry.key] = entry.value;
+        }
+      }
+    }
+    void OnLinkLost() override {}
+    std::map<std::string, std::string> values;
+  };
+  OldSubscriber subscriber;
+  PeerNetwork::Dialer dialer(network_, "old");
+  const auto link = dialer.Dial("n0-0", &subscriber);
+  link->Send(EncodeReplicaMessage(SubscribeMessage{}));
+  timers_.Advance(3s);
+  EXPECT_EQ(subscriber.values["config"], text);
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -114,9 +114,14 @@
   ChangesMessage changes = {.part = ReplicaPart::kConfiguration};
   changes.changes = {3, 9, {Put("a", 5), Removal("b", 9)}};
   const std::vector<std::string> frames = {
-      EncodeReplicaMessage(snapshot), EncodeReplicaMessage(changes),
+      EncodeReplicaMessage(snapshot),
+      EncodeReplicaMessage(changes),
       EncodeReplicaMessage(SubscribeMessage{{1, 2, 3}}),
-      EncodeReplicaMessage(FreshnessMessage{{1, 2, 3}, 20ms})};
+      EncodeReplicaMessage(FreshnessMessage{{1, 2, 3}, 20ms}),
+      EncodeReplicaMessage(FetchValueMessage{
+          {ReplicaPart::kConfiguration, "a", 5}, 3, 100, 200}),
+      EncodeReplicaMessage(ValueChunkMessage{
+          {ReplicaPart::kConfiguration, "a", 5}, 3, 77, 300, 100, "bytes"})};
   for (const std::string& frame : frames) {
     ASSERT_TRUE(DecodeReplicaMessage(frame));
     for (size_t size = 0; size < frame.size(); ++size) {
