Refuse unknown routes and keys for a while if a newer configuration is known

Cause: a node denied a request by the configuration in force although a source had announced a newer one.

Change: while a configuration is announced that the node does not have, such a request is refused as not run (503, Retry-After 0.5 s, reason configuration_outdated). Requests that the configuration in force allows are served by it.

Test: GatewayTest.DeniesNothingThatANewerConfigurationMayAllow; the node denied such requests before, as the test shows with the flag off.

--- a/modules/peridotmill_core/reasons/reason.cc
+++ b/modules/peridotmill_core/reasons/reason.cc
@@ -60,6 +60,8 @@
      499},
     {kPromptQuarantined, kRefusal, "prompt_quarantined",
      "endpoints crash on a part of the prompt", 503},
+    {kConfigurationOutdated, kRefusal, "configuration_outdated",
+     "the node is about to receive a newer configuration", 503},
     {kConnectFailed, kRetry, "connect_failed",
      "no connection to the endpoint; nothing was sent", 0},
     {kEndpointRefused, kRetry, "endpoint_refused",
--- a/modules/peridotmill_core/reasons/reason.h
+++ b/modules/peridotmill_core/reasons/reason.h
@@ -39,6 +39,7 @@
   kShuttingDown,
   kCallerGone,
   kPromptQuarantined,
+  kConfigurationOutdated,
   // Retries.
   kConnectFailed,
   kEndpointRefused,
--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -74,6 +74,8 @@
     store_contact_ = store_contact;
   }
 
+  // Store revision of the latest configuration that the source has announced.
+  int64_t announced_configuration = 0;
   // The frames received so far of a snapshot that is not complete.
   std::optional<SnapshotMessage> partial_snapshot;
   // An update was ignored while the values of another one were fetched.
@@ -249,6 +251,15 @@
          *own_store_contact_ - *own_store_contact_since_ > kWatcherRecoveryTime;
 }
 
+bool ReplicaSources::IsConfigurationOutdated() const {
+  const int64_t own =
+      dependencies_.replica.state(ReplicaPart::kConfiguration).revision;
+  return std::any_of(subscriptions_.begin(), subscriptions_.end(),
+                     [own](const auto& entry) {
+                       return entry.second->announced_configuration > own;
+                     });
+}
+
 bool ReplicaSources::HasAllParts() const {
   const auto revisions = dependencies_.replica.revisions();
   return std::all_of(revisions.begin(), revisions.end(),
@@ -372,6 +383,8 @@
 void ReplicaSources::OnFreshness(Subscription& subscription,
                                  const FreshnessMessage& freshness) {
   backoffs_.erase(subscription.node());
+  subscription.announced_configuration =
+      freshness.revisions[static_cast<size_t>(ReplicaPart::kConfiguration)];
   const ReplicaRevisions own_revisions = dependencies_.replica.revisions();
   for (size_t part = 0; part < own_revisions.size(); ++part) {
     const bool is_fetching =
@@ -395,6 +408,10 @@
                                    ReplicaUpdate update) {
   const bool is_configuration =
       UpdatePart(update) == ReplicaPart::kConfiguration;
+  if (is_configuration) {
+    subscription.announced_configuration =
+        std::max(subscription.announced_configuration, UpdateRevision(update));
+  }
   if (is_configuration && configuration_fetcher_.is_fetching()) {
     subscription.has_ignored_update =
         subscription.has_ignored_update ||
--- a/modules/peridotmill_gateway/replication/replica_sources.h
+++ b/modules/peridotmill_gateway/replication/replica_sources.h
@@ -62,6 +62,9 @@
   void OnProcessPaused();
 
   size_t source_count() const { return subscriptions_.size(); }
+  // Returns whether a source has announced a configuration that this node does
+  // not have yet.
+  bool IsConfigurationOutdated() const;
 
  private:
   class Subscription;
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -14,6 +14,8 @@
 constexpr int kUnauthorized = 401;
 // A node that has just started receives its configuration within this time.
 constexpr Duration kNotConfiguredRetryAfter = std::chrono::milliseconds(500);
+// A node that fetches a newer configuration has it after this time.
+constexpr Duration kOutdatedRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -67,14 +69,7 @@
                      std::shared_ptr<ResponseWriter> channel) {
   ++counters_.requests;
   if (configuration_ == nullptr) {
-    const Reason reason = Reason::kNotConfigured;
-    ++counters_.refused;
-    reasons_.Add(reason);
-    context_.events.Write("request_refused",
-                          {{"request", request.id.value()},
-                           {"reason", std::string(ToString(reason))}});
-    SendNodeResponse(*channel, MakeFailure(AttemptHistory(), reason,
-                                           kNotConfiguredRetryAfter));
+    Refuse(request, *channel, Reason::kNotConfigured, kNotConfiguredRetryAfter);
     return;
   }
   const RouteDefinition* const route =
@@ -123,10 +118,28 @@
   }
 }
 
+void Gateway::Refuse(const CallerRequest& request,
+                     ResponseWriter& channel,
+                     Reason reason,
+                     Duration retry_after) {
+  ++counters_.refused;
+  reasons_.Add(reason);
+  context_.events.Write("request_refused",
+                        {{"request", request.id.value()},
+                         {"reason", std::string(ToString(reason))}});
+  SendNodeResponse(channel, MakeFailure(AttemptHistory(), reason, retry_after));
+}
+
 void Gateway::Deny(const CallerRequest& request,
                    ResponseWriter& channel,
                    int status,
                    Reason reason) {
+  if (context_.is_configuration_outdated &&
+      context_.is_configuration_outdated()) {
+    Refuse(request, channel, Reason::kConfigurationOutdated,
+           kOutdatedRetryAfter);
+    return;
+  }
   ++counters_.denied;
   reasons_.Add(reason);
   context_.events.Write(
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -2,6 +2,7 @@
 #define PERIDOTMILL_GATEWAY_REQUESTS_GATEWAY_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -38,6 +39,9 @@
   FailureDomainId failure_domain;
   // May be null.
   PromptQuarantine* quarantine = nullptr;
+  // Returns whether this node knows that there is a newer configuration. May be
+  // empty.
+  std::function<bool()> is_configuration_outdated;
 };
 
 // Numbers of requests by outcome since the process started, for the metrics
@@ -97,7 +101,14 @@
  private:
   friend class GatewayRequest;
 
-  // Refuses a request that has no route or no valid team key.
+  // Sends an error response to a request that was not accepted.
+  void Refuse(const CallerRequest& request,
+              ResponseWriter& channel,
+              Reason reason,
+              Duration retry_after);
+  // Refuses a request that has no route or no valid team key. Callers do not
+  // repeat such a request, so it is refused for a while instead if a newer
+  // configuration may allow it.
   void Deny(const CallerRequest& request,
             ResponseWriter& channel,
             int status,
--- a/modules/peridotmill_gateway/tests/gateway_fixture.h
+++ b/modules/peridotmill_gateway/tests/gateway_fixture.h
@@ -40,10 +40,11 @@
         coordinator_({clock_, timers_, stage_caller_, endpoints_, retry_budget_,
                       events_, &quarantine_},
                      1),
-        gateway_({clock_, timers_, endpoint_caller_, stage_caller_,
-                  coordinator_, endpoints_, retry_budget_, events_,
-                  FailureDomainId("valley"), &quarantine_},
-                 2) {
+        gateway_(
+            {clock_, timers_, endpoint_caller_, stage_caller_, coordinator_,
+             endpoints_, retry_budget_, events_, FailureDomainId("valley"),
+             &quarantine_, [this] { return is_configuration_outdated_; }},
+            2) {
     auto active = std::make_shared<const ActiveConfiguration>(MakeConfig(1));
     gateway_.SetConfiguration(active);
     coordinator_.SetConfiguration(active);
@@ -123,6 +124,7 @@
     return channel;
   }
 
+  bool is_configuration_outdated_ = false;
   ManualClock clock_;
   ManualTimerQueue timers_;
   FakeEndpointCaller endpoint_caller_;
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -370,6 +370,19 @@
   EXPECT_EQ(channel->status(), 503);
 }
 
+// Guards against a caller that gives up for good because a node does not have a
+// route or key yet that it knows to be on its way.
+TEST_F(GatewayTest, DeniesNothingThatANewerConfigurationMayAllow) {
+  is_configuration_outdated_ = true;
+  for (const auto& channel : {Send("missing"), Send("book", "unknown")}) {
+    EXPECT_EQ(channel->status(), 503);
+    EXPECT_TRUE(channel->heads[0].headers.Find("Retry-After"));
+  }
+  EXPECT_EQ(gateway_.counters().denied, 0u);
+  is_configuration_outdated_ = false;
+  EXPECT_EQ(Send("missing")->status(), 404);
+}
+
 // Guards against activating a configuration that is older than the active one.
 TEST_F(GatewayTest, NeverAdoptsALowerRevision) {
   const auto newer = std::make_shared<const ActiveConfiguration>(MakeConfig(7));
