Decode a configuration once

Change: a document of a store revision that was decoded before is skipped. The revision identifies the content, also of one that was rejected.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -334,9 +334,11 @@
 }
 
 void GatewayProcess::OnConfigurationEntry(const StoreEntry& entry) {
-  if (entry.key != platform::kConfigurationKey) {
+  if (entry.key != platform::kConfigurationKey ||
+      entry.mod_revision <= configuration_store_revision_) {
     return;
   }
+  configuration_store_revision_ = entry.mod_revision;
   Findings findings;
   GatewayConfig config = platform::DecodeConfiguration(entry.value, findings);
   if (findings.empty()) {
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -75,6 +75,8 @@
   GatewaySettings settings_;
   std::string settings_path_;
   int64_t settings_modification_time_ns_ = 0;
+  // Store revision of the configuration that was decoded last, valid or not.
+  int64_t configuration_store_revision_ = 0;
   const Clock& clock_;
   OutputLog& log_;
   GMainLoop* loop_;
