Keep the request limits that endpoints name

Change: each call to an endpoint with a limit takes a permit. A node gets permits from the node that coordinates the endpoint's limit (the first candidate by rendezvous hash, as for other roles; no election), which grants them from one bucket for the fleet. Permits expire after a second, counted from their request, so a node that is lost, restarted or cut off leaves nothing to return. A node that becomes coordinator begins with an empty bucket that fills at a quarter of the limit for 4 s: together with what a former or a second coordinator grants, the sum stays under one and a half times the limit. The lowest limit of the last 4 s counts; a rise or the end applies after it, and the coordinator tells the others. Limits belong to a process of an endpoint (id, address, start time), not to an address.

An endpoint without a permit counts as held off, which all choices of endpoints already heed: first attempts, retries, resumed streams, stage calls, engine suggestions. When all endpoints of a pool lack permits, a request waits up to 0.3 s if one can be expected by then, and is otherwise refused at once with the expected time as Retry-After.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -142,7 +142,11 @@
           clock,
           timers_,
           [this] { return endpoint_registry_.SuspectedDomains(); },
-          &prompt_quarantine_),
+          &prompt_quarantine_,
+          &permit_buckets_),
+      permit_client_({clock, timers_, peer_dialer_, endpoint_registry_,
+                      node_directory_, permit_buckets_, log, settings.node,
+                      MakeNodeRecord(settings)}),
       node_registration_(
           settings.node,
           MakeNodeRecord(settings),
@@ -245,6 +249,7 @@
   stage_service_.CloseAllSessions();
   stage_relay_.NotePause();
   replica_sources_.OnProcessPaused();
+  permit_client_.DiscardPermits();
 }
 
 void GatewayProcess::OnStoreUnresponsive() {
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -94,7 +94,9 @@
   NodeDirectory node_directory_;
   FrameDialer peer_dialer_;
   StageRelay stage_relay_;
+  PermitBuckets permit_buckets_;
   StageService stage_service_;
+  PermitClient permit_client_;
   NodeRegistration node_registration_;
   Gateway gateway_;
   RegistrationReconciler registration_reconciler_;
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -37,6 +37,12 @@
 struct NodeRecord;
 struct NodeRecordBuilder;
 
+struct PermitRequest;
+struct PermitRequestBuilder;
+
+struct PermitGrant;
+struct PermitGrantBuilder;
+
 struct CrashReport;
 struct CrashReportBuilder;
 
@@ -55,35 +61,41 @@
   CancelTask = 2,
   TaskAccepted = 3,
   TaskEnded = 4,
+  PermitRequest = 5,
+  PermitGrant = 6,
   MIN = NONE,
-  MAX = TaskEnded
+  MAX = PermitGrant
 };
 
-inline const Body (&EnumValuesBody())[5] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body::NONE,
     Body::SubmitTask,
     Body::CancelTask,
     Body::TaskAccepted,
-    Body::TaskEnded
+    Body::TaskEnded,
+    Body::PermitRequest,
+    Body::PermitGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[6] = {
+  static const char * const names[8] = {
     "NONE",
     "SubmitTask",
     "CancelTask",
     "TaskAccepted",
     "TaskEnded",
+    "PermitRequest",
+    "PermitGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TaskEnded)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PermitGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -108,6 +120,14 @@
   static const Body enum_value = Body::TaskEnded;
 };
 
+template<> struct BodyTraits<peridotmill::stagewire::PermitRequest> {
+  static const Body enum_value = Body::PermitRequest;
+};
+
+template<> struct BodyTraits<peridotmill::stagewire::PermitGrant> {
+  static const Body enum_value = Body::PermitGrant;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -887,6 +907,244 @@
       replica_address__);
 }
 
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_ADDRESS = 6,
+    VT_STARTED_AT_MS = 8,
+    VT_LIMIT = 10,
+    VT_LIMIT_AGE_MS = 12,
+    VT_COUNT = 14
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  double limit() const {
+    return GetField<double>(VT_LIMIT, 0.0);
+  }
+  uint32_t limit_age_ms() const {
+    return GetField<uint32_t>(VT_LIMIT_AGE_MS, 0);
+  }
+  uint16_t count() const {
+    return GetField<uint16_t>(VT_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<double>(verifier, VT_LIMIT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT_AGE_MS, 4) &&
+           VerifyField<uint16_t>(verifier, VT_COUNT, 2) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(PermitRequest::VT_ENDPOINT, endpoint);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PermitRequest::VT_ADDRESS, address);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(PermitRequest::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_limit(double limit) {
+    fbb_.AddElement<double>(PermitRequest::VT_LIMIT, limit, 0.0);
+  }
+  void add_limit_age_ms(uint32_t limit_age_ms) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_LIMIT_AGE_MS, limit_age_ms, 0);
+  }
+  void add_count(uint16_t count) {
+    fbb_.AddElement<uint16_t>(PermitRequest::VT_COUNT, count, 0);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    int64_t started_at_ms = 0,
+    double limit = 0.0,
+    uint32_t limit_age_ms = 0,
+    uint16_t count = 0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_limit(limit);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_limit_age_ms(limit_age_ms);
+  builder_.add_address(address);
+  builder_.add_endpoint(endpoint);
+  builder_.add_count(count);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    const char *address = nullptr,
+    int64_t started_at_ms = 0,
+    double limit = 0.0,
+    uint32_t limit_age_ms = 0,
+    uint16_t count = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return peridotmill::stagewire::CreatePermitRequest(
+      _fbb,
+      endpoint__,
+      address__,
+      started_at_ms,
+      limit,
+      limit_age_ms,
+      count);
+}
+
+struct PermitGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENDPOINT = 4,
+    VT_ADDRESS = 6,
+    VT_STARTED_AT_MS = 8,
+    VT_LIMIT = 10,
+    VT_LIMIT_AGE_MS = 12,
+    VT_COUNT = 14,
+    VT_RETRY_AFTER_MS = 16
+  };
+  const flatbuffers::String *endpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  int64_t started_at_ms() const {
+    return GetField<int64_t>(VT_STARTED_AT_MS, 0);
+  }
+  double limit() const {
+    return GetField<double>(VT_LIMIT, 0.0);
+  }
+  uint32_t limit_age_ms() const {
+    return GetField<uint32_t>(VT_LIMIT_AGE_MS, 0);
+  }
+  uint16_t count() const {
+    return GetField<uint16_t>(VT_COUNT, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENDPOINT) &&
+           verifier.VerifyString(endpoint()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AT_MS, 8) &&
+           VerifyField<double>(verifier, VT_LIMIT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT_AGE_MS, 4) &&
+           VerifyField<uint16_t>(verifier, VT_COUNT, 2) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PermitGrantBuilder {
+  typedef PermitGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_endpoint(flatbuffers::Offset<flatbuffers::String> endpoint) {
+    fbb_.AddOffset(PermitGrant::VT_ENDPOINT, endpoint);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PermitGrant::VT_ADDRESS, address);
+  }
+  void add_started_at_ms(int64_t started_at_ms) {
+    fbb_.AddElement<int64_t>(PermitGrant::VT_STARTED_AT_MS, started_at_ms, 0);
+  }
+  void add_limit(double limit) {
+    fbb_.AddElement<double>(PermitGrant::VT_LIMIT, limit, 0.0);
+  }
+  void add_limit_age_ms(uint32_t limit_age_ms) {
+    fbb_.AddElement<uint32_t>(PermitGrant::VT_LIMIT_AGE_MS, limit_age_ms, 0);
+  }
+  void add_count(uint16_t count) {
+    fbb_.AddElement<uint16_t>(PermitGrant::VT_COUNT, count, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(PermitGrant::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit PermitGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> endpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    int64_t started_at_ms = 0,
+    double limit = 0.0,
+    uint32_t limit_age_ms = 0,
+    uint16_t count = 0,
+    uint32_t retry_after_ms = 0) {
+  PermitGrantBuilder builder_(_fbb);
+  builder_.add_limit(limit);
+  builder_.add_started_at_ms(started_at_ms);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_limit_age_ms(limit_age_ms);
+  builder_.add_address(address);
+  builder_.add_endpoint(endpoint);
+  builder_.add_count(count);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *endpoint = nullptr,
+    const char *address = nullptr,
+    int64_t started_at_ms = 0,
+    double limit = 0.0,
+    uint32_t limit_age_ms = 0,
+    uint16_t count = 0,
+    uint32_t retry_after_ms = 0) {
+  auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return peridotmill::stagewire::CreatePermitGrant(
+      _fbb,
+      endpoint__,
+      address__,
+      started_at_ms,
+      limit,
+      limit_age_ms,
+      count,
+      retry_after_ms);
+}
+
 struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1198,6 +1456,12 @@
   const peridotmill::stagewire::TaskEnded *body_as_TaskEnded() const {
     return body_type() == peridotmill::stagewire::Body::TaskEnded ? static_cast<const peridotmill::stagewire::TaskEnded *>(body()) : nullptr;
   }
+  const peridotmill::stagewire::PermitRequest *body_as_PermitRequest() const {
+    return body_type() == peridotmill::stagewire::Body::PermitRequest ? static_cast<const peridotmill::stagewire::PermitRequest *>(body()) : nullptr;
+  }
+  const peridotmill::stagewire::PermitGrant *body_as_PermitGrant() const {
+    return body_type() == peridotmill::stagewire::Body::PermitGrant ? static_cast<const peridotmill::stagewire::PermitGrant *>(body()) : nullptr;
+  }
   const peridotmill::stagewire::PromptNews *prompt_news() const {
     return GetPointer<const peridotmill::stagewire::PromptNews *>(VT_PROMPT_NEWS);
   }
@@ -1228,6 +1492,14 @@
   return body_as_TaskEnded();
 }
 
+template<> inline const peridotmill::stagewire::PermitRequest *Message::body_as<peridotmill::stagewire::PermitRequest>() const {
+  return body_as_PermitRequest();
+}
+
+template<> inline const peridotmill::stagewire::PermitGrant *Message::body_as<peridotmill::stagewire::PermitGrant>() const {
+  return body_as_PermitGrant();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1285,6 +1557,14 @@
       auto ptr = reinterpret_cast<const peridotmill::stagewire::TaskEnded *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PermitRequest: {
+      auto ptr = reinterpret_cast<const peridotmill::stagewire::PermitRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PermitGrant: {
+      auto ptr = reinterpret_cast<const peridotmill::stagewire::PermitGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -222,6 +222,49 @@
   return news;
 }
 
+constexpr double kNoLimit = -1;
+// Higher limits are reduced to this one.
+constexpr double kMaxRequestsPerSecond = 1e6;
+
+double EncodeLimit(const std::optional<RequestRate>& limit) {
+  return limit ? limit->per_second : kNoLimit;
+}
+
+std::optional<RequestRate> DecodeLimit(double limit) {
+  // Also false for a value that is not a number.
+  if (!(limit >= 0)) {
+    return std::nullopt;
+  }
+  return RequestRate{std::min(limit, kMaxRequestsPerSecond)};
+}
+
+EndpointIncarnation MakeIncarnation(const flatbuffers::String* id,
+                                    const flatbuffers::String* address,
+                                    int64_t started_at_ms) {
+  return {.id = EndpointId(StringOrEmpty(id)),
+          .address = StringOrEmpty(address),
+          .started_at_ms = started_at_ms};
+}
+
+PermitRequest DecodePermitRequest(const stagewire::PermitRequest& wire,
+                                  TimePoint now) {
+  return {.endpoint = MakeIncarnation(wire.endpoint(), wire.address(),
+                                      wire.started_at_ms()),
+          .limit = DecodeLimit(wire.limit()),
+          .limit_observed_at = now - DecodeDelay(wire.limit_age_ms()),
+          .count = wire.count()};
+}
+
+PermitGrant DecodePermitGrant(const stagewire::PermitGrant& wire,
+                              TimePoint now) {
+  return {.endpoint = MakeIncarnation(wire.endpoint(), wire.address(),
+                                      wire.started_at_ms()),
+          .limit = DecodeLimit(wire.limit()),
+          .limit_observed_at = now - DecodeDelay(wire.limit_age_ms()),
+          .count = wire.count(),
+          .retry_after = DecodeDelay(wire.retry_after_ms())};
+}
+
 // Visitor that encodes one alternative of StageMessage.
 struct MessageEncoder {
   flatbuffers::FlatBufferBuilder& builder;
@@ -297,6 +340,31 @@
         stagewire::CreateTaskAccepted(builder, 0).Union(), wire);
   }
 
+  flatbuffers::Offset<stagewire::Message> operator()(
+      const PermitRequest& request) {
+    const auto endpoint = builder.CreateString(request.endpoint.id.value());
+    const auto address = builder.CreateString(request.endpoint.address);
+    return MakeMessage(
+        stagewire::Body::PermitRequest,
+        stagewire::CreatePermitRequest(
+            builder, endpoint, address, request.endpoint.started_at_ms,
+            EncodeLimit(request.limit),
+            EncodeAge(request.limit_observed_at, now),
+            static_cast<uint16_t>(request.count))
+            .Union());
+  }
+  flatbuffers::Offset<stagewire::Message> operator()(const PermitGrant& grant) {
+    const auto endpoint = builder.CreateString(grant.endpoint.id.value());
+    const auto address = builder.CreateString(grant.endpoint.address);
+    return MakeMessage(
+        stagewire::Body::PermitGrant,
+        stagewire::CreatePermitGrant(
+            builder, endpoint, address, grant.endpoint.started_at_ms,
+            EncodeLimit(grant.limit), EncodeAge(grant.limit_observed_at, now),
+            static_cast<uint16_t>(grant.count), EncodeDelay(grant.retry_after))
+            .Union());
+  }
+
   flatbuffers::Offset<stagewire::Message> MakeMessage(
       stagewire::Body type,
       flatbuffers::Offset<void> body) {
@@ -398,6 +466,10 @@
       return DecodeAccepted(*message->body_as_TaskAccepted());
     case stagewire::Body::TaskEnded:
       return DecodeEnded(*message->body_as_TaskEnded());
+    case stagewire::Body::PermitRequest:
+      return DecodePermitRequest(*message->body_as_PermitRequest(), now);
+    case stagewire::Body::PermitGrant:
+      return DecodePermitGrant(*message->body_as_PermitGrant(), now);
     default:
       return malformed;
   }
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "peridotmill_core/errors/error.h"
+#include "peridotmill_gateway/limits/permit_buckets.h"
 #include "peridotmill_gateway/quarantine/prompt_news.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
@@ -42,7 +43,9 @@
                                   CancelTaskMessage,
                                   TaskAcceptedMessage,
                                   TaskEndedMessage,
-                                  PromptNews>;
+                                  PromptNews,
+                                  PermitRequest,
+                                  PermitGrant>;
 
 // Encodes times relative to `now`, because the clocks of hosts differ.
 std::string EncodeStageMessage(const StageMessage& message, TimePoint now);
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -81,6 +81,10 @@
     } else if (const auto* const news = std::get_if<PromptNews>(&*message);
                news != nullptr && service_->quarantine_ != nullptr) {
       service_->quarantine_->Apply(*news);
+    } else if (const auto* const request =
+                   std::get_if<PermitRequest>(&*message);
+               request != nullptr && service_->permits_ != nullptr) {
+      Send(GrantPermits(*service_->permits_, *request, service_->clock_.Now()));
     }
   }
   void OnLinkLost() override { service_->CloseSession(this); }
@@ -114,12 +118,14 @@
     const Clock& clock,
     TimerQueue& timers,
     std::function<std::vector<FailureDomainId>()> suspected_domains,
-    PromptQuarantine* quarantine)
+    PromptQuarantine* quarantine,
+    PermitBuckets* permits)
     : executor_(executor),
       clock_(clock),
       timers_(timers),
       suspected_domains_(std::move(suspected_domains)),
-      quarantine_(quarantine) {
+      quarantine_(quarantine),
+      permits_(permits) {
   if (quarantine_ != nullptr) {
     quarantine_->set_on_news([this](const PromptNews& news) {
       for (const auto& [key, session] : sessions_) {
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -8,6 +8,7 @@
 
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_core/timers/timer_queue.h"
+#include "peridotmill_gateway/limits/permit_buckets.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 #include "peridotmill_gateway/quarantine/prompt_quarantine.h"
 #include "peridotmill_gateway/stages/stage_task.h"
@@ -15,7 +16,7 @@
 namespace peridotmill {
 
 // Runs the stage tasks that other nodes submit to this one as their
-// coordinator.
+// coordinator, and grants them permits to call endpoints with a limit.
 class StageService {
  public:
   // Creates the link of an accepted connection for the given listener.
@@ -24,11 +25,13 @@
 
   // `suspected_domains` returns the failure domains that no longer respond to
   // this node. `quarantine` is exchanged with the other nodes; may be null.
+  // Without `permits`, no permits are granted to other nodes.
   StageService(StageTaskExecutor& executor,
                const Clock& clock,
                TimerQueue& timers,
                std::function<std::vector<FailureDomainId>()> suspected_domains,
-               PromptQuarantine* quarantine = nullptr);
+               PromptQuarantine* quarantine = nullptr,
+               PermitBuckets* permits = nullptr);
   ~StageService();
   StageService(const StageService&) = delete;
   StageService& operator=(const StageService&) = delete;
@@ -56,6 +59,7 @@
   TimerQueue& timers_;
   std::function<std::vector<FailureDomainId>()> suspected_domains_;
   PromptQuarantine* quarantine_;
+  PermitBuckets* permits_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
 };
 
--- a/modules/peridotmill_gateway/peridotmill_gateway.h
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -13,6 +13,8 @@
 
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/configuration/config_check.h"
+#include "peridotmill_gateway/limits/permit_buckets.h"
+#include "peridotmill_gateway/limits/permit_client.h"
 #include "peridotmill_gateway/peers/node_directory.h"
 #include "peridotmill_gateway/peers/node_registration.h"
 #include "peridotmill_gateway/peers/stage_relay.h"
--- a/modules/peridotmill_gateway/registry/endpoint_notice.h
+++ b/modules/peridotmill_gateway/registry/endpoint_notice.h
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_gateway/registry/request_rate.h"
 
 namespace peridotmill {
 
@@ -14,6 +15,11 @@
   // The endpoint is overloaded and wants no requests from this node for so
   // long.
   std::optional<Duration> hold_off;
+  // Whether the response came from the endpoint itself, so that a missing
+  // limit means that there is none.
+  bool is_from_endpoint = false;
+  // What the endpoint accepts from all nodes together.
+  std::optional<RequestRate> limit;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -25,6 +25,8 @@
 // has announced that, so its notices do not have to be kept for long.
 constexpr Duration kNoticeRetention = std::chrono::hours(1);
 constexpr size_t kMaxRecordedNotices = 4096;
+// Time until a permit that is overdue can be expected.
+constexpr Duration kMinPermitWait = std::chrono::milliseconds(100);
 
 }  // namespace
 
@@ -49,6 +51,8 @@
     if (notices != notices_.end()) {
       endpoint->is_leaving = notices->second.is_leaving;
       endpoint->held_off_until = notices->second.held_off_until;
+      endpoint->limit = notices->second.limit;
+      endpoint->limit_observed_at = notices->second.limit_observed_at;
     }
   }
   Domain(registration.failure_domain);
@@ -100,6 +104,9 @@
                                           const EndpointNotice& notice,
                                           TimePoint now) {
   NoticeNews news;
+  if (notice.is_from_endpoint) {
+    news.is_limit_changed = SetLimit(endpoint, notice.limit, now, now);
+  }
   if (!notice.is_leaving && !notice.hold_off) {
     return news;
   }
@@ -127,6 +134,77 @@
   return news;
 }
 
+bool EndpointRegistry::SetLimit(const EndpointIncarnation& endpoint,
+                                std::optional<RequestRate> limit,
+                                TimePoint observed_at,
+                                TimePoint now) {
+  if (!limit && !notices_.contains(endpoint)) {
+    return false;
+  }
+  RecordedNotices& notices = FindOrAddNotices(endpoint, now);
+  if (observed_at < notices.limit_observed_at) {
+    return false;
+  }
+  const bool is_changed = notices.limit != limit;
+  notices.limit = limit;
+  notices.limit_observed_at = observed_at;
+  notices.updated_at = now;
+  if (const EndpointPtr registered = Find(endpoint)) {
+    registered->limit = limit;
+    registered->limit_observed_at = observed_at;
+    if (limit && is_changed && on_permits_needed_) {
+      on_permits_needed_();
+    }
+  }
+  return is_changed;
+}
+
+void EndpointRegistry::RecordPeerLimit(const EndpointIncarnation& endpoint,
+                                       std::optional<RequestRate> limit,
+                                       TimePoint observed_at) {
+  SetLimit(endpoint, limit, observed_at, observed_at);
+}
+
+bool EndpointRegistry::IsLimited(const EndpointIncarnation& endpoint) const {
+  const auto found = notices_.find(endpoint);
+  return found != notices_.end() && found->second.limit;
+}
+
+std::vector<EndpointPtr> EndpointRegistry::LimitedEndpoints() const {
+  std::vector<EndpointPtr> limited;
+  for (const auto& [id, endpoint] : by_id_) {
+    if (endpoint->limit) {
+      limited.push_back(endpoint);
+    }
+  }
+  return limited;
+}
+
+EndpointPtr EndpointRegistry::Find(const EndpointIncarnation& endpoint) const {
+  const auto found = by_id_.find(endpoint.id);
+  return found != by_id_.end() &&
+                 IncarnationOf(found->second->registration) == endpoint
+             ? found->second
+             : nullptr;
+}
+
+void EndpointRegistry::RecordDemand(const PoolId& pool, TimePoint now) {
+  last_demand_[pool] = now;
+  const auto& serving = Serving(pool);
+  const bool needs_permits = std::any_of(
+      serving.begin(), serving.end(), [now](const EndpointPtr& endpoint) {
+        return endpoint->limit && CountPermits(*endpoint, now) == 0;
+      });
+  if (needs_permits && on_permits_needed_) {
+    on_permits_needed_();
+  }
+}
+
+TimePoint EndpointRegistry::LastDemand(const PoolId& pool) const {
+  const auto found = last_demand_.find(pool);
+  return found == last_demand_.end() ? TimePoint() : found->second;
+}
+
 TimePoint EndpointRegistry::HeldOffUntil(
     const EndpointIncarnation& endpoint) const {
   const auto found = notices_.find(endpoint);
@@ -200,6 +278,13 @@
   if (news.is_leaving) {
     events.Write("endpoint_leaving", {{"endpoint", endpoint.id.value()}});
   }
+  if (news.is_limit_changed) {
+    events.Write(
+        "endpoint_limit",
+        {{"endpoint", endpoint.id.value()},
+         {"per_second",
+          notice.limit ? std::to_string(notice.limit->per_second) : "none"}});
+  }
   if (news.is_held_off) {
     events.Write("endpoint_held_off",
                  {{"endpoint", endpoint.id.value()},
@@ -209,7 +294,22 @@
 }
 
 bool IsHeldOff(const Endpoint& endpoint, TimePoint now) {
-  return endpoint.held_off_until > now;
+  return endpoint.held_off_until > now ||
+         (endpoint.limit && CountPermits(endpoint, now) == 0);
+}
+
+int CountPermits(const Endpoint& endpoint, TimePoint now) {
+  return static_cast<int>(
+      std::count_if(endpoint.permits.begin(), endpoint.permits.end(),
+                    [now](TimePoint expiry) { return expiry > now; }));
+}
+
+bool AwaitsPermit(const std::vector<EndpointPtr>& serving, TimePoint now) {
+  return FindHoldOffEnd(serving, now) &&
+         std::any_of(serving.begin(), serving.end(),
+                     [now](const EndpointPtr& endpoint) {
+                       return endpoint->held_off_until <= now;
+                     });
 }
 
 std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
@@ -219,13 +319,25 @@
     if (!IsHeldOff(*endpoint, now)) {
       return std::nullopt;
     }
-    first_end = std::min(first_end.value_or(endpoint->held_off_until),
-                         endpoint->held_off_until);
+    TimePoint end = endpoint->held_off_until;
+    if (endpoint->limit) {
+      end = std::max({end, endpoint->next_permit_at, now + kMinPermitWait});
+    }
+    first_end = std::min(first_end.value_or(end), end);
   }
   return first_end;
 }
 
 void BeginCall(Endpoint& endpoint, TimePoint now) {
+  if (endpoint.limit) {
+    while (!endpoint.permits.empty() && endpoint.permits.front() <= now) {
+      endpoint.permits.pop_front();
+    }
+    if (!endpoint.permits.empty()) {
+      endpoint.permits.pop_front();
+    }
+    ++endpoint.permits_taken;
+  }
   ++endpoint.open_calls;
   endpoint.unanswered_since.push_back(now);
   RecordDomainCall(*endpoint.domain, now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -2,11 +2,13 @@
 #define PERIDOTMILL_GATEWAY_REGISTRY_ENDPOINT_REGISTRY_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "peridotmill_gateway/logging/event_sink.h"
@@ -54,6 +56,18 @@
   // The endpoint has asked in a response for no work before this time. It gets
   // none, even if no other endpoint is left.
   TimePoint held_off_until;
+  // What the endpoint accepts from all nodes together, if it has named a limit.
+  // Each call to it then takes a permit.
+  std::optional<RequestRate> limit;
+  // When the limit, or that there is none, was last observed in a response, by
+  // this node or by another one.
+  TimePoint limit_observed_at;
+  // Times at which this node's permits expire, the soonest first.
+  std::deque<TimePoint> permits;
+  // When the next permit can be expected while there is none.
+  TimePoint next_permit_at;
+  // Calls that took permits since more were requested.
+  int permits_taken = 0;
   // Whether the registration was removed or replaced. The object remains in use
   // while calls to the endpoint are in flight.
   bool is_removed = false;
@@ -77,6 +91,9 @@
   bool is_leaving = false;
   // A hold-off has begun, or one that had ended begins again.
   bool is_held_off = false;
+  // The endpoint names a limit that it did not name before, another one, or
+  // none any more.
+  bool is_limit_changed = false;
 };
 
 // The registered endpoints, by pool.
@@ -105,6 +122,27 @@
   // is registered or not.
   TimePoint HeldOffUntil(const EndpointIncarnation& endpoint) const;
 
+  // Records a limit, or that there is none, which another node observed. Does
+  // nothing if this node has a later observation.
+  void RecordPeerLimit(const EndpointIncarnation& endpoint,
+                       std::optional<RequestRate> limit,
+                       TimePoint observed_at);
+  // Returns whether the endpoint has named a limit, registered or not.
+  bool IsLimited(const EndpointIncarnation& endpoint) const;
+  // Returns the registered endpoints that have named a limit.
+  std::vector<EndpointPtr> LimitedEndpoints() const;
+  // Returns the registered endpoint, or null if another process or none is
+  // registered.
+  EndpointPtr Find(const EndpointIncarnation& endpoint) const;
+  // Records that there are requests for a pool. Permits are requested only for
+  // pools with recent demand.
+  void RecordDemand(const PoolId& pool, TimePoint now);
+  TimePoint LastDemand(const PoolId& pool) const;
+  // `callback` is called when a request needs permits of a pool.
+  void set_on_permits_needed(std::function<void()> callback) {
+    on_permits_needed_ = std::move(callback);
+  }
+
   // Ejects an endpoint temporarily. Called when another node has reported that
   // it could not connect to it.
   void EjectReportedEndpoint(const EndpointId& id, TimePoint now);
@@ -119,10 +157,17 @@
   struct RecordedNotices {
     bool is_leaving = false;
     TimePoint held_off_until;
+    std::optional<RequestRate> limit;
+    TimePoint limit_observed_at;
     TimePoint updated_at;
   };
 
   void RebuildServing(const PoolId& pool);
+  // Returns whether the limit differs from the recorded one.
+  bool SetLimit(const EndpointIncarnation& endpoint,
+                std::optional<RequestRate> limit,
+                TimePoint observed_at,
+                TimePoint now);
   RecordedNotices& FindOrAddNotices(const EndpointIncarnation& endpoint,
                                     TimePoint now);
 
@@ -130,6 +175,8 @@
   std::map<EndpointIncarnation, RecordedNotices> notices_;
   std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
   std::map<FailureDomainId, std::shared_ptr<DomainHealth>> domains_;
+  std::unordered_map<PoolId, TimePoint> last_demand_;
+  std::function<void()> on_permits_needed_;
 };
 
 // Records what an endpoint asked for in a response, and logs what is new.
@@ -139,14 +186,20 @@
                           const EndpointNotice& notice,
                           TimePoint now);
 
-// Returns whether the endpoint has asked for no work at this time.
+// Returns whether the endpoint has asked for no work at this time, or has named
+// a limit and this node has no permit to call it.
 bool IsHeldOff(const Endpoint& endpoint, TimePoint now);
+// Returns the number of permits that have not expired.
+int CountPermits(const Endpoint& endpoint, TimePoint now);
+// Returns whether all of these endpoints are held off, and one of them only for
+// lack of a permit.
+bool AwaitsPermit(const std::vector<EndpointPtr>& serving, TimePoint now);
 // Returns the time at which the first of these endpoints accepts work again if
 // all of them are held off; otherwise, or if there are none, returns nothing.
 std::optional<TimePoint> FindHoldOffEnd(const std::vector<EndpointPtr>& serving,
                                         TimePoint now);
 
-// Records the start of a call.
+// Records the start of a call, and takes a permit if the endpoint has a limit.
 void BeginCall(Endpoint& endpoint, TimePoint now);
 // Removes the call that started at `started` from Endpoint::unanswered_since.
 // Called at its first response byte or when it ends without one.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -65,6 +65,10 @@
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(300);
 // A caller that a stopping node refuses should try another node at once.
 constexpr Duration kStoppingRetryAfter = std::chrono::milliseconds(50);
+// A request whose endpoints all have limits waits this long for a permit, which
+// another node grants within milliseconds if there is one.
+constexpr Duration kMaxPermitWait = std::chrono::milliseconds(300);
+constexpr Duration kPermitCheckInterval = std::chrono::milliseconds(20);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
 // another node serves: most if it may not be sent again, or if it came after
@@ -150,6 +154,7 @@
     LimitDeadline(gateway_->stop_->end);
   }
   context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
+  context_.endpoints.RecordDemand(pool_, accepted_at_);
   if (AreAllStagesDone(stage_progress_)) {
     StartWithoutStages();
     return;
@@ -434,6 +439,7 @@
 }
 
 void GatewayRequest::StartAttempt() {
+  permit_timer_.reset();
   if (FailIfQuarantined()) {
     return;
   }
@@ -457,7 +463,9 @@
         gateway_->random_);
   }
   if (endpoint_ == nullptr) {
-    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
+    if (!WaitForPermit()) {
+      Fail(Reason::kNoEndpoint, EndpointRetryAfter());
+    }
     return;
   }
   EndpointCall call;
@@ -503,6 +511,23 @@
   RestartProgressTimer();
 }
 
+bool GatewayRequest::WaitForPermit() {
+  const TimePoint now = context_.clock.Now();
+  context_.endpoints.RecordDemand(pool_, now);
+  if (!AwaitsPermit(context_.endpoints.Serving(pool_), now)) {
+    return false;
+  }
+  if (!permit_wait_end_) {
+    permit_wait_end_ = std::min(deadline_, now + kMaxPermitWait);
+  }
+  if (PoolHoldOffEnd() > permit_wait_end_) {
+    return false;
+  }
+  permit_timer_ =
+      context_.timers.After(kPermitCheckInterval, [this] { StartAttempt(); });
+  return true;
+}
+
 void GatewayRequest::RestartProgressTimer() {
   progress_timer_.reset();
   if (!route_->IsSafeToRetry()) {
@@ -967,6 +992,8 @@
   std::string waits_for;
   if (call_ != nullptr) {
     waits_for = "endpoint " + endpoint_->registration.id.value();
+  } else if (permit_timer_ != nullptr) {
+    waits_for = "permit";
   } else if (is_awaiting_engine_) {
     waits_for = "engine choice";
   } else {
@@ -998,6 +1025,7 @@
   is_ended_ = true;
   deadline_timer_.reset();
   progress_timer_.reset();
+  permit_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
   placement_task_.reset();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -92,6 +92,9 @@
 
   // Attempts.
   void StartAttempt();
+  // Waits for a permit if all endpoints of the pool have limits and a permit
+  // can be expected soon. Returns whether it does.
+  bool WaitForPermit();
   // Returns the engine that the coordinator suggested, or null if there is
   // none, it has been tried before, or it is not trusted. Clears the
   // suggestion.
@@ -211,6 +214,10 @@
   TimePoint first_event_at_;
   std::unique_ptr<Timer> deadline_timer_;
   std::unique_ptr<Timer> progress_timer_;
+  // Set while the request waits for a permit.
+  std::unique_ptr<Timer> permit_timer_;
+  // Until when the request may wait for a permit; set when it begins to.
+  std::optional<TimePoint> permit_wait_end_;
   bool is_ended_ = false;
 };
 
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -114,6 +114,7 @@
     StageTask task,
     StageTaskListener* listener) {
   RecordTaskArrival(task.pool);
+  dependencies_.endpoints.RecordDemand(task.pool, dependencies_.clock.Now());
   const StageTaskId id = next_task_++;
   dependencies_.retry_budget.RecordFirstCall(
       task.pool, dependencies_.clock.Now(), kCoordinatorFirstCallShare);
@@ -282,6 +283,7 @@
     }
   }
   if (!queue.tasks.waiting.empty()) {
+    dependencies_.endpoints.RecordDemand(id, now);
     ScheduleDispatch(id, kDispatchRetryInterval);
   }
 }
--- /dev/null
+++ b/modules/peridotmill_gateway/tests/endpoint_limit_request_test.cc
@@ -0,0 +1,107 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "peridotmill_gateway/tests/gateway_fixture.h"
+
+namespace peridotmill {
+namespace {
+
+using namespace std::chrono_literals;
+
+// A gateway whose plain pool has named limits. The test hands out permits.
+class EndpointLimitRequestTest : public GatewayFixture {
+ protected:
+  EndpointLimitRequestTest() {
+    for (const EndpointPtr& endpoint : endpoints_.Serving(PoolId("plain"))) {
+      endpoints_.RecordNotice(
+          IncarnationOf(endpoint->registration),
+          {.is_from_endpoint = true, .limit = RequestRate{1}}, clock_.Now());
+    }
+  }
+  void Grant(Endpoint& endpoint) {
+    endpoint.permits.push_back(clock_.Now() + 1s);
+  }
+  Endpoint& First() { return *endpoints_.Serving(PoolId("plain")).front(); }
+  void ExpectPermitsIn(Duration delay) {
+    for (const EndpointPtr& endpoint : endpoints_.Serving(PoolId("plain"))) {
+      endpoint->next_permit_at = clock_.Now() + delay;
+    }
+  }
+};
+
+// Guards against a refusal while a permit is on its way.
+TEST_F(EndpointLimitRequestTest, WaitsForAPermitThatIsExpectedSoon) {
+  const auto caller = Send("book");
+  timers_.Advance(30ms);
+  EXPECT_TRUE(caller->heads.empty());
+  EXPECT_TRUE(endpoint_caller_.calls.empty());
+  Grant(First());
+  timers_.Advance(30ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 1u);
+  EXPECT_TRUE(First().permits.empty());
+}
+
+// Guards against callers that wait although no permit is to be expected, and
+// are told to come back too early.
+TEST_F(EndpointLimitRequestTest, RefusesAtOnceIfNoPermitIsExpectedSoon) {
+  ExpectPermitsIn(2s);
+  const auto caller = Send("book");
+  EXPECT_EQ(caller->status(), 503);
+  EXPECT_GE(
+      std::stod(std::string(*caller->heads[0].headers.Find("Retry-After"))), 2);
+  EXPECT_TRUE(endpoint_caller_.calls.empty());
+}
+
+// Guards against a wait that lasts until the caller's deadline.
+TEST_F(EndpointLimitRequestTest, StopsWaitingForAPermit) {
+  const auto caller = Send("book");
+  timers_.Advance(400ms);
+  EXPECT_EQ(caller->status(), 503);
+}
+
+// Guards against retries that do not count towards the limit.
+TEST_F(EndpointLimitRequestTest, ARetryTakesAPermitToo) {
+  Grant(First());
+  Send("look");
+  timers_.Advance(0ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 1u);
+  endpoint_caller_.listener(0).OnResponseEnd(HttpCallEnd::kNoResponse);
+  timers_.Advance(200ms);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
+}
+
+// Guards against a limit that outlives the process which named it.
+TEST_F(EndpointLimitRequestTest, AnotherProcessAtTheAddressHasNoLimit) {
+  EndpointRegistration successor = First().registration;
+  successor.started_at_ms = 1;
+  endpoints_.Put(successor);
+  EXPECT_FALSE(First().limit);
+  EXPECT_FALSE(IsHeldOff(First(), clock_.Now()));
+}
+
+// Guards against a limit that is forgotten when a registration expires and
+// returns, and one that is kept although responses no longer name it.
+TEST_F(EndpointLimitRequestTest, TheLimitHoldsUntilAResponseLacksIt) {
+  const EndpointRegistration registration = First().registration;
+  endpoints_.Remove(registration.id);
+  endpoints_.Put(registration);
+  EXPECT_TRUE(First().limit);
+  endpoints_.RecordNotice(IncarnationOf(registration), {}, clock_.Now());
+  EXPECT_TRUE(First().limit);
+  endpoints_.RecordNotice(IncarnationOf(registration),
+                          {.is_from_endpoint = true}, clock_.Now());
+  EXPECT_FALSE(First().limit);
+}
+
+// Guards against a permit that is used after it has expired.
+TEST_F(EndpointLimitRequestTest, PermitsExpire) {
+  Grant(First());
+  EXPECT_FALSE(IsHeldOff(First(), clock_.Now()));
+  timers_.Advance(1s);
+  EXPECT_TRUE(IsHeldOff(First(), clock_.Now()));
+}
+
+}  // namespace
+}  // namespace peridotmill
