--- a/modules/peridotmill_gateway/replication/replica_service.cc
+++ b/modules/peridotmill_gateway/replication/replica_service.cc
@@ -63,13 +63,13 @@
  private:
   void OnLinkFrame(std::string_view frame) override {
     const auto message = DecodeReplicaMessage(frame);
-    if (!message) {
-      service_->OnMalformedFrame(this);
-    } else if (const auto* const subscribe =
-                   std::get_if<SubscribeMessage>(&*message)) {
+    const auto* const subscribe =
+        message ? std::get_if<SubscribeMessage>(&*message) : nullptr;
+    const auto* const fetch =
+        message ? std::get_if<FetchValueMessage>(&*message) : nullptr;
+    if (subscribe != nullptr) {
       OnSubscribe(*subscribe);
-    } else if (const auto* const fetch =
-                   std::get_if<FetchValueMessage>(&*message)) {
+    } else if (fetch != nullptr) {
       for (const std::string& chunk : service_->TransferFrames(*fetch)) {
         link_->Send(chunk);
       }
--- a/modules/peridotmill_gateway/replication/value_fetcher.cc
+++ b/modules/peridotmill_gateway/replication/value_fetcher.cc
@@ -161,7 +161,7 @@
     if (fetch_->requested_base == 0) {
       fetch_.reset();
     } else {
-      Restart(/*base_revision=*/0);
+      Restart(/*requested_base=*/0);
     }
     return;
   }
