Bound what odd entries of other writers can do

A node's record with a processor share that is no number, negative or over 1024 is rejected, since it would change the order of all coordinators.

--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -475,6 +475,8 @@
   }
 }
 
+constexpr double kMaxCores = 1024;
+
 std::string EncodeNodeRecord(const NodeRecord& record) {
   flatbuffers::FlatBufferBuilder builder;
   const auto address = builder.CreateString(record.peer_address);
@@ -501,7 +503,10 @@
       FailureDomainId(StringOrEmpty(wire->failure_domain()));
   record.processor_share = wire->processor_share();
   record.replica_address = StringOrEmpty(wire->replica_address());
-  if (record.peer_address.empty()) {
+  // Also true for a value that is not a number.
+  const bool is_share_invalid =
+      !(record.processor_share >= 0 && record.processor_share <= kMaxCores);
+  if (record.peer_address.empty() || is_share_invalid) {
     return tl::unexpected(make_error_code(Error::kMalformed));
   }
   return record;
--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -13,6 +13,16 @@
     ReplicaPart::kConfiguration, ReplicaPart::kRegistrations,
     ReplicaPart::kNodes};
 
+// Registrations are shorter. Longer values, which other writers may have
+// written, are not kept or sent on: each of them would take as much as many
+// registrations.
+constexpr size_t kMaxRegistrationValueBytes = size_t{16} << 10;
+
+bool IsOversized(ReplicaPart part, const StoreEntry& entry) {
+  return part != ReplicaPart::kConfiguration &&
+         entry.value.size() > kMaxRegistrationValueBytes;
+}
+
 }  // namespace
 
 StoreReplica::StoreReplica(
@@ -112,8 +122,22 @@
                                    const std::vector<StoreEntry>& entries,
                                    bool was_unreachable) {
   RecordStoreContact(dependencies_.clock.Now());
-  ApplySnapshotAndNotify(part, watcher(part).revision(), entries,
-                         was_unreachable);
+  const auto is_oversized = [part](const StoreEntry& entry) {
+    return IsOversized(part, entry);
+  };
+  if (std::any_of(entries.begin(), entries.end(), is_oversized)) {
+    std::vector<StoreEntry> bounded = entries;
+    for (StoreEntry& entry : bounded) {
+      if (is_oversized(entry)) {
+        entry.value.clear();
+      }
+    }
+    ApplySnapshotAndNotify(part, watcher(part).revision(), bounded,
+                           was_unreachable);
+  } else {
+    ApplySnapshotAndNotify(part, watcher(part).revision(), entries,
+                           was_unreachable);
+  }
   if (!is_watching_) {
     watcher(part).Stop();
   }
@@ -122,7 +146,13 @@
 void StoreReplica::OnStoreChanges(ReplicaPart part,
                                   const PrefixChanges& changes) {
   RecordStoreContact(dependencies_.clock.Now());
-  if (!ApplyChangesAndNotify({.part = part, .changes = changes})) {
+  ChangesMessage message = {.part = part, .changes = changes};
+  for (StoreChange& change : message.changes.changes) {
+    if (IsOversized(part, change.entry)) {
+      change.entry.value.clear();
+    }
+  }
+  if (!ApplyChangesAndNotify(message)) {
     // The missing changes can only be found by reading the prefix again.
     watcher(part).Reload();
   }
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -397,6 +397,23 @@
   EXPECT_LE(store_.read_and_watch_calls(), 24 * 2 + 6 * 40);
 }
 
+// Guards against odd entries of other writers among the registrations that
+// delay those of endpoints, or make nodes lose each other.
+TEST_F(ReplicaFleetTest, OddRegistrationsDelayNoOtherOnes) {
+  for (int i = 0; i < 6; ++i) {
+    store_.Write("endpoints/odd" + std::to_string(i),
+                 std::string(1'000'000, '['));
+  }
+  EXPECT_LE(MeasurePropagationTime(), kPropagationLimit);
+  for (const auto& node : nodes_) {
+    EXPECT_EQ(node->replica.state(ReplicaPart::kRegistrations)
+                  .entries.at("endpoints/odd0")
+                  .value,
+              "");
+    EXPECT_FALSE(node->events.Has("replica_source_lost"));
+  }
+}
+
 // Guards against a malformed frame that affects more than its own link.
 TEST_F(ReplicaFleetTest, AMalformedFrameClosesItsLinkOnly) {
   network_.SendToAll("not a frame");
