Decode configurations in parts

Cause: the whole document was parsed and decoded in one call, also what had not changed.

Change: the routes are split off as text and decoded 64 at a time between other work.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -12,7 +12,6 @@
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "platform/caller_codec.h"
-#include "platform/configuration_codec.h"
 #include "platform/registration_codec.h"
 #include "platform/wire_names.h"
 
@@ -34,6 +33,8 @@
 constexpr int kFinalResponseDivisor = 10;
 constexpr int kForcedExitDivisor = 32;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+// Routes of a new configuration that are decoded before other work goes on.
+constexpr size_t kRoutesPerStep = 64;
 // Give each component its own seed for random choices.
 constexpr uint64_t kCoordinatorSeed = 1;
 constexpr uint64_t kGatewaySeed = 2;
@@ -344,8 +345,19 @@
     return;
   }
   configuration_store_revision_ = entry.mod_revision;
-  Findings findings;
-  GatewayConfig config = platform::DecodeConfiguration(entry.value, findings);
+  configuration_reader_.Begin(entry.value);
+  ContinueConfiguration();
+}
+
+void GatewayProcess::ContinueConfiguration() {
+  configuration_timer_.reset();
+  if (!configuration_reader_.Continue(kRoutesPerStep)) {
+    configuration_timer_ =
+        timers_.After(Duration::zero(), [this] { ContinueConfiguration(); });
+    return;
+  }
+  Findings findings = configuration_reader_.TakeFindings();
+  GatewayConfig config = configuration_reader_.TakeConfiguration();
   if (findings.empty()) {
     findings = CheckGatewayConfig(config);
   }
@@ -361,7 +373,7 @@
       std::make_shared<const ActiveConfiguration>(std::move(config)));
   log_.Write(is_adopted ? "configuration_adopted" : "configuration_ignored",
              {{"revision", revision},
-              {"store_revision", std::to_string(entry.mod_revision)},
+              {"store_revision", std::to_string(configuration_store_revision_)},
               {"routes", std::to_string(route_count)}});
   if (is_adopted) {
     coordinator_.SetConfiguration(gateway_.configuration());
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -10,6 +10,7 @@
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_gateway/peridotmill_gateway.h"
 #include "peridotmill_http/peridotmill_http.h"
+#include "platform/configuration_reader.h"
 #include "platform/endpoint_adapter.h"
 #include "platform/stage_adapter.h"
 #include "platform/store_adapter.h"
@@ -55,6 +56,8 @@
                   bool was_unreachable);
   void OnChange(ReplicaPart part, const StoreChange& change);
   void OnConfigurationEntry(const StoreEntry& entry);
+  // Decodes a part of the configuration, and activates it after the last one.
+  void ContinueConfiguration();
   void OnRegistrationSnapshot(const std::vector<StoreEntry>& entries,
                               bool was_unreachable);
   void OnRegistrationChange(const StoreChange& change);
@@ -77,6 +80,8 @@
   int64_t settings_modification_time_ns_ = 0;
   // Store revision of the configuration that was decoded last, valid or not.
   int64_t configuration_store_revision_ = 0;
+  platform::ConfigurationReader configuration_reader_;
+  std::unique_ptr<Timer> configuration_timer_;
   const Clock& clock_;
   OutputLog& log_;
   GMainLoop* loop_;
