--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -533,6 +533,7 @@
   add("replica_frames_malformed_total",
       replica_service_.malformed_frame_count());
   add("endpoints", endpoint_registry_.size());
+  add("endpoints_limited", endpoint_registry_.LimitedEndpoints().size());
   add("caller_connections", caller_server_->connection_count());
   add("callers_malformed_total", caller_server_->counters().malformed);
   add("callers_timed_out_total", caller_server_->counters().timed_out);
