Keep a limit through single responses that lack it

A node took a limit for ended as soon as one response did not name it, and the coordinator told that to all others: a damaged response, or one of several that differ, let the whole fleet send freely until each node had seen the limit again (LIMIT).

Change: a limit ends when no response has named it for 2 s. A response without a limit counts only if it has one of the fields that endpoints add to their responses.

--- a/modules/peridotmill_gateway/limits/permit_buckets.cc
+++ b/modules/peridotmill_gateway/limits/permit_buckets.cc
@@ -113,11 +113,15 @@
   RemoveUnusedBuckets(buckets, now);
   PermitBucket& bucket = buckets.by_endpoint[request.endpoint];
   RecordObservation(bucket, request, now);
-  const PermitBucket::Observation& latest = bucket.observations.back();
-  PermitGrant grant = {.endpoint = request.endpoint,
-                       .limit = latest.limit,
-                       .limit_observed_at = latest.at};
   const auto limit = LowestLimit(bucket);
+  const auto latest =
+      std::find_if(bucket.observations.rbegin(), bucket.observations.rend(),
+                   [&](const PermitBucket::Observation& observation) {
+                     return observation.limit.has_value() == limit.has_value();
+                   });
+  PermitGrant grant = {.endpoint = request.endpoint,
+                       .limit = limit,
+                       .limit_observed_at = latest->at};
   if (!limit) {
     return grant;
   }
--- a/modules/peridotmill_gateway/limits/permit_buckets.h
+++ b/modules/peridotmill_gateway/limits/permit_buckets.h
@@ -22,8 +22,9 @@
 
 struct PermitGrant {
   EndpointIncarnation endpoint;
-  // The latest limit that any node has reported.
+  // The lowest limit that nodes have observed lately.
   std::optional<RequestRate> limit;
+  // When a limit, or none, was last observed.
   TimePoint limit_observed_at;
   int count = 0;
   // Time until the next permit can be expected, if there are fewer than
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -25,6 +25,9 @@
 // has announced that, so its notices do not have to be kept for long.
 constexpr Duration kNoticeRetention = std::chrono::hours(1);
 constexpr size_t kMaxRecordedNotices = 4096;
+// A limit ends when no response has named it for this time. A single response
+// without it may be damaged, or one of several that differ.
+constexpr Duration kLimitMemory = std::chrono::seconds(2);
 // Time until a permit that is overdue can be expected.
 constexpr Duration kMinPermitWait = std::chrono::milliseconds(100);
 
@@ -104,7 +107,7 @@
                                           const EndpointNotice& notice,
                                           TimePoint now) {
   NoticeNews news;
-  if (notice.is_from_endpoint) {
+  if (notice.is_from_endpoint || notice.limit) {
     news.is_limit_changed = SetLimit(endpoint, notice.limit, now, now);
   }
   if (!notice.is_leaving && !notice.hold_off) {
@@ -142,9 +145,13 @@
     return false;
   }
   RecordedNotices& notices = FindOrAddNotices(endpoint, now);
-  if (observed_at < notices.limit_observed_at) {
+  if (observed_at < notices.limit_observed_at ||
+      (!limit && observed_at - notices.limit_named_at < kLimitMemory)) {
     return false;
   }
+  if (limit) {
+    notices.limit_named_at = observed_at;
+  }
   const bool is_changed = notices.limit != limit;
   notices.limit = limit;
   notices.limit_observed_at = observed_at;
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -159,6 +159,8 @@
     TimePoint held_off_until;
     std::optional<RequestRate> limit;
     TimePoint limit_observed_at;
+    // When a response last named a limit.
+    TimePoint limit_named_at;
     TimePoint updated_at;
   };
 
