Grant permits to rare requests

Callers of an endpoint with a limit, whose requests come a few seconds apart, were refused each time although the limit was unused.

Cause: the coordinator emptied a bucket that had not been used for 2 s and filled it at a quarter of the limit, while nodes ask for only 2 s after a request. The bucket never held a permit.

Change: an unused bucket keeps its permits and goes on filling, slowly; it holds one permit or a quarter of a second's at the most, so the bound on the sum holds as before. A new bucket still begins empty.

--- a/modules/peridotmill_gateway/limits/permit_buckets.cc
+++ b/modules/peridotmill_gateway/limits/permit_buckets.cc
@@ -24,7 +24,7 @@
 // The age of an observation is rounded when it is sent.
 constexpr Duration kSameObservationTime = std::chrono::milliseconds(100);
 constexpr size_t kMaxObservations = 64;
-// A bucket that was not used for longer is opened again.
+// A bucket that was not used for longer fills slowly again.
 constexpr Duration kIdleTime = std::chrono::seconds(2);
 constexpr Duration kBucketRetention = std::chrono::minutes(1);
 constexpr size_t kMaxBuckets = 4096;
@@ -88,10 +88,12 @@
 
 // Returns the permits that the bucket gains in a second.
 double Refill(PermitBucket& bucket, double limit, TimePoint now) {
-  if (now - bucket.refilled_at > kIdleTime) {
-    bucket.permits = 0;
-    bucket.unmet_requests = 0;
+  const bool is_new = bucket.refilled_at == TimePoint();
+  if (is_new || now - bucket.refilled_at > kIdleTime) {
+    // Another node may have granted permits meanwhile.
     bucket.opened_at = now;
+  }
+  if (is_new) {
     bucket.refilled_at = now;
   }
   const double share =
--- a/modules/peridotmill_gateway/tests/endpoint_limit_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_limit_fleet_test.cc
@@ -223,6 +223,27 @@
   double most_used_share_ = 0;
 };
 
+// Guards against requests that come rarely and never find a permit, because a
+// bucket is emptied while nobody asks.
+TEST_F(EndpointLimitFleetTest, RareRequestsFindAPermit) {
+  StartNodes(3);
+  SetLimit(1);
+  Run(8s, 300);
+  timers_.Advance(5s);
+  int served = 0;
+  constexpr int kRequests = 20;
+  for (int i = 0; i < kRequests; ++i) {
+    timers_.Advance(5s);
+    LimitNode& node = *nodes_[static_cast<size_t>(i) % nodes_.size()];
+    node.endpoints.RecordDemand(PoolId("pool"), clock_.Now());
+    timers_.Advance(50ms);
+    const int before = sent_count_;
+    SendRequest(node);
+    served += sent_count_ - before;
+  }
+  EXPECT_EQ(served, kRequests);
+}
+
 struct LimitCase {
   int nodes;
   double limit;
