Deny nothing while a newer configuration is decoded

Cause: since configurations are decoded in parts, a node has a newer one for up to half a second of a slow processor before it is in force, and denied routes and keys of it meanwhile (404, 401).

Change: that time counts like the time in which the configuration is fetched: such requests are refused for a while. No test shows it; the window is in the process alone, which decodes in several steps only beyond 64 new routes.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -157,11 +157,11 @@
           {.on_store_response = [this] { replica_sources_.OnStoreResponded(); },
            .on_store_contact_lost = [this] { OnStoreUnresponsive(); },
            .is_watching = [this] { return replica_.is_watching(); }}),
-      gateway_({clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
-                endpoint_registry_, retry_budget_, log, settings.failure_domain,
-                &prompt_quarantine_,
-                [this] { return replica_sources_.IsConfigurationOutdated(); }},
-               ComponentSeed(settings, kGatewaySeed)),
+      gateway_(
+          {clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
+           endpoint_registry_, retry_budget_, log, settings.failure_domain,
+           &prompt_quarantine_, [this] { return IsConfigurationOutdated(); }},
+          ComponentSeed(settings, kGatewaySeed)),
       registration_reconciler_(
           endpoint_registry_,
           timers_,
@@ -339,6 +339,11 @@
   SendText(*exchange, kOk, FormatMetrics());
 }
 
+bool GatewayProcess::IsConfigurationOutdated() const {
+  const bool is_decoding = configuration_timer_ != nullptr;
+  return is_decoding || replica_sources_.IsConfigurationOutdated();
+}
+
 void GatewayProcess::OnConfigurationEntry(const StoreEntry& entry) {
   if (entry.key != platform::kConfigurationKey ||
       entry.mod_revision <= configuration_store_revision_) {
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -55,6 +55,8 @@
                   const std::vector<StoreEntry>& entries,
                   bool was_unreachable);
   void OnChange(ReplicaPart part, const StoreChange& change);
+  // Returns whether there is a newer configuration that is not in force yet.
+  bool IsConfigurationOutdated() const;
   void OnConfigurationEntry(const StoreEntry& entry);
   // Decodes a part of the configuration, and activates it after the last one.
   void ContinueConfiguration();
