--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -28,6 +28,8 @@
 // A limit ends when no response has named it for this time. A single response
 // without it may be damaged, or one of several that differ.
 constexpr Duration kLimitMemory = std::chrono::seconds(2);
+// Many requests of a pool may wait for permits at a time.
+constexpr Duration kDemandReportInterval = std::chrono::milliseconds(10);
 // Time until a permit that is overdue can be expected.
 constexpr Duration kMinPermitWait = std::chrono::milliseconds(100);
 
@@ -196,7 +198,10 @@
 }
 
 void EndpointRegistry::RecordDemand(const PoolId& pool, TimePoint now) {
-  last_demand_[pool] = now;
+  const Duration since_last = now - std::exchange(last_demand_[pool], now);
+  if (since_last < kDemandReportInterval) {
+    return;
+  }
   const auto& serving = Serving(pool);
   const bool needs_permits = std::any_of(
       serving.begin(), serving.end(), [now](const EndpointPtr& endpoint) {
--- a/modules/peridotmill_gateway/tests/endpoint_limit_request_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_limit_request_test.cc
@@ -98,6 +98,19 @@
   EXPECT_FALSE(First().limit);
 }
 
+// Guards against a burst of waiting requests that each look through all
+// endpoints for permits to request.
+TEST_F(EndpointLimitRequestTest, ABurstRequestsPermitsOnce) {
+  int request_count = 0;
+  endpoints_.set_on_permits_needed([&] { ++request_count; });
+  for (int i = 0; i < 100; ++i) {
+    Send("book");
+  }
+  EXPECT_LE(request_count, 1);
+  timers_.Advance(30ms);
+  EXPECT_LE(request_count, 4);
+}
+
 // Guards against a permit that is used after it has expired.
 TEST_F(EndpointLimitRequestTest, PermitsExpire) {
   Grant(First());
