Take a permit for each of several stage calls

A stage endpoint with a limit got several calls for one permit (LIMIT): the coordinator asked whether it may be called once, before a loop that begins as many calls as the endpoint processes at a time.

Change: it asks before each call.

Test: EndpointLimitRequestTest.EachStageCallTakesAPermit saw 3 calls for one permit before.

--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -279,6 +279,7 @@
        FindIdleEndpoints(dependencies_.endpoints.Serving(id), *pool, now)) {
     while (!queue.tasks.waiting.empty() &&
            endpoint->open_calls < pool->max_concurrent_calls &&
+           !IsHeldOff(*endpoint, now) &&
            StartCall(id, queue, *pool, endpoint)) {
     }
   }
--- a/modules/peridotmill_gateway/tests/endpoint_limit_request_test.cc
+++ b/modules/peridotmill_gateway/tests/endpoint_limit_request_test.cc
@@ -2,6 +2,8 @@
 
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "peridotmill_gateway/tests/gateway_fixture.h"
 
@@ -111,6 +113,38 @@
   EXPECT_LE(request_count, 4);
 }
 
+// Guards against several stage calls to an endpoint with one permit.
+TEST_F(EndpointLimitRequestTest, EachStageCallTakesAPermit) {
+  class IgnoringListener final : public StageTaskListener {
+    void OnStageTaskEnd(size_t, StageTaskResult) override {}
+  };
+  GatewayConfig config = MakeConfig(2);
+  config.pools[2].stage->max_concurrent_calls = 3;
+  coordinator_.SetConfiguration(
+      std::make_shared<const ActiveConfiguration>(std::move(config)));
+  Endpoint& endpoint = *endpoints_.Serving(PoolId("scan")).front();
+  endpoints_.RecordNotice(IncarnationOf(endpoint.registration),
+                          {.is_from_endpoint = true, .limit = RequestRate{1}},
+                          clock_.Now());
+  Grant(endpoint);
+  IgnoringListener listener;
+  std::vector<std::unique_ptr<StageTaskHandle>> tasks;
+  for (int i = 0; i < 3; ++i) {
+    StageTask task;
+    task.request = RequestId("t" + std::to_string(i));
+    task.pool = PoolId("scan");
+    task.item_count = 4;
+    task.due = clock_.Now() + 1s;
+    task.deadline = clock_.Now() + 5s;
+    tasks.push_back(coordinator_.Submit(std::move(task), &listener));
+  }
+  timers_.Advance(50ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 1u);
+  Grant(endpoint);
+  timers_.Advance(50ms);
+  EXPECT_EQ(stage_caller_.calls.size(), 2u);
+}
+
 // Guards against a permit that is used after it has expired.
 TEST_F(EndpointLimitRequestTest, PermitsExpire) {
   Grant(First());
