--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -53,7 +53,7 @@
       bool is_spoiled = false;
       ++answers;
       if (is_faulty && now >= kTroubleAtMs && now < kTroubleAtMs + kTroubleMs)
-        is_spoiled = ++answers_in_trouble % kSpoiledOneIn == 1 && is_troubled;
+        is_spoiled = ++answers_in_trouble % kSpoiledOneIn == 0 && is_troubled;
       connection.Write("HTTP/1.1 200 OK\r\nPeridotmill-Request-Id: " + id +
                        "\r\nPeridotmill-Response-Seal: seal." + id +
                        "\r\nContent-Type: text/event-stream\r\n"
--- a/review/6/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec "$(dirname "$0")/../common/run-case.sh" "$(dirname "$0")"
