--- a/review/common/run-case.sh
+++ b/review/common/run-case.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # run-case.sh FOLDER: plays the case in FOLDER. Exits with 1 if the rule was
-# broken, with 0 if it held, and with 2 if the case could not run.
+# broken, with 0 if it held, and with 2 if the case could not run. TROUBLE is read
+# by the program (IsTroubled() in harness.hpp).
 set -u
 folder=$(cd "$1" && pwd)
 cd "$folder/../.."
