Search each byte of a stream once for the end of an event

Cause: EventSplitter::Add() searched the whole unfinished event again for each chunk, so that its time grew with the square of the event's size, up to 256 KB. Each connection gets one read of 16 KB in an iteration of the loop, so the share of a connection is bounded only if the time for a read is.

Change: only the new bytes and the two before them are searched. The HTTP client passes the body bytes of one read to its listener at once; a listener's work for a piece (a timer, a write to the caller) was paid for each chunk of a few bytes.

--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -5,7 +5,12 @@
 namespace peridotmill {
 namespace {
 
-// Returns the position after the empty line that ends the next event, or npos.
+// An empty line may begin this many bytes before the end of the received bytes
+// and be completed by later ones: "\n", or "\n\r".
+constexpr size_t kMaxPartialEventEndBytes = 2;
+
+// Returns the position after the first empty line that begins at `from` or
+// later, which ends an event, or npos.
 size_t FindEventEnd(std::string_view text, size_t from) {
   for (size_t line_end = text.find('\n', from);
        line_end != std::string_view::npos;
@@ -73,11 +78,19 @@
 }  // namespace
 
 std::string EventSplitter::Add(std::string_view bytes) {
+  if (is_next_event_invalid_) {
+    return std::string();
+  }
+  // The bytes before are not searched again, so that the time for an event
+  // grows only linearly with its size, whatever pieces it arrives in.
+  size_t search_start =
+      incomplete_event_.size() -
+      std::min(incomplete_event_.size(), kMaxPartialEventEndBytes);
   incomplete_event_.append(bytes);
   size_t start = 0;
   const std::string_view text = incomplete_event_;
   while (true) {
-    const size_t end = FindEventEnd(text, start);
+    const size_t end = FindEventEnd(text, search_start);
     if (end == std::string::npos) {
       break;
     }
@@ -92,6 +105,7 @@
     }
     event_count_ += fields.has_fields ? 1 : 0;
     start = end;
+    search_start = end;
   }
   std::string complete_events = incomplete_event_.substr(0, start);
   incomplete_event_.erase(0, start);
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -16,7 +16,8 @@
 class EventSplitter {
  public:
   // Appends `bytes` and returns all events that are now complete, as the bytes
-  // that were received; empty if there are none. Stops before an invalid event.
+  // that were received; empty if there are none. Stops before an invalid event,
+  // and ignores all bytes after it.
   std::string Add(std::string_view bytes);
 
   // Bytes received after the last complete event.
--- a/modules/peridotmill_gateway/tests/decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -2,6 +2,10 @@
 // active configuration, stage progress and the endpoint registry.
 #include <gtest/gtest.h>
 
+#include <ctime>
+#include <string>
+#include <string_view>
+
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/configuration/config_check.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
@@ -141,6 +145,59 @@
   }
 }
 
+// Returns the processor time, in seconds, in which a splitter receives `bytes`
+// in pieces of `piece_size`.
+double MeasureSplitting(const std::string& bytes, size_t piece_size) {
+  EventSplitter splitter;
+  const std::clock_t start = std::clock();
+  for (size_t at = 0; at < bytes.size(); at += piece_size) {
+    splitter.Add(std::string_view(bytes).substr(at, piece_size));
+  }
+  return static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+}
+
+// Guards against an endpoint that occupies the event loop with an event without
+// end in small pieces: each piece searched the whole unfinished event again.
+TEST(EventSplitterTest, UnfinishedEventsTakeLittleMoreTimeThanFinishedOnes) {
+  constexpr int kMaxTimeRatio = 20;
+  const auto repeat = [](std::string_view line, size_t size) {
+    std::string bytes;
+    while (bytes.size() < size) {
+      bytes += line;
+    }
+    return bytes;
+  };
+  struct Case {
+    const char* line;
+    size_t size;
+  };
+  for (const Case& test :
+       {Case{"a\n", 32768}, Case{"a\r\n", 32768}, Case{"data: x\n", 65536},
+        Case{":\n", 32768}, Case{"x", 262144}}) {
+    const double finished = MeasureSplitting(repeat("a\n\n", test.size), 1);
+    EXPECT_LT(MeasureSplitting(repeat(test.line, test.size), 1),
+              kMaxTimeRatio * finished)
+        << test.line;
+  }
+}
+
+// Guards against an empty line that is overlooked because it arrives in pieces.
+TEST(EventSplitterTest, FindsEmptyLinesThatArriveInPieces) {
+  for (const std::string end : {"\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n"}) {
+    const std::string stream = "data: a" + end + "data: b" + end;
+    for (size_t first = 1; first < stream.size(); ++first) {
+      for (size_t second = first; second < stream.size(); ++second) {
+        EventSplitter splitter;
+        std::string events = splitter.Add(stream.substr(0, first));
+        events += splitter.Add(stream.substr(first, second - first));
+        events += splitter.Add(stream.substr(second));
+        EXPECT_EQ(events, stream);
+        EXPECT_EQ(splitter.event_count(), 2u);
+      }
+    }
+  }
+}
+
 // Guards against choosing a route with a shorter path prefix, and against
 // matching a part of a path segment.
 TEST(ActiveConfigurationTest, TheLongestPrefixWins) {
--- a/modules/peridotmill_http/client/http_client.h
+++ b/modules/peridotmill_http/client/http_client.h
@@ -60,6 +60,8 @@
   const Clock& clock_;
   guint idle_check_source_ = 0;
   HttpClientCounters counters_;
+  // Body bytes that a connection has parsed in the current read.
+  std::string received_body_;
   // Idle connections by server address, the most recently used one last.
   std::unordered_map<std::string,
                      std::deque<std::unique_ptr<HttpClientConnection>>>
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -175,6 +175,7 @@
     const size_t parsed = http_parser_execute(&parser_, &ParserCallbacks(),
                                               bytes.data(), bytes.size());
     const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+    DeliverBody();
     if (listener_ == nullptr) {
       return;
     }
@@ -201,6 +202,16 @@
   }
 }
 
+void HttpClientConnection::DeliverBody() {
+  // The connections of a client share the buffer, since each empties it before
+  // it returns to the main loop.
+  std::string& bytes = client_->received_body_;
+  if (listener_ != nullptr && !bytes.empty()) {
+    listener_->OnCallBody(bytes);
+  }
+  bytes.clear();
+}
+
 void HttpClientConnection::FinishResponse() {
   HttpCallListener* const listener = std::exchange(listener_, nullptr);
   const bool is_reusable = socket_->is_open() && socket_->unsent_bytes() == 0 &&
@@ -348,8 +359,8 @@
   if (limit > 0 && self->response_body_bytes_ > limit) {
     return -1;
   }
-  self->listener_->OnCallBody({data, size});
-  return self->listener_ == nullptr ? -1 : 0;
+  self->client_->received_body_.append(data, size);
+  return 0;
 }
 
 int HttpClientConnection::OnMessageComplete(http_parser* parser) {
--- a/modules/peridotmill_http/client/http_client_connection.h
+++ b/modules/peridotmill_http/client/http_client_connection.h
@@ -49,6 +49,10 @@
   void StopConnectTimer();
   std::string EncodeRequest() const;
   void StartParsing();
+  // Passes the body bytes of one read to the listener at once: a listener's
+  // work for each piece is paid once a read, however small a server's chunks
+  // are.
+  void DeliverBody();
   void FinishResponse();
   // Closes the connection. Ends the current call with `end` or, if there is
   // none, removes the connection from the client's idle ones.
--- a/modules/peridotmill_http/tests/http_client_test.cc
+++ b/modules/peridotmill_http/tests/http_client_test.cc
@@ -22,11 +22,15 @@
     status = head.status;
     return true;
   }
-  void OnCallBody(std::string_view bytes) override { body += bytes; }
+  void OnCallBody(std::string_view bytes) override {
+    body += bytes;
+    ++body_parts;
+  }
   void OnCallEnd(HttpCallEnd call_end) override { end = call_end; }
 
   int status = 0;
   std::string body;
+  int body_parts = 0;
   std::optional<HttpCallEnd> end;
 };
 
@@ -113,6 +117,20 @@
   }
 }
 
+// Guards against a server that makes its client handle each of many small
+// chunks by itself.
+TEST_F(HttpClientTest, DeliversTheChunksOfOneReadAtOnce) {
+  constexpr int kChunks = 1000;
+  std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < kChunks; ++i) {
+    bytes += "1\r\nx\r\n";
+  }
+  const auto listener = MakeCallAndRespond(0, bytes + "0\r\n\r\n");
+  EXPECT_EQ(listener.body, std::string(kChunks, 'x'));
+  EXPECT_EQ(listener.end, HttpCallEnd::kComplete);
+  EXPECT_LE(listener.body_parts, kChunks / 100);
+}
+
 // Guards against delivering the late response of an earlier call to a later
 // call on the same connection.
 TEST_F(HttpClientTest, SkipsTheResponseOfAnotherCall) {
