Check handles, ids of events and all heads that are written

Callers saw: a success for a request that had run with an empty body.

Cause: stage answers were not checked, so that any text was taken for a handle, and the HTTP client and server wrote names and values as they came.

Change: all heads of the gateway are written by EncodeRequestHead() and EncodeResponseHead(), in which no text ends a line; a request that cannot be written is not sent. A result without a usable handle fails and its item runs again.

--- a/modules/peridotmill_core/http/http_call.h
+++ b/modules/peridotmill_core/http/http_call.h
@@ -14,7 +14,8 @@
 enum class HttpCallEnd : uint8_t {
   // The complete response arrived, correctly framed.
   kComplete,
-  // No connection was established, so this process sent no byte.
+  // No connection was established, or the request cannot be encoded, so this
+  // process sent no byte.
   kNotSent,
   // Bytes may have been sent, but no response head arrived.
   kNoResponse,
--- a/modules/peridotmill_gateway/calls/endpoint_call.h
+++ b/modules/peridotmill_gateway/calls/endpoint_call.h
@@ -11,14 +11,12 @@
 #include "peridotmill_core/http/http_call.h"
 #include "peridotmill_core/http/http_message.h"
 #include "peridotmill_gateway/calls/caller_request.h"
+#include "peridotmill_gateway/calls/result_handle.h"
 #include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
 
 namespace peridotmill {
 
-// Identifies a stage result and the endpoint that stores it.
-using ResultHandle = StrongId<struct ResultHandleTag>;
-
 // Load that an endpoint reports in a response.
 struct ReportedLoad {
   int running = 0;
--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -72,6 +72,8 @@
   // One result for each item of the call, in the same order, if the outcome is
   // kAnswered.
   std::vector<StageItemResult> results;
+  // Number of results without a usable handle; their outcome is kFailed.
+  int malformed_handles = 0;
   std::optional<ReportedLoad> load;
   EndpointNotice notice;
 };
--- a/modules/peridotmill_gateway/configuration/config_check.cc
+++ b/modules/peridotmill_gateway/configuration/config_check.cc
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "peridotmill_core/http/head_encoder.h"
+
 namespace peridotmill {
 namespace {
 
@@ -18,6 +20,12 @@
     for (const RouteDefinition& route : config_.routes) {
       CheckRoute(route);
     }
+    for (const TeamDefinition& team : config_.teams) {
+      if (!IsFieldValue(team.id.value())) {
+        Add("team/" + team.id.value(), "name",
+            "holds a character that a header field cannot hold");
+      }
+    }
     return std::move(findings_);
   }
 
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -19,7 +19,9 @@
   return text == nullptr ? std::string() : text->str();
 }
 
-std::vector<ResultHandle> DecodeHandles(const StringVector* texts) {
+// The handles are not checked: they end only in JSON documents for endpoints,
+// which report an unknown handle as a result that is gone.
+std::vector<ResultHandle> DecodeInputs(const StringVector* texts) {
   std::vector<ResultHandle> handles;
   if (texts != nullptr) {
     for (const flatbuffers::String* const text : *texts) {
@@ -29,6 +31,22 @@
   return handles;
 }
 
+// Errors: kMalformed if one of the texts is not a handle, since an older
+// version of this program did not check what endpoints had sent it.
+Result<std::vector<ResultHandle>> DecodeResults(const StringVector* texts) {
+  std::vector<ResultHandle> handles;
+  if (texts != nullptr) {
+    for (const flatbuffers::String* const text : *texts) {
+      auto handle = ParseResultHandle(StringOrEmpty(text));
+      if (!handle) {
+        return tl::unexpected(make_error_code(Error::kMalformed));
+      }
+      handles.push_back(*std::move(handle));
+    }
+  }
+  return handles;
+}
+
 flatbuffers::Offset<StringVector> EncodeHandles(
     flatbuffers::FlatBufferBuilder& builder,
     const std::vector<ResultHandle>& handles) {
@@ -383,7 +401,7 @@
   message.task.stage = wire.stage();
   message.task.item_count = wire.item_count();
   message.task.key = StringOrEmpty(wire.key());
-  message.task.inputs = DecodeHandles(wire.inputs());
+  message.task.inputs = DecodeInputs(wire.inputs());
   message.task.due = now + std::chrono::milliseconds(wire.due_in_ms());
   message.task.deadline =
       now + std::chrono::milliseconds(wire.deadline_in_ms());
@@ -425,7 +443,11 @@
   message.result.outcome = outcome > StageItemOutcome::kQuarantined
                                ? StageItemOutcome::kFailed
                                : outcome;
-  message.result.handles = DecodeHandles(wire.handles());
+  if (auto handles = DecodeResults(wire.handles())) {
+    message.result.handles = *std::move(handles);
+  } else {
+    message.result.outcome = StageItemOutcome::kFailed;
+  }
   message.result.maker_domain =
       FailureDomainId(StringOrEmpty(wire.maker_domain()));
   message.result.retry_after = DecodeDelay(wire.retry_after_ms());
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -595,8 +595,9 @@
   RemoveUnansweredCall(endpoint, call.started);
   const bool is_unresponsive =
       call.is_timed_out || response.outcome == StageCallOutcome::kNotSent;
+  const bool is_sound = is_answered && response.malformed_handles == 0;
   EndCall(endpoint,
-          is_answered       ? CallOutcome::kSuccess
+          is_sound          ? CallOutcome::kSuccess
           : is_refused      ? CallOutcome::kRefused
           : is_unresponsive ? CallOutcome::kUnresponsive
                             : CallOutcome::kFailure,
@@ -617,6 +618,13 @@
     endpoint.reported_waiting = response.load->waiting;
     endpoint.reported_at = now;
   }
+  if (response.malformed_handles > 0) {
+    dependencies_.events.Write(
+        "stage_handles_malformed",
+        {{"pool", call.pool.value()},
+         {"endpoint", endpoint.registration.id.value()},
+         {"items", std::to_string(response.malformed_handles)}});
+  }
   if (!is_answered) {
     dependencies_.events.Write(
         "stage_call_failed",
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "peridotmill_core/http/head_encoder.h"
+
 namespace peridotmill {
 namespace {
 
@@ -31,6 +33,13 @@
          text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+// Returns whether an event may have this id. A resumed stream sends the id to
+// the next endpoint in a header field.
+bool IsValidEventId(std::string_view id) {
+  constexpr size_t kMaxEventIdBytes = 1024;
+  return id.size() <= kMaxEventIdBytes && IsFieldValue(id);
+}
+
 // Returns whether an event with this id may follow the event with the id
 // `last`. The ids of a stream increase; those that are no numbers only have to
 // differ.
@@ -96,7 +105,8 @@
     }
     const EventFields fields = ReadFields(text.substr(start, end - start));
     if (fields.has_status_line ||
-        (fields.id && !IsLaterEventId(*fields.id, last_event_id_))) {
+        (fields.id && (!IsValidEventId(*fields.id) ||
+                       !IsLaterEventId(*fields.id, last_event_id_)))) {
       is_next_event_invalid_ = true;
       break;
     }
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -25,8 +25,9 @@
   // Returns whether the bytes after the last complete event hold a part of
   // another one, and not only empty lines and comments.
   bool ends_inside_event() const;
-  // Returns whether the next event cannot belong to the stream: its id does not
-  // follow that of the events before it, or it holds the head of a response.
+  // Returns whether the next event cannot belong to the stream: its id cannot
+  // be sent in a header field or does not follow that of the events before it,
+  // or it holds the head of a response.
   bool is_next_event_invalid() const { return is_next_event_invalid_; }
   // Discards the bytes after the last complete event, before the stream is
   // resumed.
--- a/modules/peridotmill_gateway/tests/decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -181,6 +181,19 @@
   }
 }
 
+// Guards against an event id that changes the head of the request which resumes
+// the stream at another endpoint.
+TEST(EventSplitterTest, StopsBeforeAnIdThatNoHeaderFieldCanHold) {
+  for (const std::string& id : {std::string("2\rX: 1"), std::string("2\0", 2),
+                                std::string("2\x7f"), std::string(2000, '2')}) {
+    EventSplitter splitter;
+    EXPECT_EQ(splitter.Add("id: 1\ndata: a\n\nid: " + id + "\ndata: b\n\n"),
+              "id: 1\ndata: a\n\n");
+    EXPECT_TRUE(splitter.is_next_event_invalid());
+    EXPECT_EQ(splitter.last_event_id(), "1");
+  }
+}
+
 // Guards against an empty line that is overlooked because it arrives in pieces.
 TEST(EventSplitterTest, FindsEmptyLinesThatArriveInPieces) {
   for (const std::string end : {"\n\n", "\r\n\r\n", "\n\r\n", "\r\n\n"}) {
--- a/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_coordinator_test.cc
@@ -65,6 +65,24 @@
   EXPECT_EQ(results_[0].handles.size(), 3u);
 }
 
+// Guards against results without a usable handle that reach the request, and
+// against an endpoint that counts as sound although it sends them.
+TEST_F(StageCoordinatorTest, RunsItemsWithMalformedHandlesAgain) {
+  const auto task = Submit(2);
+  timers_.Advance(1ms);
+  StageResponse response;
+  response.outcome = StageCallOutcome::kAnswered;
+  response.results = {{StageItemOutcome::kDone, ResultHandle("e/0")},
+                      {StageItemOutcome::kFailed, {}}};
+  response.malformed_handles = 1;
+  stage_caller_.Answer(0, response);
+  EXPECT_TRUE(events_.Has("stage_handles_malformed pool=scan"));
+  EXPECT_EQ(endpoints_.Serving(PoolId("scan"))[0]->consecutive_failures, 1);
+  timers_.Advance(1ms);
+  ASSERT_EQ(stage_caller_.calls.size(), 2u);
+  EXPECT_EQ(stage_caller_.calls[1]->items[0].piece, 1u);
+}
+
 // Guards against unlimited retries.
 TEST_F(StageCoordinatorTest, FailsTheTaskWhenTheRetryBudgetIsExhausted) {
   const auto task = Submit(3);
--- a/modules/peridotmill_gateway/tests/stage_peers_test.cc
+++ b/modules/peridotmill_gateway/tests/stage_peers_test.cc
@@ -292,6 +292,22 @@
   EXPECT_EQ(decoded.task.prompt->shared[0].tokens, 13'000);
 }
 
+// Guards against a malformed handle that reaches an engine through a
+// coordinator of an older version, which does not check what endpoints send it.
+TEST(StageMessageTest, AMalformedHandleFailsTheTask) {
+  const TimePoint now = TimePoint(1h);
+  StageTaskResult result;
+  result.outcome = StageItemOutcome::kDone;
+  result.handles = {ResultHandle("a/1"), ResultHandle("a/2\r\n")};
+  const auto message = DecodeStageMessage(
+      EncodeStageMessage(TaskEndedMessage{7, result}, now), now);
+  ASSERT_TRUE(message);
+  const auto& decoded = std::get<TaskEndedMessage>(*message);
+  EXPECT_EQ(decoded.id, 7u);
+  EXPECT_EQ(decoded.result.outcome, StageItemOutcome::kFailed);
+  EXPECT_TRUE(decoded.result.handles.empty());
+}
+
 // Guards against a refusal that loses its retry time by encoding and decoding.
 TEST(StageMessageTest, PreservesRefusals) {
   StageTaskResult result;
--- a/modules/peridotmill_http/client/http_client.h
+++ b/modules/peridotmill_http/client/http_client.h
@@ -28,6 +28,9 @@
   // Idle connections closed instead of reused because bytes or the end of the
   // connection had arrived on them.
   uint64_t connections_closed_with_unread_input = 0;
+  // Calls that were not sent because a part of their head would have changed
+  // its structure, or because the head was too large.
+  uint64_t calls_not_encodable = 0;
 };
 
 // HTTP/1.1 client on the default GLib main context with persistent connections.
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "peridotmill_core/http/head_encoder.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_http/client/http_client.h"
 #include "peridotmill_http/sockets/delete_later.h"
@@ -74,11 +75,17 @@
   skipped_responses_ = 0;
   skipped_body_bytes_ = 0;
   StartParsing();
+  auto request = EncodeRequest();
+  if (!request) {
+    ++client_->counters_.calls_not_encodable;
+    connect_timer_ = g_idle_add(OnConnectNotStarted, this);
+    return;
+  }
   if (socket_ != nullptr) {
-    socket_->Write(EncodeRequest());
-    call_.body = std::string();
+    socket_->Write(*request);
     return;
   }
+  request_ = *std::move(request);
   auto socket = StreamSocket::Connect(call_.address, this);
   if (!socket) {
     connect_timer_ = g_idle_add(OnConnectNotStarted, this);
@@ -128,28 +135,24 @@
   return OnConnectTimeout(data);
 }
 
-std::string HttpClientConnection::EncodeRequest() const {
-  std::string bytes;
-  bytes.reserve(512 + call_.body.size());
-  bytes += call_.method + ' ' + call_.target + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : call_.headers.fields()) {
-    bytes += name;
-    bytes += ": ";
-    bytes += value;
-    bytes += "\r\n";
+Result<std::string> HttpClientConnection::EncodeRequest() {
+  const std::string body = std::exchange(call_.body, std::string());
+  auto bytes = EncodeRequestHead(call_.method, call_.target, call_.headers);
+  if (!bytes) {
+    return bytes;
   }
   if (call_.has_body) {
-    bytes += "Content-Length: " + std::to_string(call_.body.size()) + "\r\n";
+    bytes->append("Content-Length: ")
+        .append(std::to_string(body.size()))
+        .append("\r\n");
   }
-  bytes += "\r\n";
-  bytes += call_.body;
+  bytes->append("\r\n").append(body);
   return bytes;
 }
 
 void HttpClientConnection::OnSocketConnected() {
   StopConnectTimer();
-  socket_->Write(EncodeRequest());
-  call_.body = std::string();
+  socket_->Write(std::exchange(request_, std::string()));
 }
 
 void HttpClientConnection::StartParsing() {
--- a/modules/peridotmill_http/client/http_client_connection.h
+++ b/modules/peridotmill_http/client/http_client_connection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "peridotmill_core/errors/error.h"
 #include "peridotmill_core/http/http_call.h"
 #include "peridotmill_core/time/clock.h"
 #include "peridotmill_http/sockets/stream_socket.h"
@@ -43,11 +44,13 @@
   void OnSocketEnd(SocketEnd end) override;
 
   static gboolean OnConnectTimeout(gpointer data);
-  // Reports a connection attempt that failed at once, for example because of a
-  // malformed address.
+  // Reports a call that failed at once, for example because of a malformed
+  // address.
   static gboolean OnConnectNotStarted(gpointer data);
   void StopConnectTimer();
-  std::string EncodeRequest() const;
+  // Returns the bytes of the call's request, and empties the call's body.
+  // Errors: those of EncodeRequestHead().
+  Result<std::string> EncodeRequest();
   void StartParsing();
   // Passes the body bytes of one read to the listener at once: a listener's
   // work for each piece is paid once a read, however small a server's chunks
@@ -70,6 +73,8 @@
   HttpClient* client_;
   std::unique_ptr<StreamSocket> socket_;
   HttpCall call_;
+  // The request, until the connection is established.
+  std::string request_;
   HttpCallListener* listener_ = nullptr;
   guint connect_timer_ = 0;
   http_parser parser_ = {};
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_core/http/head_encoder.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_http/server/http_server.h"
 #include "peridotmill_http/server/request_head_check.h"
@@ -249,14 +250,7 @@
                                     bool& is_chunked) {
   is_keep_alive_ = is_keep_alive_ && server_->is_keep_alive_enabled_;
   std::string bytes =
-      "HTTP/1.1 " + std::to_string(head.status) + ' ' +
-      (head.reason.empty() ? ReasonPhrase(head.status) : head.reason) + "\r\n";
-  for (const auto& [name, value] : head.headers.fields()) {
-    bytes += name;
-    bytes += ": ";
-    bytes += value;
-    bytes += "\r\n";
-  }
+      EncodeResponseHead(head.status, head.reason, head.headers);
   const bool has_length =
       head.content_length && head.status != 204 && head.status != 304;
   if (has_length) {
--- a/modules/peridotmill_http/tests/http_client_test.cc
+++ b/modules/peridotmill_http/tests/http_client_test.cc
@@ -143,6 +143,28 @@
   EXPECT_EQ(client_.counters().mismatched_responses, 1u);
 }
 
+// Guards against sending a request that another request is hidden in, on a new
+// and on a kept connection.
+TEST_F(HttpClientTest, DoesNotSendARequestWithALineBreakInAField) {
+  for (const bool is_kept : {false, true}) {
+    SCOPED_TRACE(is_kept);
+    if (is_kept) {
+      MakeCallAndRespond(0, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    }
+    HttpCall call = MakeCall();
+    call.headers.Add("X", "a\r\n\r\nPOST /hidden HTTP/1.1");
+    CollectingListener listener;
+    const auto handle = client_.Start(std::move(call), &listener);
+    ASSERT_TRUE(RunLoopUntil([&] { return listener.end.has_value(); }));
+    RunLoopFor(2ms);
+    EXPECT_EQ(listener.end, HttpCallEnd::kNotSent);
+    for (const auto& peer : server_.peers) {
+      EXPECT_EQ(peer->received, "");
+    }
+  }
+  EXPECT_EQ(client_.counters().calls_not_encodable, 2u);
+}
+
 // Guards against taking bytes that follow a complete response for the response
 // to the next call.
 TEST_F(HttpClientTest, ClosesAConnectionWithSurplusBytes) {
