--- a/modules/peridotmill_gateway/calls/stage_call.h
+++ b/modules/peridotmill_gateway/calls/stage_call.h
@@ -20,8 +20,9 @@
   size_t piece = 0;
   // Time that remains until the deadline of the item.
   Duration time_left = Duration::zero();
-  // Input: the caller's key for a stage that depends on no other stage,
-  // otherwise the results of the stages that it depends on.
+  // Input: the caller's key for a stage that depends on no other stage.
+  // Otherwise the key is empty, and the inputs are the results of the stages
+  // that it depends on; there are none if the caller omits all of these.
   std::string key;
   std::vector<ResultHandle> inputs;
 };
--- a/modules/peridotmill_gateway/stages/stage_task.h
+++ b/modules/peridotmill_gateway/stages/stage_task.h
@@ -26,6 +26,7 @@
   int64_t moved_bytes = 0;
   size_t stage = 0;
   int item_count = 0;
+  // See StageItem.
   std::string key;
   std::vector<ResultHandle> inputs;
   // Latest end of the stage with which the request meets its latency target.
