Limit the number of fields in a head

Callers would see: connections of a node that end without an answer, since the platform kills a process above its memory. Report of other operators: bytes without end fill the memory of their client.

Cause: heads were bounded by their bytes (80 KB of servers, 16 KB of callers).

Change: a head with more than 512 fields ends the call, or is rejected with 431. Trailer fields, which nobody reads, are skipped.

HttpClientTest.EndsCallsWhoseHeadsHaveTooManyFields and HttpServerTest.RejectsRequestsWithTooManyFields fail without the limits.

--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -24,10 +24,20 @@
 constexpr int kMaxSkippedResponses = 16;
 constexpr uint64_t kMaxSkippedBodyBytes = uint64_t{256} << 10;
 
+// Most fields in the head of a response. Each takes far more memory than its
+// bytes, so that the parser's limit on the size of a head is not enough.
+constexpr size_t kMaxResponseFields = 512;
+
 HttpClientConnection* ConnectionOf(http_parser* parser) {
   return static_cast<HttpClientConnection*>(parser->data);
 }
 
+// Returns whether the parser reads fields that follow the body, which are
+// discarded.
+bool IsInTrailer(const http_parser& parser) {
+  return (parser.flags & F_TRAILING) != 0;
+}
+
 // Returns whether the body has a transfer coding other than chunked, so that
 // its bytes and its end are not known.
 bool HasUnknownTransferCoding(const HeaderList& headers) {
@@ -288,17 +298,23 @@
                                         const char* data,
                                         size_t size) {
   auto* const self = ConnectionOf(parser);
+  if (IsInTrailer(*parser)) {
+    return 0;
+  }
   if (self->is_in_header_value_) {
     self->FinishHeaderField();
   }
   self->header_name_.append(data, size);
-  return 0;
+  return self->head_.headers.fields().size() >= kMaxResponseFields ? -1 : 0;
 }
 
 int HttpClientConnection::OnHeaderValue(http_parser* parser,
                                         const char* data,
                                         size_t size) {
   auto* const self = ConnectionOf(parser);
+  if (IsInTrailer(*parser)) {
+    return 0;
+  }
   self->is_in_header_value_ = true;
   self->header_value_.append(data, size);
   return 0;
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -23,6 +23,10 @@
 // idle. The first byte may have to be sent again once.
 constexpr Duration kFirstByteTimeout = std::chrono::seconds(1);
 
+// Most fields in the head of a request. Each takes far more memory than its
+// bytes, so that the limit on the size of a head is not enough.
+constexpr size_t kMaxRequestFields = 512;
+
 bool HasBareLineFeed(std::string_view text) {
   for (size_t at = text.find('\n'); at != std::string_view::npos;
        at = text.find('\n', at + 1)) {
@@ -182,6 +186,7 @@
   request_ = HttpRequest();
   is_message_complete_ = false;
   is_body_too_large_ = false;
+  has_too_many_fields_ = false;
   state_ = State::kBody;
   timeout_start_ = server_->clock_.Now();
   body_start_ = timeout_start_;
@@ -209,6 +214,11 @@
     Reject(413, "the request body is too large");
     return;
   }
+  if (has_too_many_fields_) {
+    ++server_->counters_.head_too_large;
+    Reject(431, "the request head has too many fields");
+    return;
+  }
   if (error != HPE_OK && error != HPE_PAUSED) {
     ++server_->counters_.malformed;
     Reject(400, http_errno_description(error));
@@ -311,7 +321,9 @@
     self->FinishHeader();
   }
   self->header_name_.append(data, size);
-  return 0;
+  self->has_too_many_fields_ =
+      self->request_.headers.fields().size() >= kMaxRequestFields;
+  return self->has_too_many_fields_ ? -1 : 0;
 }
 
 int HttpServerConnection::OnHeaderValue(http_parser* parser,
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -90,6 +90,7 @@
   bool is_in_header_value_ = false;
   bool is_message_complete_ = false;
   bool is_body_too_large_ = false;
+  bool has_too_many_fields_ = false;
   bool is_keep_alive_ = true;
   bool is_http_1_0_ = false;
   // Whether the first byte of a request has arrived.
--- a/modules/peridotmill_http/tests/http_client_test.cc
+++ b/modules/peridotmill_http/tests/http_client_test.cc
@@ -131,6 +131,23 @@
   EXPECT_LE(listener.body_parts, kChunks / 100);
 }
 
+// Guards against servers that fill the memory with heads of many short fields,
+// which take far more memory than their bytes.
+TEST_F(HttpClientTest, EndsCallsWhoseHeadsHaveTooManyFields) {
+  const auto respond = [&](int fields) {
+    server_.peers.clear();
+    RunLoopFor(2ms);
+    std::string bytes = "HTTP/1.1 200 OK\r\n";
+    for (int i = 0; i < fields; ++i) {
+      bytes += "a:\r\n";
+    }
+    return MakeCallAndRespond(0, bytes + "Content-Length: 0\r\n\r\n").end;
+  };
+  EXPECT_EQ(respond(400), HttpCallEnd::kComplete);
+  EXPECT_EQ(respond(600), HttpCallEnd::kNoResponse);
+  EXPECT_EQ(respond(15'000), HttpCallEnd::kNoResponse);
+}
+
 // Guards against delivering the late response of an earlier call to a later
 // call on the same connection.
 TEST_F(HttpClientTest, SkipsTheResponseOfAnotherCall) {
--- a/modules/peridotmill_http/tests/http_server_test.cc
+++ b/modules/peridotmill_http/tests/http_server_test.cc
@@ -177,6 +177,30 @@
   EXPECT_TRUE(requests_.empty());
 }
 
+// Guards against callers that fill the memory with heads of many short fields,
+// which take far more memory than their bytes.
+TEST_F(HttpServerTest, RejectsRequestsWithTooManyFields) {
+  const auto server = *HttpServer::Create({.address = "127.0.0.1:0"}, clock_,
+                                          [](const auto& exchange) {
+                                            HttpResponseHead head;
+                                            head.status = 200;
+                                            SendComplete(*exchange, head, "");
+                                          });
+  const auto send = [&](int fields) {
+    SocketPeer caller(server->port());
+    std::string bytes = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (int i = 0; i < fields; ++i) {
+      bytes += "a:\r\n";
+    }
+    caller.Send(bytes + "\r\n");
+    RunLoopUntil([&] { return caller.Has("\r\n\r\n"); });
+    return caller.received.substr(0, caller.received.find("\r\n"));
+  };
+  EXPECT_EQ(send(400), "HTTP/1.1 200 OK");
+  EXPECT_EQ(send(600), "HTTP/1.1 431 Request Header Fields Too Large");
+  EXPECT_EQ(send(3900), "HTTP/1.1 431 Request Header Fields Too Large");
+}
+
 // Guards against work that continues after its caller has disconnected.
 TEST_F(HttpServerTest, ReportsCallerDisconnect) {
   responds_immediately_ = false;
