Break off streams that send only comments

Callers would see: a stream that goes on with comments or empty lines as fast as its caller reads, until the timeout of its route.

Cause: both are complete events to the splitter, so the limit on an unfinished event did not apply. They do not count as progress, but only resumable streams end for lack of it.

Change: 256 KB without an event break a stream off, whatever they hold.

Evidence: GatewayTest.BreaksOffStreamsOfOnlyComments fails without the change.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -19,7 +19,8 @@
 // Non-stream responses up to this size are buffered and checked as a whole
 // before they are forwarded; larger ones are forwarded as they arrive.
 constexpr size_t kMaxBufferedResponseBytes = 65536;
-// A longer stream event is treated as one that never ends.
+// A longer stream event is treated as one that never ends, and so are more
+// bytes of comments and empty lines between two events.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
 // Unsent bytes for a slowly reading caller above which the gateway stops
 // reading from the endpoint.
@@ -655,7 +656,7 @@
   const uint64_t events_before = event_splitter_.event_count();
   const std::string complete_events = event_splitter_.Add(bytes);
   RecordPromptProgress(events_before);
-  if (event_splitter_.incomplete_event().size() > kMaxEventBytes) {
+  if (event_splitter_.bytes_since_event() > kMaxEventBytes) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
--- a/modules/peridotmill_gateway/streams/event_splitter.cc
+++ b/modules/peridotmill_gateway/streams/event_splitter.cc
@@ -113,7 +113,12 @@
     if (fields.id) {
       last_event_id_ = *fields.id;
     }
-    event_count_ += fields.has_fields ? 1 : 0;
+    if (fields.has_fields) {
+      ++event_count_;
+      comment_bytes_ = 0;
+    } else {
+      comment_bytes_ += end - start;
+    }
     start = end;
     search_start = end;
   }
--- a/modules/peridotmill_gateway/streams/event_splitter.h
+++ b/modules/peridotmill_gateway/streams/event_splitter.h
@@ -22,6 +22,11 @@
 
   // Bytes received after the last complete event.
   const std::string& incomplete_event() const { return incomplete_event_; }
+  // Number of bytes after the last event with a field: comments, empty lines
+  // and the incomplete event.
+  size_t bytes_since_event() const {
+    return comment_bytes_ + incomplete_event_.size();
+  }
   // Returns whether the bytes after the last complete event hold a part of
   // another one, and not only empty lines and comments.
   bool ends_inside_event() const;
@@ -33,6 +38,7 @@
   // resumed.
   void DropIncompleteEvent() {
     incomplete_event_.clear();
+    comment_bytes_ = 0;
     is_next_event_invalid_ = false;
   }
 
@@ -46,6 +52,7 @@
 
  private:
   std::string incomplete_event_;
+  size_t comment_bytes_ = 0;
   bool is_next_event_invalid_ = false;
   std::string last_event_id_;
   uint64_t event_count_ = 0;
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -240,6 +240,33 @@
   }
 }
 
+// Guards against a stream that sends comments or empty lines without end, which
+// are complete events to the splitter.
+TEST_F(GatewayTest, BreaksOffStreamsOfOnlyComments) {
+  for (const char* const line : {":\n\n", "\n\n", ": keep-alive\r\n\r\n"}) {
+    const auto caller = Send("chat");
+    const auto call = endpoint_caller_.calls.back();
+    call->listener->OnResponseHead(FakeEndpointCaller::StreamHead());
+    std::string comments;
+    while (comments.size() < 8192) {
+      comments += line;
+    }
+    size_t received_bytes = 0;
+    while (call->is_open && received_bytes < (size_t{1} << 20)) {
+      call->listener->OnResponseBody("data: a\n\n" + comments);
+      call->listener->OnResponseBody(comments);
+      received_bytes += comments.size();
+    }
+    EXPECT_TRUE(call->is_open) << "an event lies between the comments";
+    received_bytes = 0;
+    while (call->is_open && received_bytes < (size_t{1} << 20)) {
+      call->listener->OnResponseBody(comments);
+      received_bytes += comments.size();
+    }
+    EXPECT_FALSE(call->is_open) << line;
+  }
+}
+
 // Guards against unbounded buffering for a caller that does not read, and
 // against ending a stream for lack of progress while the gateway has paused it.
 TEST_F(GatewayTest, StopsReadingFromTheEndpointForASlowCaller) {
