Bound the buffered bytes of all responses together

Callers would see: connections of a node that end without an answer, since the platform kills a process above its memory.

Change: above 32 MB in the node, a request may buffer 16 KB only. Longer events break their streams off; longer sealed bodies are forwarded as they come; short answers are not concerned.

BoundsTheBufferedBytesOfAllResponsesTogether fails without the change.

--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -93,6 +93,7 @@
   void Handle(CallerRequest request, std::shared_ptr<ResponseWriter> channel);
 
   size_t open_requests() const { return requests_.size(); }
+  size_t buffered_response_bytes() const { return buffered_response_bytes_; }
   // Writes one event for each open request, with what it waits for.
   void LogOpenRequests() const;
   const GatewayCounters& counters() const { return counters_; }
@@ -133,6 +134,8 @@
   std::optional<Stop> stop_;
   GatewayCounters counters_;
   ReasonCounters reasons_;
+  // Bytes of unfinished responses and events that the requests hold back.
+  size_t buffered_response_bytes_ = 0;
   FirstEventTimes first_event_times_;
   CompletionTimes completion_times_;
   std::unordered_map<GatewayRequest*, std::unique_ptr<GatewayRequest>>
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -22,6 +22,11 @@
 // A longer stream event is treated as one that never ends, and so are more
 // bytes of comments and empty lines between two events.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
+// Response bytes that all requests of the node may buffer. Above it, each one
+// may buffer only kMinBufferedResponseBytes, since many endpoints may send
+// responses without end at the same time.
+constexpr size_t kMaxBufferedBytesOfNode = size_t{32} << 20;
+constexpr size_t kMinBufferedResponseBytes = size_t{16} << 10;
 // Unsent bytes for a slowly reading caller above which the gateway stops
 // reading from the endpoint.
 constexpr size_t kMaxUnsentResponseBytes = 65536;
@@ -122,6 +127,21 @@
 
 GatewayRequest::~GatewayRequest() = default;
 
+void GatewayRequest::CountBufferedBytes() {
+  const size_t bytes =
+      is_ended_
+          ? 0
+          : response_body_.size() + event_splitter_.incomplete_event().size();
+  gateway_->buffered_response_bytes_ += bytes - counted_buffered_bytes_;
+  counted_buffered_bytes_ = bytes;
+}
+
+size_t GatewayRequest::BufferLimit(size_t usual_limit) const {
+  return gateway_->buffered_response_bytes_ > kMaxBufferedBytesOfNode
+             ? kMinBufferedResponseBytes
+             : usual_limit;
+}
+
 void GatewayRequest::Start() {
   channel_->set_on_caller_gone([this] { OnCallerDisconnected(); });
   channel_->set_on_drained([this] { ResumeResponse(); });
@@ -491,6 +511,7 @@
   has_response_head_ = false;
   response_body_.clear();
   event_splitter_.DropIncompleteEvent();
+  CountBufferedBytes();
   resumed_after_events_.reset();
   if (IsStreamStarted()) {
     resumed_after_events_ = event_splitter_.event_count();
@@ -617,7 +638,8 @@
     return;
   }
   response_body_.append(bytes);
-  if (response_body_.size() <= kMaxBufferedResponseBytes) {
+  CountBufferedBytes();
+  if (response_body_.size() <= BufferLimit(kMaxBufferedResponseBytes)) {
     return;
   }
   if (!response_head_.is_authentic || response_head_.is_stated_not_run ||
@@ -632,6 +654,7 @@
   // aborted.
   SendResponseHead(response_head_.content_length);
   channel_->SendBody(std::exchange(response_body_, std::string()));
+  CountBufferedBytes();
   PauseResponseIfCallerIsSlow();
 }
 
@@ -656,7 +679,8 @@
   const uint64_t events_before = event_splitter_.event_count();
   const std::string complete_events = event_splitter_.Add(bytes);
   RecordPromptProgress(events_before);
-  if (event_splitter_.bytes_since_event() > kMaxEventBytes) {
+  CountBufferedBytes();
+  if (event_splitter_.bytes_since_event() > BufferLimit(kMaxEventBytes)) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
@@ -1024,6 +1048,7 @@
     return;
   }
   is_ended_ = true;
+  CountBufferedBytes();
   deadline_timer_.reset();
   progress_timer_.reset();
   permit_timer_.reset();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -107,6 +107,11 @@
   void RestartProgressTimer();
   // Stops reading from the endpoint while the caller has too many unsent bytes.
   void PauseResponseIfCallerIsSlow();
+  // Updates the share of this request in the buffered bytes of the node.
+  void CountBufferedBytes();
+  // Returns how many bytes of an unfinished response or event this request may
+  // buffer: `usual_limit`, or less while the node buffers too many.
+  size_t BufferLimit(size_t usual_limit) const;
   void ResumeResponse();
   void EndAttempt(CallOutcome verdict, AttemptOutcome outcome);
   void HandleFailedAttempt(AttemptOutcome outcome, Reason reason);
@@ -204,6 +209,8 @@
   // The request may have crashed an endpoint.
   bool is_crash_suspect_ = false;
   std::string response_body_;
+  // Part of Gateway::buffered_response_bytes_ that this request takes.
+  size_t counted_buffered_bytes_ = 0;
   EventSplitter event_splitter_;
   // Number of events received before the attempt, if it resumes the stream.
   std::optional<uint64_t> resumed_after_events_;
--- a/modules/peridotmill_gateway/tests/gateway_test.cc
+++ b/modules/peridotmill_gateway/tests/gateway_test.cc
@@ -240,6 +240,49 @@
   }
 }
 
+// Guards against many endpoints that fill the memory of the node at the same
+// time, each within the limits of one response, and against failing short
+// responses meanwhile.
+TEST_F(GatewayTest, BoundsTheBufferedBytesOfAllResponsesTogether) {
+  constexpr size_t kRequests = 400;
+  constexpr size_t kRounds = 12;
+  constexpr size_t kMaxBufferedBytes =
+      (size_t{32} << 20) + kRequests * (size_t{32} << 10);
+  const std::string part(16384, 'x');
+  for (const char* const route : {"chat", "look"}) {
+    SCOPED_TRACE(route);
+    const bool is_stream = route == std::string("chat");
+    const size_t first = endpoint_caller_.calls.size();
+    std::vector<std::shared_ptr<FakeCallerChannel>> callers;
+    for (size_t i = 0; i < kRequests; ++i) {
+      callers.push_back(Send(route));
+    }
+    ASSERT_EQ(endpoint_caller_.calls.size(), first + kRequests);
+    for (size_t i = 0; i < kRequests; ++i) {
+      EndpointResponseHead head = is_stream ? FakeEndpointCaller::StreamHead()
+                                            : FakeEndpointCaller::SuccessHead();
+      endpoint_caller_.listener(first + i).OnResponseHead(head);
+    }
+    for (size_t round = 0; round < kRounds; ++round) {
+      for (size_t i = 0; i < kRequests; ++i) {
+        const auto call = endpoint_caller_.calls[first + i];
+        if (call->is_open) {
+          call->listener->OnResponseBody(part);
+        }
+        EXPECT_LE(gateway_.buffered_response_bytes(), kMaxBufferedBytes);
+      }
+    }
+    for (size_t i = 0; i < kRequests; ++i) {
+      const auto call = endpoint_caller_.calls[first + i];
+      if (call->is_open) {
+        call->listener->OnResponseEnd(HttpCallEnd::kTruncated);
+      }
+    }
+    timers_.Advance(10s);
+    EXPECT_EQ(gateway_.buffered_response_bytes(), 0u);
+  }
+}
+
 // Guards against a stream that sends comments or empty lines without end, which
 // are complete events to the splitter.
 TEST_F(GatewayTest, BreaksOffStreamsOfOnlyComments) {
