--- a/modules/peridotmill_core/http/header_list.h
+++ b/modules/peridotmill_core/http/header_list.h
@@ -48,8 +48,8 @@
     });
   }
 
-  // Removes all fields of these names, in time that grows only slightly faster
-  // than the sum of both numbers.
+  // Removes all fields of these names. Takes O(m log n) time for m fields and n
+  // names.
   void RemoveAll(const std::set<std::string, LessIgnoringCase>& names);
 
   // Returns the value of the first field of this name, or nullopt.
--- a/modules/peridotmill_gateway/tests/decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/decisions_test.cc
@@ -244,6 +244,15 @@
   EXPECT_EQ(CheckGatewayConfig(config).size(), 7u);
 }
 
+// Guards against a team whose name ends the head of each of its requests.
+TEST(ConfigCheckTest, ReportsTeamNamesThatNoHeaderFieldCanHold) {
+  GatewayConfig config;
+  config.teams = {{TeamId("alpine treks"), {"key-1"}, std::nullopt}};
+  EXPECT_TRUE(CheckGatewayConfig(config).empty());
+  config.teams.push_back({TeamId("a\r\nX: 1"), {"key-2"}, std::nullopt});
+  EXPECT_EQ(CheckGatewayConfig(config).size(), 1u);
+}
+
 // Guards against stages that start before their inputs exist, and against
 // results that are released too early.
 TEST(StageProgressTest, FollowsTheDependencies) {
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -24,8 +24,9 @@
 constexpr int kMaxSkippedResponses = 16;
 constexpr uint64_t kMaxSkippedBodyBytes = uint64_t{256} << 10;
 
-// Most fields in the head of a response. Each takes far more memory than its
-// bytes, so that the parser's limit on the size of a head is not enough.
+// Maximum number of fields in the head of a response. Each takes far more
+// memory than its bytes, so that the parser's limit on the size of a head is
+// not enough.
 constexpr size_t kMaxResponseFields = 512;
 
 HttpClientConnection* ConnectionOf(http_parser* parser) {
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -23,8 +23,8 @@
 // idle. The first byte may have to be sent again once.
 constexpr Duration kFirstByteTimeout = std::chrono::seconds(1);
 
-// Most fields in the head of a request. Each takes far more memory than its
-// bytes, so that the limit on the size of a head is not enough.
+// Maximum number of fields in the head of a request. Each takes far more memory
+// than its bytes, so that the limit on the size of a head is not enough.
 constexpr size_t kMaxRequestFields = 512;
 
 bool HasBareLineFeed(std::string_view text) {
