Evacuate failure domains and bound requests to cold endpoints

Change: evacuations are replicated with the configuration's prefix and take their domains out of EndpointRegistry::Serving(), from which all choices are made. Cold endpoints are held off out of turn; turns are drawn by each node without messages (warm_up/). Both are switched on by the settings and the pool's configuration.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "daemons/peridotmill-gateway/settings_file.h"
@@ -33,6 +34,8 @@
 constexpr int kFinalResponseDivisor = 10;
 constexpr int kForcedExitDivisor = 32;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
+// Interval at which the number of nodes is read again until it is known.
+constexpr Duration kNodeCountCheckInterval = std::chrono::milliseconds(500);
 // Routes of a new configuration that are decoded before other work goes on.
 constexpr size_t kRoutesPerStep = 64;
 // Give each component its own seed for random choices.
@@ -67,10 +70,14 @@
           .replica_address = settings.replica_address};
 }
 
-std::array<PrefixWatcherSettings, kReplicaPartCount> WatchedPrefixes() {
+std::array<PrefixWatcherSettings, kReplicaPartCount> WatchedPrefixes(
+    const GatewaySettings& settings) {
   std::array<PrefixWatcherSettings, kReplicaPartCount> prefixes;
+  // Evacuations lie beside the configuration, so that one watch reports both.
   prefixes[static_cast<size_t>(ReplicaPart::kConfiguration)] = {
-      .prefix = std::string(platform::kConfigurationKey),
+      .prefix = std::string(settings.honors_evacuations
+                                ? platform::kOperatorPrefix
+                                : platform::kConfigurationKey),
       .watch_timeout = kConfigurationAndEndpointWatchTimeout,
       .watch_delay = kConfigurationWatchDelay};
   prefixes[static_cast<size_t>(ReplicaPart::kRegistrations)] = {
@@ -91,6 +98,14 @@
   return id;
 }
 
+// Returns the failure domain of an evacuation's key, or an empty one for other
+// keys.
+FailureDomainId EvacuatedDomainFromKey(std::string_view key) {
+  return key.starts_with(platform::kEvacuationPrefix)
+             ? FailureDomainId(key.substr(platform::kEvacuationPrefix.size()))
+             : FailureDomainId();
+}
+
 void SendText(HttpExchange& exchange, int status, std::string_view body) {
   HttpResponseHead head;
   head.status = status;
@@ -162,13 +177,14 @@
            endpoint_registry_, retry_budget_, log, settings.failure_domain,
            &prompt_quarantine_, [this] { return IsConfigurationOutdated(); }},
           ComponentSeed(settings, kGatewaySeed)),
+      evacuations_(endpoint_registry_, clock, log),
       registration_reconciler_(
           endpoint_registry_,
           timers_,
           log,
           [this] { replica_.Reload(ReplicaPart::kRegistrations); }),
       replica_({clock, timers_, store_, store_retry_queue_, log},
-               WatchedPrefixes(),
+               WatchedPrefixes(settings),
                {.on_snapshot =
                     [this](ReplicaPart part,
                            const std::vector<StoreEntry>& entries,
@@ -263,9 +279,7 @@
                                 bool was_unreachable) {
   switch (part) {
     case ReplicaPart::kConfiguration:
-      for (const StoreEntry& entry : entries) {
-        OnConfigurationEntry(entry);
-      }
+      OnOperatorSnapshot(entries);
       break;
     case ReplicaPart::kRegistrations:
       OnRegistrationSnapshot(entries, was_unreachable);
@@ -279,9 +293,7 @@
 void GatewayProcess::OnChange(ReplicaPart part, const StoreChange& change) {
   switch (part) {
     case ReplicaPart::kConfiguration:
-      if (!change.is_removed) {
-        OnConfigurationEntry(change.entry);
-      }
+      OnOperatorChange(change);
       break;
     case ReplicaPart::kRegistrations:
       OnRegistrationChange(change);
@@ -289,6 +301,7 @@
     case ReplicaPart::kNodes:
       node_directory_.Apply(change);
       replica_sources_.OnNodesChanged();
+      UpdateWarmUpBounds();
       break;
   }
 }
@@ -297,6 +310,7 @@
                                     bool was_unreachable) {
   node_directory_.Replace(entries, was_unreachable);
   replica_sources_.OnNodesChanged();
+  UpdateWarmUpBounds();
   if (was_unreachable) {
     node_reload_timer_ = timers_.After(kNodeReregistrationTime, [this] {
       replica_.Reload(ReplicaPart::kNodes);
@@ -344,6 +358,50 @@
   return is_decoding || replica_sources_.IsConfigurationOutdated();
 }
 
+void GatewayProcess::OnOperatorSnapshot(
+    const std::vector<StoreEntry>& entries) {
+  std::set<FailureDomainId> evacuated;
+  for (const StoreEntry& entry : entries) {
+    if (const FailureDomainId domain = EvacuatedDomainFromKey(entry.key);
+        !domain.empty()) {
+      evacuated.insert(domain);
+    } else {
+      OnConfigurationEntry(entry);
+    }
+  }
+  evacuations_.Replace(evacuated);
+}
+
+void GatewayProcess::OnOperatorChange(const StoreChange& change) {
+  const FailureDomainId domain = EvacuatedDomainFromKey(change.entry.key);
+  if (domain.empty()) {
+    if (!change.is_removed) {
+      OnConfigurationEntry(change.entry);
+    }
+  } else if (change.is_removed) {
+    evacuations_.End(domain);
+  } else {
+    evacuations_.Begin(domain);
+  }
+}
+
+void GatewayProcess::UpdateWarmUpBounds() {
+  warm_up_timer_.reset();
+  if (!replica_.is_loaded(ReplicaPart::kNodes) ||
+      gateway_.configuration() == nullptr) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  RecordNodeCount(node_count_, static_cast<int>(node_directory_.size()), now);
+  const int nodes = NodesToShareWith(node_count_, now);
+  endpoint_registry_.SetWarmUpBounds(MakeWarmUpBounds(
+      gateway_.configuration()->config(), nodes, settings_.node));
+  if (nodes == 0) {
+    warm_up_timer_ = timers_.After(kNodeCountCheckInterval,
+                                   [this] { UpdateWarmUpBounds(); });
+  }
+}
+
 void GatewayProcess::OnConfigurationEntry(const StoreEntry& entry) {
   if (entry.key != platform::kConfigurationKey ||
       entry.mod_revision <= configuration_store_revision_) {
@@ -382,6 +440,7 @@
               {"routes", std::to_string(route_count)}});
   if (is_adopted) {
     coordinator_.SetConfiguration(gateway_.configuration());
+    UpdateWarmUpBounds();
     caller_server_->set_limits(limits);
     // Decoding a large document leaves much freed memory in the heap.
     malloc_trim(0);
@@ -396,6 +455,7 @@
     auto registration =
         platform::DecodeRegistration(EndpointIdFromKey(entry), entry.value);
     if (registration) {
+      RecordWarmUp(*registration);
       registrations.push_back(*std::move(registration));
     } else {
       log_.Write("registration_unreadable", {{"key", entry.key}});
@@ -416,9 +476,16 @@
     registration_reconciler_.Remove(EndpointId(id));
     return;
   }
+  RecordWarmUp(*registration);
   registration_reconciler_.Put(*std::move(registration));
 }
 
+void GatewayProcess::RecordWarmUp(const EndpointRegistration& registration) {
+  RecordEndpointNotice(endpoint_registry_, log_, IncarnationOf(registration),
+                       {.warm_up_left = registration.warm_up_left},
+                       clock_.Now());
+}
+
 void GatewayProcess::CheckSettingsFile() {
   settings_timer_ =
       timers_.After(kSettingsCheckInterval, [this] { CheckSettingsFile(); });
@@ -506,51 +573,4 @@
       timers_.After(kStopCheckInterval, [this] { ContinueStopping(); });
 }
 
-std::string GatewayProcess::FormatMetrics() const {
-  std::string page;
-  const auto add = [&](const std::string& name, uint64_t value) {
-    page += "peridotmill_" + name + " " + std::to_string(value) + "\n";
-  };
-  const GatewayCounters& counters = gateway_.counters();
-  add("requests_total", counters.requests);
-  add("requests_answered_total", counters.answered);
-  add("requests_denied_total", counters.denied);
-  add("requests_refused_total", counters.refused);
-  add("requests_failed_total", counters.failed);
-  add("requests_cut_total", counters.cut);
-  add("requests_caller_gone_total", counters.caller_gone);
-  add("repeats_total", counters.repeats);
-  add("streams_resumed_total", counters.resumed_streams);
-  add("open_requests", gateway_.open_requests());
-  add("stage_tasks", coordinator_.task_count());
-  add("stage_requests_waiting", coordinator_.waiting_request_count());
-  add("stage_requests_started", coordinator_.started_request_count());
-  add("stage_tasks_reassigned_total", stage_relay_.reassigned_task_count());
-  const PromptQuarantineCounters& quarantine = prompt_quarantine_.counters();
-  add("prompt_crashes_suspected_total", quarantine.suspected_crashes);
-  add("prompt_parts_quarantined_total", quarantine.quarantined_parts);
-  add("prompt_parts_cleared_total", quarantine.cleared_parts);
-  add("prompt_parts_probed_total", quarantine.probes);
-  add("nodes", node_directory_.size());
-  add("store_watching", replica_.is_watching() ? 1 : 0);
-  add("replica_sources", replica_sources_.source_count());
-  add("replica_subscribers", replica_service_.subscriber_count());
-  add("replica_frames_malformed_total",
-      replica_service_.malformed_frame_count());
-  add("endpoints", endpoint_registry_.size());
-  add("endpoints_limited", endpoint_registry_.LimitedEndpoints().size());
-  add("caller_connections", caller_server_->connection_count());
-  add("callers_malformed_total", caller_server_->counters().malformed);
-  add("callers_timed_out_total", caller_server_->counters().timed_out);
-  add("connections_opened_total", http_client_.counters().connections_opened);
-  add("connections_reused_total", http_client_.counters().connections_reused);
-  add("foreign_answers_total", http_client_.counters().mismatched_responses);
-  add("log_lines_dropped_total", log_.dropped());
-  for (const ReasonInfo& info : AllReasons()) {
-    add("reasons_total{reason=\"" + std::string(info.name) + "\"}",
-        gateway_.reasons().Get(info.reason));
-  }
-  return page;
-}
-
 }  // namespace peridotmill
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -55,6 +55,12 @@
                   const std::vector<StoreEntry>& entries,
                   bool was_unreachable);
   void OnChange(ReplicaPart part, const StoreChange& change);
+  // Handle what the operators write: the configuration and evacuations.
+  void OnOperatorSnapshot(const std::vector<StoreEntry>& entries);
+  void OnOperatorChange(const StoreChange& change);
+  // Shares the requests to warming endpoints among the registered nodes.
+  void UpdateWarmUpBounds();
+  void RecordWarmUp(const EndpointRegistration& registration);
   // Returns whether there is a newer configuration that is not in force yet.
   bool IsConfigurationOutdated() const;
   void OnConfigurationEntry(const StoreEntry& entry);
@@ -75,6 +81,7 @@
   void ContinueStopping();
   // Returns whether neither callers nor other nodes have work here.
   bool IsUnused() const;
+  // Defined in gateway_metrics.cc.
   std::string FormatMetrics() const;
 
   GatewaySettings settings_;
@@ -106,6 +113,9 @@
   PermitClient permit_client_;
   NodeRegistration node_registration_;
   Gateway gateway_;
+  DomainEvacuations evacuations_;
+  NodeCount node_count_;
+  std::unique_ptr<Timer> warm_up_timer_;
   RegistrationReconciler registration_reconciler_;
   StoreReplica replica_;
   ReplicaService replica_service_;
--- a/modules/peridotmill_gateway/configuration/gateway_config.h
+++ b/modules/peridotmill_gateway/configuration/gateway_config.h
@@ -95,12 +95,20 @@
   Duration result_retention = std::chrono::seconds(4);
 };
 
+// What the endpoints of a pool tolerate while they warm up after their start.
+struct WarmUpDefinition {
+  Duration duration = Duration::zero();
+  // From all nodes together, at each endpoint.
+  double requests_per_second = 0;
+};
+
 struct PoolDefinition {
   PoolId id;
   std::string health_path;
   int max_connections = 0;
   std::optional<EnginePoolDefinition> engines;
   std::optional<StagePoolDefinition> stage;
+  std::optional<WarmUpDefinition> warm_up;
 };
 
 struct TeamDefinition {
--- a/modules/peridotmill_gateway/peridotmill_gateway.h
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -13,6 +13,7 @@
 
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/configuration/config_check.h"
+#include "peridotmill_gateway/evacuation/domain_evacuations.h"
 #include "peridotmill_gateway/limits/permit_buckets.h"
 #include "peridotmill_gateway/limits/permit_client.h"
 #include "peridotmill_gateway/peers/node_directory.h"
@@ -30,5 +31,6 @@
 #include "peridotmill_gateway/stages/stage_coordinator.h"
 #include "peridotmill_gateway/store/prefix_watcher.h"
 #include "peridotmill_gateway/store/registration_reconciler.h"
+#include "peridotmill_gateway/warm_up/warm_up_bounds.h"
 
 #endif  // PERIDOTMILL_GATEWAY_PERIDOTMILL_GATEWAY_H_
--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -120,7 +120,8 @@
   bool is_best_unresponsive = false;
   double best_cost_tokens = 0;
   for (const EndpointPtr& endpoint : serving) {
-    if (IsHeldOff(*endpoint, now)) {
+    // The node that calls a warming engine has to check its own turn.
+    if (IsHeldOff(*endpoint, now) || IsWarmingUp(endpoint->warm_up, now)) {
       continue;
     }
     const EngineState& engine = GetEngineState(placements, *endpoint);
--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -56,12 +56,12 @@
 };
 
 // Returns the engine for a prompt without recording it there, or null if
-// `serving` is empty or all engines are held off. Handles pools whose engines
-// are a quarter used while single engines have a queue of long prompts: an
-// engine that caches a shared prefix is chosen unless prefilling the prefix
-// again elsewhere takes less time than its queue. An unresponsive engine gets
-// no more prompts while other engines are left. Called at admission, the result
-// says where the stages should run.
+// `serving` is empty or all engines are held off or warming up. Handles pools
+// whose engines are a quarter used while single engines have a queue of long
+// prompts: an engine that caches a shared prefix is chosen unless prefilling
+// the prefix again elsewhere takes less time than its queue. An unresponsive
+// engine gets no more prompts while other engines are left. Called at
+// admission, the result says where the stages should run.
 EndpointPtr PreviewEngine(PromptPlacements& placements,
                           const std::vector<EndpointPtr>& serving,
                           const PromptDemand& prompt,
--- a/modules/peridotmill_gateway/registry/endpoint_notice.h
+++ b/modules/peridotmill_gateway/registry/endpoint_notice.h
@@ -20,6 +20,8 @@
   bool is_from_endpoint = false;
   // What the endpoint accepts from all nodes together.
   std::optional<RequestRate> limit;
+  // How much longer the endpoint stays cold, if it says so.
+  std::optional<Duration> warm_up_left;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
 
 namespace peridotmill {
@@ -58,8 +59,15 @@
       endpoint->held_off_until = notices->second.held_off_until;
       endpoint->limit = notices->second.limit;
       endpoint->limit_observed_at = notices->second.limit_observed_at;
+      endpoint->warm_up.end = notices->second.warm_up_end;
     }
   }
+  endpoint->warm_up.pool = WarmUpOf(pool);
+  endpoint->warm_up.pool->last_end =
+      std::max(endpoint->warm_up.pool->last_end, endpoint->warm_up.end);
+  endpoint->warm_up.endpoint_seed =
+      Hash64(registration.id.value(),
+             static_cast<uint64_t>(registration.started_at_ms));
   Domain(registration.failure_domain);
   endpoint->domain = domains_.at(registration.failure_domain);
   endpoint->registration = std::move(registration);
@@ -112,6 +120,9 @@
   if (notice.is_from_endpoint || notice.limit) {
     news.is_limit_changed = SetLimit(endpoint, notice.limit, now, now);
   }
+  if (notice.warm_up_left) {
+    news.is_cold = RecordWarmUp(endpoint, *notice.warm_up_left, now);
+  }
   if (!notice.is_leaving && !notice.hold_off) {
     return news;
   }
@@ -275,12 +286,111 @@
   serving.clear();
   for (const auto& [id, endpoint] : by_id_) {
     if (endpoint->registration.pool == pool &&
-        !endpoint->registration.is_draining && !endpoint->is_leaving) {
+        !endpoint->registration.is_draining && !endpoint->is_leaving &&
+        !evacuated_domains_.contains(endpoint->registration.failure_domain)) {
       serving.push_back(endpoint);
     }
   }
 }
 
+void EndpointRegistry::RebuildAllServing() {
+  for (const auto& [pool, endpoints] : serving_) {
+    RebuildServing(pool);
+  }
+}
+
+void EndpointRegistry::BeginEvacuation(const FailureDomainId& domain) {
+  evacuated_domains_.insert(domain);
+  RebuildAllServing();
+}
+
+void EndpointRegistry::EndEvacuation(const FailureDomainId& domain,
+                                     TimePoint now) {
+  evacuated_domains_.erase(domain);
+  for (const auto& [id, endpoint] : by_id_) {
+    const PoolWarmUp& pool = *endpoint->warm_up.pool;
+    if (endpoint->registration.failure_domain == domain &&
+        pool.requests_per_second > 0) {
+      RecordWarmUp(IncarnationOf(endpoint->registration), pool.duration, now);
+    }
+  }
+  RebuildAllServing();
+}
+
+bool EndpointRegistry::IsEvacuated(const EndpointIncarnation& endpoint) const {
+  if (evacuated_domains_.empty()) {
+    return false;
+  }
+  const EndpointPtr registered = Find(endpoint);
+  return registered == nullptr ||
+         evacuated_domains_.contains(registered->registration.failure_domain);
+}
+
+const std::shared_ptr<PoolWarmUp>& EndpointRegistry::WarmUpOf(
+    const PoolId& pool) {
+  std::shared_ptr<PoolWarmUp>& warm_up = warm_ups_[pool];
+  if (warm_up == nullptr) {
+    warm_up = std::make_shared<PoolWarmUp>();
+  }
+  return warm_up;
+}
+
+void EndpointRegistry::SetWarmUpBounds(
+    const std::map<PoolId, PoolWarmUp>& bounds) {
+  for (const auto& [pool, warm_up] : warm_ups_) {
+    if (!bounds.contains(pool)) {
+      warm_up->requests_per_second = 0;
+    }
+  }
+  for (const auto& [pool, bound] : bounds) {
+    PoolWarmUp& warm_up = *WarmUpOf(pool);
+    warm_up.requests_per_second = bound.requests_per_second;
+    warm_up.duration = bound.duration;
+    warm_up.callers = bound.callers;
+    warm_up.node_seed = bound.node_seed;
+  }
+}
+
+bool EndpointRegistry::RecordWarmUp(const EndpointIncarnation& endpoint,
+                                    Duration left,
+                                    TimePoint now) {
+  if (left <= Duration::zero()) {
+    return false;
+  }
+  RecordedNotices& notices = FindOrAddNotices(endpoint, now);
+  notices.updated_at = now;
+  const bool was_warm = notices.warm_up_end <= now;
+  notices.warm_up_end = std::max(notices.warm_up_end, now + left);
+  if (const EndpointPtr registered = Find(endpoint)) {
+    registered->warm_up.end = notices.warm_up_end;
+    TimePoint& last_end = registered->warm_up.pool->last_end;
+    last_end = std::max(last_end, notices.warm_up_end);
+  }
+  return was_warm;
+}
+
+bool EndpointRegistry::HasWarmingEndpoints(const PoolId& pool,
+                                           TimePoint now) const {
+  const auto found = warm_ups_.find(pool);
+  return found != warm_ups_.end() && found->second->last_end > now &&
+         found->second->requests_per_second > 0;
+}
+
+size_t EndpointRegistry::CountWarmingEndpoints(TimePoint now) const {
+  return static_cast<size_t>(
+      std::count_if(by_id_.begin(), by_id_.end(), [now](const auto& entry) {
+        return IsWarmingUp(entry.second->warm_up, now);
+      }));
+}
+
+uint64_t EndpointRegistry::warm_up_call_count() const {
+  uint64_t calls = 0;
+  for (const auto& [pool, warm_up] : warm_ups_) {
+    calls += warm_up->calls;
+  }
+  return calls;
+}
+
 void RecordEndpointNotice(EndpointRegistry& registry,
                           EventSink& events,
                           const EndpointIncarnation& endpoint,
@@ -290,6 +400,13 @@
   if (news.is_leaving) {
     events.Write("endpoint_leaving", {{"endpoint", endpoint.id.value()}});
   }
+  if (news.is_cold) {
+    events.Write(
+        "endpoint_cold",
+        {{"endpoint", endpoint.id.value()},
+         {"ms",
+          std::to_string(std::lround(ToMilliseconds(*notice.warm_up_left)))}});
+  }
   if (news.is_limit_changed) {
     events.Write(
         "endpoint_limit",
@@ -307,7 +424,8 @@
 
 bool IsHeldOff(const Endpoint& endpoint, TimePoint now) {
   return endpoint.held_off_until > now ||
-         (endpoint.limit && CountPermits(endpoint, now) == 0);
+         (endpoint.limit && CountPermits(endpoint, now) == 0) ||
+         !AllowsCall(endpoint.warm_up, now);
 }
 
 int CountPermits(const Endpoint& endpoint, TimePoint now) {
@@ -335,6 +453,7 @@
     if (endpoint->limit) {
       end = std::max({end, endpoint->next_permit_at, now + kMinPermitWait});
     }
+    end = std::max(end, NextAllowedCall(endpoint->warm_up, now));
     first_end = std::min(first_end.value_or(end), end);
   }
   return first_end;
@@ -350,6 +469,7 @@
     }
     ++endpoint.permits_taken;
   }
+  RecordWarmUpCall(endpoint.warm_up, now);
   ++endpoint.open_calls;
   endpoint.unanswered_since.push_back(now);
   RecordDomainCall(*endpoint.domain, now);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -15,6 +16,7 @@
 #include "peridotmill_gateway/registry/domain_health.h"
 #include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
+#include "peridotmill_gateway/warm_up/warm_up.h"
 
 namespace peridotmill {
 
@@ -68,6 +70,8 @@
   TimePoint next_permit_at;
   // Calls that took permits since more were requested.
   int permits_taken = 0;
+  // Bounds the calls of all nodes together while the endpoint is cold.
+  WarmUp warm_up;
   // Whether the registration was removed or replaced. The object remains in use
   // while calls to the endpoint are in flight.
   bool is_removed = false;
@@ -94,6 +98,8 @@
   // The endpoint names a limit that it did not name before, another one, or
   // none any more.
   bool is_limit_changed = false;
+  // The endpoint has become cold, or again.
+  bool is_cold = false;
 };
 
 // The registered endpoints, by pool.
@@ -106,8 +112,8 @@
   // Inserts or replaces these registrations and removes all others.
   void ReplaceAll(std::vector<EndpointRegistration> registrations);
 
-  // Returns the endpoints of a pool that accept new work, in order of their
-  // ids.
+  // Returns the endpoints of a pool that accept new work and are in no
+  // evacuated failure domain, in order of their ids.
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
 
@@ -143,6 +149,30 @@
     on_permits_needed_ = std::move(callback);
   }
 
+  // Sends nothing more to the endpoints of a failure domain, registered now or
+  // later, until the evacuation ends. Then those in pools with a bound on
+  // warm-ups count as cold for the pool's warm-up time.
+  void BeginEvacuation(const FailureDomainId& domain);
+  void EndEvacuation(const FailureDomainId& domain, TimePoint now);
+  // Returns whether the endpoint is in an evacuated failure domain. Returns
+  // true for one that is not registered while any domain is evacuated.
+  bool IsEvacuated(const EndpointIncarnation& endpoint) const;
+
+  // Sets the bounds on requests to warming endpoints, by pool. Pools that are
+  // not in `bounds` have none.
+  void SetWarmUpBounds(const std::map<PoolId, PoolWarmUp>& bounds);
+  // Records that a process of an endpoint stays cold for `left`, whether it is
+  // registered yet or not. An earlier and longer statement stays in force.
+  // Returns whether the endpoint was warm before.
+  bool RecordWarmUp(const EndpointIncarnation& endpoint,
+                    Duration left,
+                    TimePoint now);
+  // Returns whether an endpoint of the pool may be warming up.
+  bool HasWarmingEndpoints(const PoolId& pool, TimePoint now) const;
+  size_t CountWarmingEndpoints(TimePoint now) const;
+  // Calls to endpoints that were warming up.
+  uint64_t warm_up_call_count() const;
+
   // Ejects an endpoint temporarily. Called when another node has reported that
   // it could not connect to it.
   void EjectReportedEndpoint(const EndpointId& id, TimePoint now);
@@ -161,10 +191,15 @@
     TimePoint limit_observed_at;
     // When a response last named a limit.
     TimePoint limit_named_at;
+    // The endpoint is cold until then.
+    TimePoint warm_up_end;
     TimePoint updated_at;
   };
 
   void RebuildServing(const PoolId& pool);
+  void RebuildAllServing();
+  // Returns the bound of a pool; adds one that bounds nothing if there is none.
+  const std::shared_ptr<PoolWarmUp>& WarmUpOf(const PoolId& pool);
   // Returns whether the limit differs from the recorded one.
   bool SetLimit(const EndpointIncarnation& endpoint,
                 std::optional<RequestRate> limit,
@@ -177,6 +212,8 @@
   std::map<EndpointIncarnation, RecordedNotices> notices_;
   std::unordered_map<PoolId, std::vector<EndpointPtr>> serving_;
   std::map<FailureDomainId, std::shared_ptr<DomainHealth>> domains_;
+  std::set<FailureDomainId> evacuated_domains_;
+  std::map<PoolId, std::shared_ptr<PoolWarmUp>> warm_ups_;
   std::unordered_map<PoolId, TimePoint> last_demand_;
   std::function<void()> on_permits_needed_;
 };
@@ -188,13 +225,14 @@
                           const EndpointNotice& notice,
                           TimePoint now);
 
-// Returns whether the endpoint has asked for no work at this time, or has named
-// a limit and this node has no permit to call it.
+// Returns whether the endpoint has asked for no work at this time, has named a
+// limit and this node has no permit to call it, or is warming up and it is not
+// this node's turn to call it.
 bool IsHeldOff(const Endpoint& endpoint, TimePoint now);
 // Returns the number of permits that have not expired.
 int CountPermits(const Endpoint& endpoint, TimePoint now);
 // Returns whether all of these endpoints are held off, and one of them only for
-// lack of a permit.
+// lack of a permit or of a turn.
 bool AwaitsPermit(const std::vector<EndpointPtr>& serving, TimePoint now);
 // Returns the time at which the first of these endpoints accepts work again if
 // all of them are held off; otherwise, or if there are none, returns nothing.
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -62,6 +62,8 @@
   // Attempts that were charged to the retry budget.
   uint64_t repeats = 0;
   uint64_t resumed_streams = 0;
+  // Attempts that went to a warm endpoint while others of the pool were cold.
+  uint64_t passed_warming = 0;
 };
 
 // Forwards callers' requests to endpoints according to the routes of the active
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -519,6 +519,10 @@
   is_paused_ = false;
   attempt_started_at_ = now;
   events_before_attempt_ = event_splitter_.event_count();
+  if (context_.endpoints.HasWarmingEndpoints(pool_, now) &&
+      !IsWarmingUp(endpoint_->warm_up, now)) {
+    ++gateway_->counters_.passed_warming;
+  }
   BeginCall(*endpoint_, now);
   call_ = context_.endpoint_caller.Start(call, this);
   context_.events.Write(
--- a/modules/peridotmill_gateway/settings/gateway_settings.h
+++ b/modules/peridotmill_gateway/settings/gateway_settings.h
@@ -33,6 +33,8 @@
   // Time between the signal to stop and the moment when the host kills the
   // process.
   Duration stop_grace = std::chrono::seconds(8);
+  // Whether operators may ask to evacuate failure domains.
+  bool honors_evacuations = false;
   // Limits of the node's retry budgets.
   PoolRetryBudgetSettings repeats;
 };
