Count nodes that were known until now, and bound turns at any rate

Cause: NodeCount remembered when the largest number was first or last reported, not until when it held. A rate of 1e12 in a configuration made turns of 0 ns, a division by zero; one of 1e9, a search of 1e9 turns while the number of nodes is not known.

Change: RecordNodeCount dates the number that held until now. A turn takes 1 ms or more; without a known number of nodes no turn is searched.

--- a/modules/peridotmill_gateway/warm_up/warm_up.cc
+++ b/modules/peridotmill_gateway/warm_up/warm_up.cc
@@ -37,6 +37,9 @@
     return now;
   }
   const WarmUpTurns turns = MakeTurns(warm_up);
+  if (turns.callers <= 0) {
+    return warm_up.end;
+  }
   for (int64_t turn = TurnAt(turns, now) + 1;
        TurnStart(turns, turn) < warm_up.end; ++turn) {
     if (IsUsable(warm_up, turns, turn)) {
--- a/modules/peridotmill_gateway/warm_up/warm_up_bounds.cc
+++ b/modules/peridotmill_gateway/warm_up/warm_up_bounds.cc
@@ -20,10 +20,15 @@
   if (count.known_since == TimePoint()) {
     count.known_since = now;
   }
+  if (count.latest == count.largest) {
+    // That many were registered until now.
+    count.largest_at = now;
+  }
   if (nodes >= count.largest || now - count.largest_at > kNodeCountMemory) {
     count.largest = nodes;
     count.largest_at = now;
   }
+  count.latest = nodes;
 }
 
 int NodesToShareWith(const NodeCount& count, TimePoint now) {
--- a/modules/peridotmill_gateway/warm_up/warm_up_bounds.h
+++ b/modules/peridotmill_gateway/warm_up/warm_up_bounds.h
@@ -14,7 +14,10 @@
 // Registrations of live nodes may be missing for a while, after an outage or to
 // a node that is cut off, so the number that was known lately counts.
 struct NodeCount {
+  // Registered at the last change.
+  int latest = 0;
   int largest = 0;
+  // When `largest` nodes were registered for the last time.
   TimePoint largest_at;
   // When a number was known for the first time.
   TimePoint known_since;
--- a/modules/peridotmill_gateway/warm_up/warm_up_turns.cc
+++ b/modules/peridotmill_gateway/warm_up/warm_up_turns.cc
@@ -1,5 +1,6 @@
 #include "peridotmill_gateway/warm_up/warm_up_turns.h"
 
+#include <algorithm>
 #include <string_view>
 
 #include "peridotmill_core/hashing/hashing.h"
@@ -11,10 +12,13 @@
 // Share of the tolerated rate that all callers together use on average.
 constexpr double kUsedShare = 1.0 / 3;
 constexpr double kMillisecondsPerSecond = 1000;
+// Shorter turns would bound nothing that a pool's endpoints can be sent.
+constexpr Duration kMinTurnLength = std::chrono::milliseconds(1);
 
 Duration TurnLength(const WarmUpTurns& turns) {
-  return FromMilliseconds(kMillisecondsPerSecond /
-                          (kUsedShare * turns.requests_per_second));
+  return std::max(kMinTurnLength,
+                  FromMilliseconds(kMillisecondsPerSecond /
+                                   (kUsedShare * turns.requests_per_second)));
 }
 
 // Shifts the turns of each caller, so that those of hosts with equal clocks do
