--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -23,6 +23,13 @@
          entry.value.size() > kMaxRegistrationValueBytes;
 }
 
+bool HasEntryAfter(const PrefixState& state, int64_t revision) {
+  return std::any_of(state.entries.begin(), state.entries.end(),
+                     [revision](const auto& entry) {
+                       return entry.second.mod_revision > revision;
+                     });
+}
+
 }  // namespace
 
 StoreReplica::StoreReplica(
@@ -174,7 +181,12 @@
   }
   // The consumer needs a snapshot without changes as well: it ends the grace
   // period in which entries with expired leases are kept.
-  consumer_.on_snapshot(part, entries, was_unreachable);
+  if (HasEntryAfter(state(part), revision)) {
+    // The copy has kept what is newer than the snapshot.
+    consumer_.on_snapshot(part, CopyEntries(state(part)), was_unreachable);
+  } else {
+    consumer_.on_snapshot(part, entries, was_unreachable);
+  }
   // Only new changes are forwarded. Nodes subscribe to one another, and would
   // otherwise forward the same snapshot forever.
   if (is_first_snapshot) {
--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -36,9 +36,21 @@
     entries_.erase(key);
     ++revision_;
   }
+  // Removes a key and reports that to watches.
+  void Remove(const std::string& key) {
+    entries_.erase(key);
+    StoreChange removal = {.is_removed = true};
+    removal.entry.key = key;
+    removal.entry.mod_revision = ++revision_;
+    history_.push_back(removal);
+    CompleteWatchesWithChanges();
+  }
+  // Makes all later responses take this time.
+  void SetResponseTime(Duration time) { response_time_ = time; }
   void SetUnavailable(bool is_unavailable) { is_unavailable_ = is_unavailable; }
   // Leaves all later calls of this node without a response.
   void Disconnect(const std::string& node) { disconnected_nodes_.insert(node); }
+  void Reconnect(const std::string& node) { disconnected_nodes_.erase(node); }
   // Stops reporting changes to the watches that are waiting now.
   void StallOpenWatches() {
     for (const auto& watch : watches_) {
@@ -101,15 +113,13 @@
   }
   void CompleteWatch(const std::shared_ptr<Watch>& watch,
                      const StoreChanges& changes) {
-    watch->timer = timers_.After(kResponseTime, [watch, changes] {
+    watch->timer = timers_.After(response_time_, [watch, changes] {
       if (const auto callback = std::exchange(watch->callback, nullptr)) {
         callback(changes);
       }
     });
   }
 
-  static constexpr Duration kResponseTime = std::chrono::milliseconds(4);
-
   TimerQueue& timers_;
   std::map<std::string, StoreEntry> entries_;
   std::vector<StoreChange> history_;
@@ -118,6 +128,7 @@
   int64_t revision_ = 0;
   int64_t history_start_ = 0;
   bool is_unavailable_ = false;
+  Duration response_time_ = std::chrono::milliseconds(4);
   int read_and_watch_calls_ = 0;
 };
 
@@ -232,7 +243,7 @@
       std::function<Response()> make_response) {
     const bool is_reachable = store_.IsReachableFrom(node_);
     return std::make_unique<PendingResponse>(timers_.After(
-        is_reachable ? MemoryStore::kResponseTime : kCallTimeout,
+        is_reachable ? store_.response_time_ : kCallTimeout,
         [is_reachable, callback = std::move(callback),
          make_response = std::move(make_response)] {
           callback(is_reachable ? make_response() : NoResponse<Response>());
--- a/modules/peridotmill_gateway/tests/replica_node.h
+++ b/modules/peridotmill_gateway/tests/replica_node.h
@@ -3,6 +3,7 @@
 
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "peridotmill_core/hashing/hashing.h"
@@ -89,6 +90,10 @@
   // The configuration and the endpoints as this node sees them.
   std::string configuration;
   std::set<std::string> endpoints;
+  // The failure domains that this node believes to be evacuated: those of the
+  // keys that begin with kEvacuationKeyPrefix.
+  std::set<std::string> evacuated;
+  static constexpr std::string_view kEvacuationKeyPrefix = "config-evacuate/";
   // Number of configurations that arrived after a later one.
   int reverts = 0;
   // Number of registration snapshots marked as following an outage.
@@ -117,8 +122,9 @@
         endpoints.insert(entry.key);
       }
     } else {
+      evacuated.clear();
       for (const StoreEntry& entry : entries) {
-        SetConfiguration(entry.value);
+        SetOperatorEntry({.entry = entry});
       }
     }
   }
@@ -133,7 +139,17 @@
         endpoints.insert(change.entry.key);
       }
     } else {
+      SetOperatorEntry(change);
+    }
+  }
+  void SetOperatorEntry(const StoreChange& change) {
+    const std::string& key = change.entry.key;
+    if (!key.starts_with(kEvacuationKeyPrefix)) {
       SetConfiguration(change.entry.value);
+    } else if (change.is_removed) {
+      evacuated.erase(key.substr(kEvacuationKeyPrefix.size()));
+    } else {
+      evacuated.insert(key.substr(kEvacuationKeyPrefix.size()));
     }
   }
   void SetConfiguration(const std::string& value) {
