--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -4,6 +4,7 @@
 
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
+#include "peridotmill_gateway/placement/stream_stalls.h"
 
 namespace peridotmill {
 namespace {
@@ -29,6 +30,16 @@
 // Share of an engine's KV cache that is assumed to hold shared prefixes; the
 // rest holds running requests.
 constexpr double kPrefixCacheShare = 0.5;
+// Time in which half of the streams of short answers end.
+constexpr Duration kStreamHalfLife = std::chrono::milliseconds(700);
+// Cost of a stream that pauses for too long: as much as prefilling a long
+// prompt, since its caller is not served on time.
+constexpr double kStalledStreamCostTokens = 20'000;
+// Weight of one response in the moving average of the prefill rate, and the
+// fewest tokens from which a rate can be told.
+constexpr double kPrefillRateWeight = 0.02;
+constexpr double kMinRateSampleTokens = 3'000;
+constexpr double kMaxPrefillTokensPerMs = 1'000;
 
 // Returns the state of an engine, which is reset if the engine has restarted.
 EngineState& GetEngineState(PromptPlacements& placements,
@@ -82,6 +93,30 @@
   }
 }
 
+double DecayedOpenStreams(const EngineState& engine, TimePoint now) {
+  return engine.open_streams *
+         ExponentialDecay(now - engine.streams_updated_at, kStreamHalfLife);
+}
+
+// Returns the cost of the streams that the prompt would stall at an engine.
+double StallCostTokens(const PromptPlacements& placements,
+                       const EngineState& engine,
+                       double tokens_to_prefill,
+                       Duration max_pause,
+                       TimePoint now) {
+  if (placements.prefill_tokens_per_ms <= 0) {
+    return 0;
+  }
+  return kStalledStreamCostTokens *
+         PredictStalledStreams(
+             {.pending_tokens = engine.pending_prefill_tokens,
+              .pending_prompts = static_cast<double>(engine.pending_prompts),
+              .open_streams = DecayedOpenStreams(engine, now),
+              .new_tokens = tokens_to_prefill,
+              .tokens_per_ms = placements.prefill_tokens_per_ms},
+             max_pause);
+}
+
 // Returns the engines that have not responded to a prompt for longer than its
 // prefill can take.
 std::unordered_map<EndpointId, bool> FindUnresponsiveEngines(
@@ -145,6 +180,11 @@
     if (endpoint->registration.id == data.intended_engine) {
       cost_tokens -= kIntendedEngineDiscountTokens;
     }
+    if (data.max_pause) {
+      cost_tokens +=
+          StallCostTokens(placements, engine, TokensToPrefill(engine, prompt),
+                          *data.max_pause, now);
+    }
     if (best == nullptr || (is_best_unresponsive && !is_unresponsive) ||
         (is_best_unresponsive == is_unresponsive &&
          cost_tokens < best_cost_tokens)) {
@@ -170,8 +210,10 @@
   }
   EngineState& engine = GetEngineState(placements, *best);
   const double pending_tokens = TokensToPrefill(engine, prompt);
-  placements.placed[request] = {best->registration.id, pending_tokens, now};
   engine.pending_prefill_tokens += pending_tokens;
+  ++engine.pending_prompts;
+  placements.placed[request] = {best->registration.id, pending_tokens,
+                                engine.pending_prefill_tokens, now};
   engine.recent_prefill_tokens =
       DecayedRecentPrefillTokens(engine, now) + pending_tokens;
   engine.recent_updated_at = now;
@@ -188,6 +230,31 @@
   return best;
 }
 
+void RecordPromptResponse(PromptPlacements& placements,
+                          const RequestId& request,
+                          TimePoint now) {
+  const auto placed = placements.placed.find(request);
+  if (placed == placements.placed.end()) {
+    return;
+  }
+  const auto engine = placements.engines.find(placed->second.engine);
+  if (engine != placements.engines.end()) {
+    engine->second.open_streams = DecayedOpenStreams(engine->second, now) + 1;
+    engine->second.streams_updated_at = now;
+  }
+  const double elapsed_ms = ToMilliseconds(now - placed->second.placed);
+  if (placed->second.tokens_until_response >= kMinRateSampleTokens &&
+      elapsed_ms > 0) {
+    const double rate =
+        std::clamp(placed->second.tokens_until_response / elapsed_ms,
+                   kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
+    double& average = placements.prefill_tokens_per_ms;
+    average = average == 0 ? rate
+                           : average + kPrefillRateWeight * (rate - average);
+  }
+  RemovePrompt(placements, request);
+}
+
 void RemovePrompt(PromptPlacements& placements, const RequestId& request) {
   const auto placed = placements.placed.find(request);
   if (placed == placements.placed.end()) {
@@ -198,6 +265,8 @@
     engine->second.pending_prefill_tokens =
         std::max(0.0, engine->second.pending_prefill_tokens -
                           placed->second.pending_prefill_tokens);
+    engine->second.pending_prompts =
+        std::max(0, engine->second.pending_prompts - 1);
   }
   placements.placed.erase(placed);
 }
--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -2,6 +2,7 @@
 #define PERIDOTMILL_GATEWAY_PLACEMENT_PROMPT_PLACEMENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +22,11 @@
   // Tokens of recently placed prompts; decays with kRecentPrefillHalfLife.
   double recent_prefill_tokens = 0;
   TimePoint recent_updated_at;
+  // Placed prompts whose engine has not responded yet.
+  int pending_prompts = 0;
+  // Streams that the engine has begun to write; decays with kStreamHalfLife.
+  double open_streams = 0;
+  TimePoint streams_updated_at;
   // A prefix that is assumed to be in the KV cache: the time at which a prompt
   // with this prefix was placed last, and the tokens of the prefix.
   struct CachedPrefix {
@@ -36,6 +42,9 @@
 struct PlacedPrompt {
   EndpointId engine;
   double pending_prefill_tokens = 0;
+  // All tokens that the engine had to prefill until its response, those of
+  // earlier prompts included.
+  double tokens_until_response = 0;
   TimePoint placed;
 };
 
@@ -43,6 +52,9 @@
 struct PromptPlacements {
   std::unordered_map<EndpointId, EngineState> engines;
   std::unordered_map<RequestId, PlacedPrompt> placed;
+  // Moving average of the rate at which engines prefill; 0 until the first
+  // response.
+  double prefill_tokens_per_ms = 0;
 };
 
 // What an engine has to fetch for a prompt.
@@ -53,6 +65,8 @@
   int64_t bytes = 0;
   // Engine that was intended when the request was admitted; may be empty.
   EndpointId intended_engine;
+  // Longest pause of a stream that is still on time, if there is a limit.
+  std::optional<Duration> max_pause;
 };
 
 // Returns the engine for a prompt without recording it there, or null if
@@ -79,8 +93,13 @@
                         int64_t memory_tokens,
                         TimePoint now);
 
-// Removes a placed prompt whose engine has responded or whose request has
-// ended; does nothing if the prompt is not placed.
+// Records that the engine of a placed prompt has responded, and removes the
+// prompt; does nothing if the prompt is not placed.
+void RecordPromptResponse(PromptPlacements& placements,
+                          const RequestId& request,
+                          TimePoint now);
+
+// Removes a placed prompt; does nothing if the prompt is not placed.
 void RemovePrompt(PromptPlacements& placements, const RequestId& request);
 
 }  // namespace peridotmill
--- /dev/null
+++ b/modules/peridotmill_gateway/placement/stream_stalls.cc
@@ -0,0 +1,38 @@
+#include "peridotmill_gateway/placement/stream_stalls.h"
+
+#include <algorithm>
+
+#include "peridotmill_core/time/milliseconds.h"
+
+namespace peridotmill {
+namespace {
+
+// A predicted pause of less than this share of the longest allowed one does no
+// harm. From there on the probability of a stall grows to 1, which it reaches
+// at the allowed pause: engines differ in their rate, and it changes.
+constexpr double kHarmlessPauseShare = 0.4;
+
+double StallProbability(double tokens,
+                        double tokens_per_ms,
+                        Duration max_pause) {
+  const double share = tokens / tokens_per_ms / ToMilliseconds(max_pause);
+  return std::clamp((share - kHarmlessPauseShare) / (1 - kHarmlessPauseShare),
+                    0.0, 1.0);
+}
+
+}  // namespace
+
+double PredictStalledStreams(const PrefillBacklog& backlog,
+                             Duration max_pause) {
+  const double before = StallProbability(backlog.pending_tokens,
+                                         backlog.tokens_per_ms, max_pause);
+  const double after =
+      StallProbability(backlog.pending_tokens + backlog.new_tokens,
+                       backlog.tokens_per_ms, max_pause);
+  const double alone = StallProbability(backlog.new_tokens,
+                                        backlog.tokens_per_ms, max_pause);
+  return backlog.open_streams * (after - before) +
+         backlog.pending_prompts * alone;
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -93,7 +93,8 @@
                   .on_request_end =
                       [this](const RequestId& request) {
                         request_prompts_.erase(request);
-                        RemovePrompt(prompt_placements_, request);
+                        RecordPromptResponse(prompt_placements_, request,
+                                             dependencies_.clock.Now());
                       },
                   .throughputs = [this] { return EstimateThroughputs(); }}) {}
 
@@ -101,6 +102,22 @@
 
 void StageCoordinator::SetConfiguration(ActiveConfigurationPtr configuration) {
   configuration_ = std::move(configuration);
+  max_pauses_.clear();
+  for (const RouteDefinition& route : configuration_->config().routes) {
+    for (const WeightedPool& pool : route.pools) {
+      if (route.target_event_gap) {
+        const auto [entry, is_new] =
+            max_pauses_.emplace(pool.pool, *route.target_event_gap);
+        entry->second = std::min(entry->second, *route.target_event_gap);
+      }
+    }
+  }
+}
+
+std::optional<Duration> StageCoordinator::MaxPause(const PoolId& pool) const {
+  const auto found = max_pauses_.find(pool);
+  return found == max_pauses_.end() ? std::nullopt
+                                    : std::optional(found->second);
 }
 
 const StagePoolDefinition* StageCoordinator::FindStagePool(
@@ -204,7 +221,8 @@
   }
   const EndpointPtr engine = PreviewEngine(
       prompt_placements_, dependencies_.endpoints.Serving(prompt.demand.pool),
-      prompt.demand, PromptData(), dependencies_.clock.Now());
+      prompt.demand, {.max_pause = MaxPause(prompt.demand.pool)},
+      dependencies_.clock.Now());
   if (engine != nullptr) {
     prompt.intended_engine = engine->registration.id;
     task.preferred_domain = engine->registration.failure_domain;
@@ -228,7 +246,8 @@
        .bytes = task.task.item_count > 0
                     ? task.task.item_count * task.task.result_bytes
                     : task.task.moved_bytes,
-       .intended_engine = prompt->second.intended_engine},
+       .intended_engine = prompt->second.intended_engine,
+       .max_pause = MaxPause(prompt->second.demand.pool)},
       pool != nullptr && pool->engines ? pool->engines->memory_tokens
                                        : kDefaultEngineMemoryTokens,
       dependencies_.clock.Now());
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -110,6 +110,8 @@
   EndpointId ChooseEngine(StageTaskId id, const Task& task);
   // Returns the throughput of the usable endpoints of each pool.
   PoolThroughputs EstimateThroughputs() const;
+  // Returns the longest pause that the streams of a pool's routes allow.
+  std::optional<Duration> MaxPause(const PoolId& pool) const;
   void ScheduleDispatch(const PoolId& id, Duration delay);
   // Ends the tasks that cannot meet their deadline, and sends calls to idle
   // endpoints.
@@ -197,6 +199,7 @@
   Dependencies dependencies_;
   Random random_;
   ActiveConfigurationPtr configuration_;
+  std::map<PoolId, Duration> max_pauses_;
   std::map<PoolId, PoolQueue> queues_;
   std::map<StageTaskId, Task> tasks_;
   std::map<Call*, std::unique_ptr<Call>> calls_;
