--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -35,9 +35,13 @@
 // Cost of a stream that pauses for too long: as much as prefilling a long
 // prompt, since its caller is not served on time.
 constexpr double kStalledStreamCostTokens = 20'000;
-// Weight of one response in the moving average of the prefill rate, and the
-// fewest tokens from which a rate can be told.
+// Weight of one response in the moving averages of the prefill rate of all
+// engines and of one, and the fewest tokens from which a rate can be told.
 constexpr double kPrefillRateWeight = 0.02;
+constexpr double kEngineRateWeight = 0.3;
+// Engines share their hosts with other work, so what is known of one is
+// forgotten.
+constexpr Duration kEngineRateHalfLife = std::chrono::seconds(5);
 constexpr double kMinRateSampleTokens = 3'000;
 constexpr double kMaxPrefillTokensPerMs = 1'000;
 
@@ -98,13 +102,28 @@
          ExponentialDecay(now - engine.streams_updated_at, kStreamHalfLife);
 }
 
+// Returns the rate at which the engine is expected to prefill; 0 if no engine
+// has responded yet.
+double PrefillRate(const PromptPlacements& placements,
+                   const EngineState& engine,
+                   TimePoint now) {
+  const double average = placements.prefill_tokens_per_ms;
+  if (engine.prefill_tokens_per_ms == 0) {
+    return average;
+  }
+  return average + (engine.prefill_tokens_per_ms - average) *
+                       ExponentialDecay(now - engine.rate_updated_at,
+                                        kEngineRateHalfLife);
+}
+
 // Returns the cost of the streams that the prompt would stall at an engine.
 double StallCostTokens(const PromptPlacements& placements,
                        const EngineState& engine,
                        double tokens_to_prefill,
                        Duration max_pause,
                        TimePoint now) {
-  if (placements.prefill_tokens_per_ms <= 0) {
+  const double rate = PrefillRate(placements, engine, now);
+  if (rate <= 0) {
     return 0;
   }
   return kStalledStreamCostTokens *
@@ -113,7 +132,7 @@
               .pending_prompts = static_cast<double>(engine.pending_prompts),
               .open_streams = DecayedOpenStreams(engine, now),
               .new_tokens = tokens_to_prefill,
-              .tokens_per_ms = placements.prefill_tokens_per_ms},
+              .tokens_per_ms = rate},
              max_pause);
 }
 
@@ -251,6 +270,12 @@
     double& average = placements.prefill_tokens_per_ms;
     average = average == 0 ? rate
                            : average + kPrefillRateWeight * (rate - average);
+    if (engine != placements.engines.end()) {
+      const double before = PrefillRate(placements, engine->second, now);
+      engine->second.prefill_tokens_per_ms =
+          before + kEngineRateWeight * (rate - before);
+      engine->second.rate_updated_at = now;
+    }
   }
   RemovePrompt(placements, request);
 }
--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -27,6 +27,9 @@
   // Streams that the engine has begun to write; decays with kStreamHalfLife.
   double open_streams = 0;
   TimePoint streams_updated_at;
+  // Moving average of the engine's prefill rate; 0 until the first response.
+  double prefill_tokens_per_ms = 0;
+  TimePoint rate_updated_at;
   // A prefix that is assumed to be in the KV cache: the time at which a prompt
   // with this prefix was placed last, and the tokens of the prefix.
   struct CachedPrefix {
