--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -268,8 +268,8 @@
         std::clamp(placed->second.tokens_until_response / elapsed_ms,
                    kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
     double& average = placements.prefill_tokens_per_ms;
-    average = average == 0 ? rate
-                           : average + kPrefillRateWeight * (rate - average);
+    average =
+        average == 0 ? rate : average + kPrefillRateWeight * (rate - average);
     if (engine != placements.engines.end()) {
       const double before = PrefillRate(placements, engine->second, now);
       engine->second.prefill_tokens_per_ms =
--- a/modules/peridotmill_gateway/placement/stream_stalls.cc
+++ b/modules/peridotmill_gateway/placement/stream_stalls.cc
@@ -29,8 +29,8 @@
   const double after =
       StallProbability(backlog.pending_tokens + backlog.new_tokens,
                        backlog.tokens_per_ms, max_pause);
-  const double alone = StallProbability(backlog.new_tokens,
-                                        backlog.tokens_per_ms, max_pause);
+  const double alone =
+      StallProbability(backlog.new_tokens, backlog.tokens_per_ms, max_pause);
   return backlog.open_streams * (after - before) +
          backlog.pending_prompts * alone;
 }
