--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -34,7 +34,7 @@
 constexpr Duration kStreamHalfLife = std::chrono::milliseconds(700);
 // Cost of a stream that pauses for too long: as much as prefilling a long
 // prompt, since its caller is not served on time.
-constexpr double kStalledStreamCostTokens = 20'000;
+constexpr double kStalledStreamCostTokens = 8'000;
 // Weight of one response in the moving averages of the prefill rate of all
 // engines and of one, and the fewest tokens from which a rate can be told.
 constexpr double kPrefillRateWeight = 0.02;
--- a/modules/peridotmill_gateway/placement/stream_stalls.cc
+++ b/modules/peridotmill_gateway/placement/stream_stalls.cc
@@ -10,7 +10,7 @@
 // A predicted pause of less than this share of the longest allowed one does no
 // harm. From there on the probability of a stall grows to 1, which it reaches
 // at the allowed pause: engines differ in their rate, and it changes.
-constexpr double kHarmlessPauseShare = 0.4;
+constexpr double kHarmlessPauseShare = 0.5;
 
 double StallProbability(double tokens,
                         double tokens_per_ms,
@@ -24,15 +24,12 @@
 
 double PredictStalledStreams(const PrefillBacklog& backlog,
                              Duration max_pause) {
-  const double before = StallProbability(backlog.pending_tokens,
-                                         backlog.tokens_per_ms, max_pause);
-  const double after =
-      StallProbability(backlog.pending_tokens + backlog.new_tokens,
-                       backlog.tokens_per_ms, max_pause);
-  const double alone =
-      StallProbability(backlog.new_tokens, backlog.tokens_per_ms, max_pause);
-  return backlog.open_streams * (after - before) +
-         backlog.pending_prompts * alone;
+  return backlog.open_streams *
+             StallProbability(backlog.pending_tokens + backlog.new_tokens,
+                              backlog.tokens_per_ms, max_pause) +
+         backlog.pending_prompts * StallProbability(backlog.new_tokens,
+                                                    backlog.tokens_per_ms,
+                                                    max_pause);
 }
 
 }  // namespace peridotmill
