--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -38,11 +38,11 @@
 // Weight of one response in the moving averages of the prefill rate of all
 // engines and of one, and the fewest tokens from which a rate can be told.
 constexpr double kPrefillRateWeight = 0.02;
-constexpr double kEngineRateWeight = 0.3;
+constexpr double kEngineRateWeight = 0.15;
 // Engines share their hosts with other work, so what is known of one is
 // forgotten.
 constexpr Duration kEngineRateHalfLife = std::chrono::seconds(5);
-constexpr double kMinRateSampleTokens = 3'000;
+constexpr double kMinRateSampleTokens = 8'000;
 constexpr double kMaxPrefillTokensPerMs = 1'000;
 
 // Returns the state of an engine, which is reset if the engine has restarted.
