--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -32,7 +32,7 @@
 constexpr double kPrefixCacheShare = 0.5;
 // Time in which half of the streams of short answers end.
 constexpr Duration kStreamHalfLife = std::chrono::milliseconds(700);
-// Cost of a stream that pauses for too long: as much as prefilling a long
+// Cost of a stream that pauses for too long: as much as prefilling a medium
 // prompt, since its caller is not served on time.
 constexpr double kStalledStreamCostTokens = 8'000;
 // Weight of one response in the moving averages of the prefill rate of all
