--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -398,7 +398,8 @@
     VT_PREFIX_HASHES = 6,
     VT_PREFIX_TOKENS = 8,
     VT_TOKENS = 10,
-    VT_PART_HASHES = 12
+    VT_PART_HASHES = 12,
+    VT_DUE_IN_MS = 14
   };
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
@@ -415,6 +416,9 @@
   const flatbuffers::Vector<uint64_t> *part_hashes() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_PART_HASHES);
   }
+  int32_t due_in_ms() const {
+    return GetField<int32_t>(VT_DUE_IN_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_POOL) &&
@@ -426,6 +430,7 @@
            VerifyField<int64_t>(verifier, VT_TOKENS, 8) &&
            VerifyOffset(verifier, VT_PART_HASHES) &&
            verifier.VerifyVector(part_hashes()) &&
+           VerifyField<int32_t>(verifier, VT_DUE_IN_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -449,6 +454,9 @@
   void add_part_hashes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> part_hashes) {
     fbb_.AddOffset(Prompt::VT_PART_HASHES, part_hashes);
   }
+  void add_due_in_ms(int32_t due_in_ms) {
+    fbb_.AddElement<int32_t>(Prompt::VT_DUE_IN_MS, due_in_ms, 0);
+  }
   explicit PromptBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -466,9 +474,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> prefix_hashes = 0,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> prefix_tokens = 0,
     int64_t tokens = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> part_hashes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> part_hashes = 0,
+    int32_t due_in_ms = 0) {
   PromptBuilder builder_(_fbb);
   builder_.add_tokens(tokens);
+  builder_.add_due_in_ms(due_in_ms);
   builder_.add_part_hashes(part_hashes);
   builder_.add_prefix_tokens(prefix_tokens);
   builder_.add_prefix_hashes(prefix_hashes);
@@ -482,7 +492,8 @@
     const std::vector<uint64_t> *prefix_hashes = nullptr,
     const std::vector<int64_t> *prefix_tokens = nullptr,
     int64_t tokens = 0,
-    const std::vector<uint64_t> *part_hashes = nullptr) {
+    const std::vector<uint64_t> *part_hashes = nullptr,
+    int32_t due_in_ms = 0) {
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto prefix_hashes__ = prefix_hashes ? _fbb.CreateVector<uint64_t>(*prefix_hashes) : 0;
   auto prefix_tokens__ = prefix_tokens ? _fbb.CreateVector<int64_t>(*prefix_tokens) : 0;
@@ -493,7 +504,8 @@
       prefix_hashes__,
       prefix_tokens__,
       tokens,
-      part_hashes__);
+      part_hashes__,
+      due_in_ms);
 }
 
 struct PlannedWork FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -88,7 +88,8 @@
 
 flatbuffers::Offset<stagewire::Prompt> EncodePrompt(
     flatbuffers::FlatBufferBuilder& builder,
-    const PromptDemand& prompt) {
+    const PromptDemand& prompt,
+    TimePoint now) {
   std::vector<uint64_t> hashes;
   std::vector<int64_t> tokens;
   for (const SharedPrefix& prefix : prompt.shared) {
@@ -99,11 +100,12 @@
   const auto hash_vector = builder.CreateVector(hashes);
   const auto token_vector = builder.CreateVector(tokens);
   const auto part_vector = builder.CreateVector(HashValues(prompt.parts));
-  return stagewire::CreatePrompt(builder, pool, hash_vector, token_vector,
-                                 prompt.tokens, part_vector);
+  return stagewire::CreatePrompt(
+      builder, pool, hash_vector, token_vector, prompt.tokens, part_vector,
+      prompt.due ? EncodeRelativeTime(*prompt.due, now) : 0);
 }
 
-PromptDemand DecodePrompt(const stagewire::Prompt& wire) {
+PromptDemand DecodePrompt(const stagewire::Prompt& wire, TimePoint now) {
   PromptDemand prompt;
   prompt.pool = PoolId(StringOrEmpty(wire.pool()));
   prompt.tokens = wire.tokens();
@@ -123,6 +125,9 @@
           wire.part_hashes()->Get(static_cast<flatbuffers::uoffset_t>(i)));
     }
   }
+  if (wire.due_in_ms() != 0) {
+    prompt.due = now + std::chrono::milliseconds(wire.due_in_ms());
+  }
   return prompt;
 }
 
@@ -307,7 +312,7 @@
     const auto plan_vector = builder.CreateVector(plan);
     flatbuffers::Offset<stagewire::Prompt> prompt;
     if (task.prompt) {
-      prompt = EncodePrompt(builder, *task.prompt);
+      prompt = EncodePrompt(builder, *task.prompt, now);
     }
     const auto failed_engine = builder.CreateString(task.failed_engine.value());
     const auto body = stagewire::CreateSubmitTask(
@@ -420,7 +425,7 @@
   }
   message.task.failed_engine = EndpointId(StringOrEmpty(wire.failed_engine()));
   if (wire.prompt() != nullptr) {
-    message.task.prompt = DecodePrompt(*wire.prompt());
+    message.task.prompt = DecodePrompt(*wire.prompt(), now);
   }
   return message;
 }
--- a/modules/peridotmill_gateway/placement/prompt_demand.h
+++ b/modules/peridotmill_gateway/placement/prompt_demand.h
@@ -2,6 +2,7 @@
 #define PERIDOTMILL_GATEWAY_PLACEMENT_PROMPT_DEMAND_H_
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "peridotmill_gateway/calls/caller_request.h"
@@ -27,6 +28,8 @@
   int64_t tokens = 0;
   // The parts that may be quarantined.
   std::vector<PromptPartHash> parts = {};
+  // When the first event is late, if that is known.
+  std::optional<TimePoint> due = std::nullopt;
 };
 
 // Returns the parts of a prompt that other requests may share: all parts but
--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -32,9 +32,9 @@
 constexpr double kPrefixCacheShare = 0.5;
 // Time in which half of the streams of short answers end.
 constexpr Duration kStreamHalfLife = std::chrono::milliseconds(700);
-// Cost of a stream that pauses for too long: as much as prefilling a medium
-// prompt, since its caller is not served on time.
-constexpr double kStalledStreamCostTokens = 8'000;
+// Cost of an answer that is late, or pauses for too long: as much as prefilling
+// a medium prompt.
+constexpr double kLateAnswerCostTokens = 8'000;
 // Weight of one response in the moving averages of the prefill rate of all
 // engines and of one, and the fewest tokens from which a rate can be told.
 constexpr double kPrefillRateWeight = 0.02;
@@ -116,24 +116,30 @@
                                         kEngineRateHalfLife);
 }
 
-// Returns the cost of the streams that the prompt would stall at an engine.
-double StallCostTokens(const PromptPlacements& placements,
-                       const EngineState& engine,
-                       double tokens_to_prefill,
-                       Duration max_pause,
-                       TimePoint now) {
-  const double rate = PrefillRate(placements, engine, now);
-  if (rate <= 0) {
+// Returns the cost of the answers that are late if the prompt is placed at an
+// engine: its own, and those of streams that its prefill holds up.
+double LateAnswerCostTokens(const PromptPlacements& placements,
+                            const EngineState& engine,
+                            const PromptDemand& prompt,
+                            const PromptData& data,
+                            TimePoint now) {
+  const PrefillBacklog backlog = {
+      .pending_tokens = engine.pending_prefill_tokens,
+      .pending_prompts = static_cast<double>(engine.pending_prompts),
+      .open_streams = DecayedOpenStreams(engine, now),
+      .new_tokens = TokensToPrefill(engine, prompt),
+      .tokens_per_ms = PrefillRate(placements, engine, now)};
+  if (backlog.tokens_per_ms <= 0) {
     return 0;
   }
-  return kStalledStreamCostTokens *
-         PredictStalledStreams(
-             {.pending_tokens = engine.pending_prefill_tokens,
-              .pending_prompts = static_cast<double>(engine.pending_prompts),
-              .open_streams = DecayedOpenStreams(engine, now),
-              .new_tokens = tokens_to_prefill,
-              .tokens_per_ms = rate},
-             max_pause);
+  double late_answers = 0;
+  if (prompt.due) {
+    late_answers += PredictLateness(backlog, *prompt.due - now);
+  }
+  if (data.max_pause) {
+    late_answers += PredictStalledStreams(backlog, *data.max_pause);
+  }
+  return kLateAnswerCostTokens * late_answers;
 }
 
 // Returns the engines that have not responded to a prompt for longer than its
@@ -199,11 +205,7 @@
     if (endpoint->registration.id == data.intended_engine) {
       cost_tokens -= kIntendedEngineDiscountTokens;
     }
-    if (data.max_pause) {
-      cost_tokens +=
-          StallCostTokens(placements, engine, TokensToPrefill(engine, prompt),
-                          *data.max_pause, now);
-    }
+    cost_tokens += LateAnswerCostTokens(placements, engine, prompt, data, now);
     if (best == nullptr || (is_best_unresponsive && !is_unresponsive) ||
         (is_best_unresponsive == is_unresponsive &&
          cost_tokens < best_cost_tokens)) {
--- a/modules/peridotmill_gateway/placement/stream_stalls.cc
+++ b/modules/peridotmill_gateway/placement/stream_stalls.cc
@@ -12,6 +12,10 @@
 // at the allowed pause: engines differ in their rate, and it changes.
 constexpr double kHarmlessPauseShare = 0.5;
 
+// A first event that is predicted within this share of the time left is on time
+// also at an engine that turns slow.
+constexpr double kSafeTimeShare = 0.5;
+
 double StallProbability(double tokens,
                         double tokens_per_ms,
                         Duration max_pause) {
@@ -22,6 +26,15 @@
 
 }  // namespace
 
+double PredictLateness(const PrefillBacklog& backlog, Duration time_left) {
+  if (time_left <= Duration::zero()) {
+    return 0;
+  }
+  const double share = (backlog.pending_tokens + backlog.new_tokens) /
+                       backlog.tokens_per_ms / ToMilliseconds(time_left);
+  return std::clamp((share - kSafeTimeShare) / (1 - kSafeTimeShare), 0.0, 1.0);
+}
+
 double PredictStalledStreams(const PrefillBacklog& backlog,
                              Duration max_pause) {
   return backlog.open_streams *
--- a/modules/peridotmill_gateway/placement/stream_stalls.h
+++ b/modules/peridotmill_gateway/placement/stream_stalls.h
@@ -27,6 +27,12 @@
 // its first event was.
 double PredictStalledStreams(const PrefillBacklog& backlog, Duration max_pause);
 
+// Returns the probability that the new prompt's own first event is late, if it
+// is due in `time_left`. Handles popular prompts that queue up at the engine
+// which has read their shared part until they are late, while another engine
+// would read all of it in time. 0 if the event is late everywhere.
+double PredictLateness(const PrefillBacklog& backlog, Duration time_left);
+
 }  // namespace peridotmill
 
 #endif  // PERIDOTMILL_GATEWAY_PLACEMENT_STREAM_STALLS_H_
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -275,7 +275,8 @@
   return {.pool = pool_,
           .shared = ComputeSharedPrefixes(*request_.generation),
           .tokens = request_.generation->prompt_tokens,
-          .parts = prompt_parts_};
+          .parts = prompt_parts_,
+          .due = accepted_at_ + route_->target_latency};
 }
 
 Duration GatewayRequest::CallerTimeout() const {
