Weigh whether a prompt's own first event is late at an engine

Change: tasks say when the first event is due; an engine at which it is predicted to be late costs as much as a stalled stream.

--- a/modules/peridotmill_gateway/tests/stream_stalls_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_stalls_test.cc
@@ -195,5 +195,40 @@
   EXPECT_GT(fast.prefill_tokens_per_ms, 40);
 }
 
+// Guards against first events that count as late although nothing can change
+// that, or as on time although the engine may turn slow.
+TEST(StreamStallsTest, LatenessGrowsWithTheShareOfTheTimeLeft) {
+  EXPECT_EQ(PredictLateness(MakeBacklog(0, 10'000), 500ms), 0);
+  EXPECT_GT(PredictLateness(MakeBacklog(0, 20'000), 500ms), 0.5);
+  EXPECT_EQ(PredictLateness(MakeBacklog(0, 30'000), 500ms), 1);
+  EXPECT_EQ(PredictLateness(MakeBacklog(0, 30'000), -100ms), 0);
+}
+
+// Guards against a popular prompt that queues at the engine which has read its
+// shared part until it is late, although another one is in time.
+TEST(StreamStallsTest, APromptLeavesItsEngineIfItWouldBeLateThere) {
+  EndpointRegistry registry;
+  registry.Put(MakeRegistration("idle", "engines", "valley"));
+  registry.Put(MakeRegistration("holder", "engines", "valley"));
+  const TimePoint now(1h);
+  const PromptDemand prompt = {
+      .pool = PoolId("engines"), .shared = {{7, 13'000}}, .tokens = 17'000};
+  PromptPlacements placements;
+  placements.prefill_tokens_per_ms = kTokensPerMs;
+  EngineState& holder = placements.engines[EndpointId("holder")];
+  holder.prefixes[7].tokens = 8'000;
+  holder.pending_prefill_tokens = 12'000;
+  const auto choose = [&](std::optional<TimePoint> due) {
+    PromptDemand demand = prompt;
+    demand.due = due;
+    return PreviewEngine(placements, registry.Serving(PoolId("engines")),
+                         demand, PromptData(), now)
+        ->registration.id.value();
+  };
+  EXPECT_EQ(choose(std::nullopt), "holder");
+  EXPECT_EQ(choose(now + 400ms), "idle");
+  EXPECT_EQ(choose(now + 3s), "holder");
+}
+
 }  // namespace
 }  // namespace peridotmill
