--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -4,6 +4,7 @@
 
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
+#include "peridotmill_gateway/placement/stream_stalls.h"
 
 namespace peridotmill {
 namespace {
@@ -29,6 +30,20 @@
 // Share of an engine's KV cache that is assumed to hold shared prefixes; the
 // rest holds running requests.
 constexpr double kPrefixCacheShare = 0.5;
+// Time in which half of the streams of short answers end.
+constexpr Duration kStreamHalfLife = std::chrono::milliseconds(700);
+// Cost of an answer that is late, or pauses for too long: as much as prefilling
+// a medium prompt.
+constexpr double kLateAnswerCostTokens = 8'000;
+// Weight of one response in the moving averages of the prefill rate of all
+// engines and of one, and the fewest tokens from which a rate can be told.
+constexpr double kPrefillRateWeight = 0.02;
+constexpr double kEngineRateWeight = 0.15;
+// Engines share their hosts with other work, so what is known of one is
+// forgotten.
+constexpr Duration kEngineRateHalfLife = std::chrono::seconds(5);
+constexpr double kMinRateSampleTokens = 8'000;
+constexpr double kMaxPrefillTokensPerMs = 1'000;
 
 // Returns the state of an engine, which is reset if the engine has restarted.
 EngineState& GetEngineState(PromptPlacements& placements,
@@ -82,6 +97,51 @@
   }
 }
 
+double DecayedOpenStreams(const EngineState& engine, TimePoint now) {
+  return engine.open_streams *
+         ExponentialDecay(now - engine.streams_updated_at, kStreamHalfLife);
+}
+
+// Returns the rate at which the engine is expected to prefill; 0 if no engine
+// has responded yet.
+double PrefillRate(const PromptPlacements& placements,
+                   const EngineState& engine,
+                   TimePoint now) {
+  const double average = placements.prefill_tokens_per_ms;
+  if (engine.prefill_tokens_per_ms == 0) {
+    return average;
+  }
+  return average + (engine.prefill_tokens_per_ms - average) *
+                       ExponentialDecay(now - engine.rate_updated_at,
+                                        kEngineRateHalfLife);
+}
+
+// Returns the cost of the answers that are late if the prompt is placed at an
+// engine: its own, and those of streams that its prefill holds up.
+double LateAnswerCostTokens(const PromptPlacements& placements,
+                            const EngineState& engine,
+                            const PromptDemand& prompt,
+                            const PromptData& data,
+                            TimePoint now) {
+  const PrefillBacklog backlog = {
+      .pending_tokens = engine.pending_prefill_tokens,
+      .pending_prompts = static_cast<double>(engine.pending_prompts),
+      .open_streams = DecayedOpenStreams(engine, now),
+      .new_tokens = TokensToPrefill(engine, prompt),
+      .tokens_per_ms = PrefillRate(placements, engine, now)};
+  if (backlog.tokens_per_ms <= 0) {
+    return 0;
+  }
+  double late_answers = 0;
+  if (prompt.due) {
+    late_answers += PredictLateness(backlog, *prompt.due - now);
+  }
+  if (data.max_pause) {
+    late_answers += PredictStalledStreams(backlog, *data.max_pause);
+  }
+  return kLateAnswerCostTokens * late_answers;
+}
+
 // Returns the engines that have not responded to a prompt for longer than its
 // prefill can take.
 std::unordered_map<EndpointId, bool> FindUnresponsiveEngines(
@@ -145,6 +205,7 @@
     if (endpoint->registration.id == data.intended_engine) {
       cost_tokens -= kIntendedEngineDiscountTokens;
     }
+    cost_tokens += LateAnswerCostTokens(placements, engine, prompt, data, now);
     if (best == nullptr || (is_best_unresponsive && !is_unresponsive) ||
         (is_best_unresponsive == is_unresponsive &&
          cost_tokens < best_cost_tokens)) {
@@ -170,8 +231,10 @@
   }
   EngineState& engine = GetEngineState(placements, *best);
   const double pending_tokens = TokensToPrefill(engine, prompt);
-  placements.placed[request] = {best->registration.id, pending_tokens, now};
   engine.pending_prefill_tokens += pending_tokens;
+  ++engine.pending_prompts;
+  placements.placed[request] = {best->registration.id, pending_tokens,
+                                engine.pending_prefill_tokens, now};
   engine.recent_prefill_tokens =
       DecayedRecentPrefillTokens(engine, now) + pending_tokens;
   engine.recent_updated_at = now;
@@ -188,6 +251,37 @@
   return best;
 }
 
+void RecordPromptResponse(PromptPlacements& placements,
+                          const RequestId& request,
+                          TimePoint now) {
+  const auto placed = placements.placed.find(request);
+  if (placed == placements.placed.end()) {
+    return;
+  }
+  const auto engine = placements.engines.find(placed->second.engine);
+  if (engine != placements.engines.end()) {
+    engine->second.open_streams = DecayedOpenStreams(engine->second, now) + 1;
+    engine->second.streams_updated_at = now;
+  }
+  const double elapsed_ms = ToMilliseconds(now - placed->second.placed);
+  if (placed->second.tokens_until_response >= kMinRateSampleTokens &&
+      elapsed_ms > 0) {
+    const double rate =
+        std::clamp(placed->second.tokens_until_response / elapsed_ms,
+                   kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
+    double& average = placements.prefill_tokens_per_ms;
+    average =
+        average == 0 ? rate : average + kPrefillRateWeight * (rate - average);
+    if (engine != placements.engines.end()) {
+      const double before = PrefillRate(placements, engine->second, now);
+      engine->second.prefill_tokens_per_ms =
+          before + kEngineRateWeight * (rate - before);
+      engine->second.rate_updated_at = now;
+    }
+  }
+  RemovePrompt(placements, request);
+}
+
 void RemovePrompt(PromptPlacements& placements, const RequestId& request) {
   const auto placed = placements.placed.find(request);
   if (placed == placements.placed.end()) {
@@ -198,6 +292,8 @@
     engine->second.pending_prefill_tokens =
         std::max(0.0, engine->second.pending_prefill_tokens -
                           placed->second.pending_prefill_tokens);
+    engine->second.pending_prompts =
+        std::max(0, engine->second.pending_prompts - 1);
   }
   placements.placed.erase(placed);
 }
