--- a/modules/peridotmill_gateway/tests/stream_stalls_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_stalls_test.cc
@@ -217,7 +217,7 @@
   placements.prefill_tokens_per_ms = kTokensPerMs;
   EngineState& holder = placements.engines[EndpointId("holder")];
   holder.prefixes[7].tokens = 8'000;
-  holder.pending_prefill_tokens = 12'000;
+  holder.pending_prefill_tokens = 14'000;
   const auto choose = [&](std::optional<TimePoint> due) {
     PromptDemand demand = prompt;
     demand.due = due;
@@ -226,7 +226,7 @@
         ->registration.id.value();
   };
   EXPECT_EQ(choose(std::nullopt), "holder");
-  EXPECT_EQ(choose(now + 400ms), "idle");
+  EXPECT_EQ(choose(now + 375ms), "idle");
   EXPECT_EQ(choose(now + 3s), "holder");
 }
 
