--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -369,6 +369,15 @@
   return was_warm;
 }
 
+TimePoint EndpointRegistry::WarmUpEnd(
+    const EndpointIncarnation& endpoint) const {
+  const EndpointPtr registered = Find(endpoint);
+  return registered == nullptr ||
+                 registered->warm_up.pool->requests_per_second == 0
+             ? TimePoint()
+             : registered->warm_up.end;
+}
+
 bool EndpointRegistry::HasWarmingEndpoints(const PoolId& pool,
                                            TimePoint now) const {
   const auto found = warm_ups_.find(pool);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -167,6 +167,9 @@
   bool RecordWarmUp(const EndpointIncarnation& endpoint,
                     Duration left,
                     TimePoint now);
+  // Returns until when a process of an endpoint is cold, if that bounds what it
+  // is sent; otherwise, or if it is not registered, a time in the past.
+  TimePoint WarmUpEnd(const EndpointIncarnation& endpoint) const;
   // Returns whether an endpoint of the pool may be warming up.
   bool HasWarmingEndpoints(const PoolId& pool, TimePoint now) const;
   size_t CountWarmingEndpoints(TimePoint now) const;
--- a/modules/peridotmill_gateway/tests/large_configuration_test.cc
+++ b/modules/peridotmill_gateway/tests/large_configuration_test.cc
@@ -213,5 +213,31 @@
   EXPECT_EQ(subscriber.values["config"], text);
 }
 
+// Guards against an evacuation that nodes on slow links learn late, since they
+// still fetch large configurations that come in quick succession.
+TEST_F(LargeConfigurationTest, AStormOfConfigurationsDelaysNoEvacuation) {
+  const std::string key = std::string(ReplicaNode::kEvacuationKeyPrefix) + "d1";
+  TimePoint written;
+  Duration last = Duration::zero();
+  for (int step = 0; step < 500; ++step) {
+    if (step % 40 == 0 && step < 300) {
+      document_.AddRoutes(700);
+      store_.Write("config", document_.Publish());
+    }
+    if (step == 202) {
+      store_.Write(key, "");
+      written = clock_.Now();
+    }
+    timers_.Advance(10ms);
+    if (step >= 202 &&
+        !std::all_of(nodes_.begin(), nodes_.end(), [](const auto& node) {
+          return node->evacuated.contains("d1");
+        })) {
+      last = clock_.Now() - written;
+    }
+  }
+  EXPECT_LE(last, 1s);
+}
+
 }  // namespace
 }  // namespace peridotmill
