Keep a pool's list while its endpoints only warm up

Cause: a cold endpoint registers again with each step of its warm-up, and each registration built the list of its pool again from all endpoints.

Change: Put() builds it only if the pool, failure domain, state or process of the endpoint has changed.

--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -34,6 +34,15 @@
 // Time until a permit that is overdue can be expected.
 constexpr Duration kMinPermitWait = std::chrono::milliseconds(100);
 
+// Returns whether a pool's serving endpoints are the same with either
+// registration. Endpoints register again for each step of their warm-up.
+bool HasSamePlace(const EndpointRegistration& a,
+                  const EndpointRegistration& b) {
+  return a.pool == b.pool && a.failure_domain == b.failure_domain &&
+         a.is_draining == b.is_draining && a.started_at_ms == b.started_at_ms &&
+         a.address == b.address;
+}
+
 }  // namespace
 
 void EndpointRegistry::Put(EndpointRegistration registration) {
@@ -46,6 +55,8 @@
     }
   }
   const PoolId pool = registration.pool;
+  const bool is_place_kept =
+      endpoint != nullptr && HasSamePlace(endpoint->registration, registration);
   if (endpoint == nullptr ||
       endpoint->registration.started_at_ms != registration.started_at_ms ||
       endpoint->registration.address != registration.address) {
@@ -71,6 +82,9 @@
   Domain(registration.failure_domain);
   endpoint->domain = domains_.at(registration.failure_domain);
   endpoint->registration = std::move(registration);
+  if (is_place_kept) {
+    return;
+  }
   if (!old_pool.empty() && old_pool != pool) {
     RebuildServing(old_pool);
   }
--- a/modules/peridotmill_gateway/tests/evacuation_test.cc
+++ b/modules/peridotmill_gateway/tests/evacuation_test.cc
@@ -115,6 +115,29 @@
   EXPECT_FALSE(CalledDomains(0).contains("cliff"));
 }
 
+// Guards against an endpoint that moves into an evacuated domain, or out of it,
+// and is used, or not, as before.
+TEST_F(EvacuationTest, FollowsEndpointsThatChangeTheirDomain) {
+  const auto count_serving = [this] {
+    return endpoints_.Serving(PoolId("plain")).size();
+  };
+  const size_t serving = count_serving();
+  evacuations_.Begin(FailureDomainId("cliff"));
+  EXPECT_EQ(count_serving(), serving);
+  EndpointRegistration registration =
+      endpoints_.Serving(PoolId("plain"))[0]->registration;
+  const FailureDomainId domain = registration.failure_domain;
+  registration.failure_domain = FailureDomainId("cliff");
+  endpoints_.Put(registration);
+  EXPECT_EQ(count_serving(), serving - 1);
+  registration.warm_up_left = 2s;
+  endpoints_.Put(registration);
+  EXPECT_EQ(count_serving(), serving - 1);
+  registration.failure_domain = domain;
+  endpoints_.Put(registration);
+  EXPECT_EQ(count_serving(), serving);
+}
+
 // Guards against callers that wait for their deadline, or whose requests are
 // sent to an evacuated domain, when nothing else can serve them.
 TEST_F(EvacuationTest, RefusesAtOnceIfNothingElseCanServe) {
