--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -29,6 +29,8 @@
 // A limit ends when no response has named it for this time. A single response
 // without it may be damaged, or one of several that differ.
 constexpr Duration kLimitMemory = std::chrono::seconds(2);
+// An endpoint that claims to be cold for longer is not believed.
+constexpr Duration kMaxWarmUp = std::chrono::minutes(10);
 // Many requests of a pool may wait for permits at a time.
 constexpr Duration kDemandReportInterval = std::chrono::milliseconds(10);
 // Time until a permit that is overdue can be expected.
@@ -374,7 +376,8 @@
   RecordedNotices& notices = FindOrAddNotices(endpoint, now);
   notices.updated_at = now;
   const bool was_warm = notices.warm_up_end <= now;
-  notices.warm_up_end = std::max(notices.warm_up_end, now + left);
+  notices.warm_up_end =
+      std::max(notices.warm_up_end, now + std::min(left, kMaxWarmUp));
   if (const EndpointPtr registered = Find(endpoint)) {
     registered->warm_up.end = notices.warm_up_end;
     TimePoint& last_end = registered->warm_up.pool->last_end;
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -163,6 +163,7 @@
   void SetWarmUpBounds(const std::map<PoolId, PoolWarmUp>& bounds);
   // Records that a process of an endpoint stays cold for `left`, whether it is
   // registered yet or not. An earlier and longer statement stays in force.
+  // More than ten minutes are not believed.
   // Returns whether the endpoint was warm before.
   bool RecordWarmUp(const EndpointIncarnation& endpoint,
                     Duration left,
--- a/modules/peridotmill_gateway/tests/warm_up_test.cc
+++ b/modules/peridotmill_gateway/tests/warm_up_test.cc
@@ -245,6 +245,16 @@
   EXPECT_GE(starts.size(), 1u);
 }
 
+// Guards against an endpoint that one odd statement makes cold for an hour.
+TEST_F(WarmUpTest, EndsAnyWarmUpAfterTenMinutes) {
+  SetBounds(72);
+  endpoints_.RecordWarmUp(
+      IncarnationOf(endpoints_.Serving(PoolId("plain"))[0]->registration), 1h,
+      clock_.Now());
+  EXPECT_EQ(endpoints_.CountWarmingEndpoints(clock_.Now() + 9min), 1u);
+  EXPECT_EQ(endpoints_.CountWarmingEndpoints(clock_.Now() + 10min), 0u);
+}
+
 // Guards against a warm-up that an older statement cuts short, and against one
 // that is forgotten while the registration is replaced.
 TEST_F(WarmUpTest, AnOlderStatementShortensNoWarmUp) {
