--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -29,11 +29,22 @@
 // A limit ends when no response has named it for this time. A single response
 // without it may be damaged, or one of several that differ.
 constexpr Duration kLimitMemory = std::chrono::seconds(2);
+// An endpoint that claims to be cold for longer is not believed.
+constexpr Duration kMaxWarmUp = std::chrono::minutes(10);
 // Many requests of a pool may wait for permits at a time.
 constexpr Duration kDemandReportInterval = std::chrono::milliseconds(10);
 // Time until a permit that is overdue can be expected.
 constexpr Duration kMinPermitWait = std::chrono::milliseconds(100);
 
+// Returns whether a pool's serving endpoints are the same with either
+// registration. Endpoints register again for each step of their warm-up.
+bool HasSamePlace(const EndpointRegistration& a,
+                  const EndpointRegistration& b) {
+  return a.pool == b.pool && a.failure_domain == b.failure_domain &&
+         a.is_draining == b.is_draining && a.started_at_ms == b.started_at_ms &&
+         a.address == b.address;
+}
+
 }  // namespace
 
 void EndpointRegistry::Put(EndpointRegistration registration) {
@@ -46,6 +57,8 @@
     }
   }
   const PoolId pool = registration.pool;
+  const bool is_place_kept =
+      endpoint != nullptr && HasSamePlace(endpoint->registration, registration);
   if (endpoint == nullptr ||
       endpoint->registration.started_at_ms != registration.started_at_ms ||
       endpoint->registration.address != registration.address) {
@@ -71,6 +84,9 @@
   Domain(registration.failure_domain);
   endpoint->domain = domains_.at(registration.failure_domain);
   endpoint->registration = std::move(registration);
+  if (is_place_kept) {
+    return;
+  }
   if (!old_pool.empty() && old_pool != pool) {
     RebuildServing(old_pool);
   }
@@ -360,7 +376,8 @@
   RecordedNotices& notices = FindOrAddNotices(endpoint, now);
   notices.updated_at = now;
   const bool was_warm = notices.warm_up_end <= now;
-  notices.warm_up_end = std::max(notices.warm_up_end, now + left);
+  notices.warm_up_end =
+      std::max(notices.warm_up_end, now + std::min(left, kMaxWarmUp));
   if (const EndpointPtr registered = Find(endpoint)) {
     registered->warm_up.end = notices.warm_up_end;
     TimePoint& last_end = registered->warm_up.pool->last_end;
@@ -369,6 +386,15 @@
   return was_warm;
 }
 
+TimePoint EndpointRegistry::WarmUpEnd(
+    const EndpointIncarnation& endpoint) const {
+  const EndpointPtr registered = Find(endpoint);
+  return registered == nullptr ||
+                 registered->warm_up.pool->requests_per_second == 0
+             ? TimePoint()
+             : registered->warm_up.end;
+}
+
 bool EndpointRegistry::HasWarmingEndpoints(const PoolId& pool,
                                            TimePoint now) const {
   const auto found = warm_ups_.find(pool);
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -163,10 +163,14 @@
   void SetWarmUpBounds(const std::map<PoolId, PoolWarmUp>& bounds);
   // Records that a process of an endpoint stays cold for `left`, whether it is
   // registered yet or not. An earlier and longer statement stays in force.
+  // More than ten minutes are not believed.
   // Returns whether the endpoint was warm before.
   bool RecordWarmUp(const EndpointIncarnation& endpoint,
                     Duration left,
                     TimePoint now);
+  // Returns until when a process of an endpoint is cold, if that bounds what it
+  // is sent; otherwise, or if it is not registered, a time in the past.
+  TimePoint WarmUpEnd(const EndpointIncarnation& endpoint) const;
   // Returns whether an endpoint of the pool may be warming up.
   bool HasWarmingEndpoints(const PoolId& pool, TimePoint now) const;
   size_t CountWarmingEndpoints(TimePoint now) const;
