Choose engines by their pace

Cause: engines of one pool can take 0.6 to 4 times the usual time, and the coordinator placed prompts as if all were equal. Reports that state this as a fourth figure were dropped whole.

Change: the fourth figure of a load report is decoded strictly. A stated pace weighs a node's own calls in flight at the endpoint, by its age; the counts of such a report stay unused, since nodes that steer by them herd. Where an engine of the pool has stated a pace, the coordinator multiplies what a prompt takes at each engine by the pace that it has learned from response times against the prefill that was due. It needs no new message: a node releases its last stage task when the engine responds. Engines that become slow are logged and counted. Reports with three figures and pools that state no pace are treated as before.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -550,6 +550,8 @@
     add("reasons_total{reason=\"" + std::string(info.name) + "\"}",
         gateway_.reasons().Get(info.reason));
   }
+  add("endpoints_stating_pace", endpoint_registry_.CountStatedPaces());
+  add("engines_slow", coordinator_.slow_engine_count());
   return page;
 }
 
--- a/modules/peridotmill_gateway/calls/endpoint_call.h
+++ b/modules/peridotmill_gateway/calls/endpoint_call.h
@@ -22,6 +22,9 @@
   int running = 0;
   int waiting = 0;
   int slots = 0;
+  // How long work takes there now, in percent of the usual time, if the
+  // endpoint states it.
+  std::optional<int> pace_percent;
 };
 
 // One attempt of a request at an endpoint.
--- a/modules/peridotmill_gateway/placement/endpoint_placement.cc
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.cc
@@ -68,7 +68,9 @@
       ExponentialDecay(now - endpoint.reported_at, kLoadReportHalfLife);
   const double reported =
       weight * (endpoint.reported_running + endpoint.reported_waiting);
-  return std::max(reported, static_cast<double>(endpoint.open_calls)) / slots;
+  const double own =
+      endpoint.open_calls * EstimateStatedPace(endpoint.pace, now);
+  return std::max(reported, own) / slots;
 }
 
 bool IsEndpointUsable(const Endpoint& endpoint,
--- a/modules/peridotmill_gateway/placement/endpoint_placement.h
+++ b/modules/peridotmill_gateway/placement/endpoint_placement.h
@@ -39,7 +39,8 @@
 
 // Returns the load of an endpoint as a fraction of its slots: the greater of
 // its decayed load report and the calls that this node has in flight there.
-// Above 1, work waits at the endpoint.
+// Calls count by the pace that the endpoint has stated. Above 1, work waits at
+// the endpoint.
 double EstimateLoad(const Endpoint& endpoint, TimePoint now);
 
 // Returns whether the endpoint may be used: it is not ejected, its failure
--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_gateway/placement/prompt_placement.h"
 
 #include <algorithm>
+#include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
@@ -11,6 +12,8 @@
 // Weight of the tokens to prefill for the prompt itself. Above 1, because the
 // operators price the prefill of a shared prefix in addition to its time.
 constexpr double kPrefillCostFactor = 2.2;
+// Fixed part of the time until an engine responds, at its pace.
+constexpr double kResponseCostTokens = 1250;
 // Share of a shared prefix by which the prefix's rendezvous engine is preferred
 // while no prompt with the prefix was placed there.
 constexpr double kRendezvousEngineDiscount = 0.5;
@@ -82,6 +85,18 @@
   }
 }
 
+// Returns whether any of these engines has stated its pace.
+bool StatePace(const std::vector<EndpointPtr>& serving) {
+  return std::any_of(serving.begin(), serving.end(),
+                     [](const EndpointPtr& endpoint) {
+                       return endpoint->pace.stated_at.has_value();
+                     });
+}
+
+double PaceFactor(const EngineState& engine, bool is_uneven, TimePoint now) {
+  return is_uneven ? EstimateEnginePace(engine.pace, now) : 1;
+}
+
 // Returns the engines that have not responded to a prompt for longer than its
 // prefill can take.
 std::unordered_map<EndpointId, bool> FindUnresponsiveEngines(
@@ -116,6 +131,7 @@
       prompt.shared.empty()
           ? nullptr
           : FindRendezvousEndpoint(serving, PrefixAffinity(prompt.shared));
+  const bool is_uneven = StatePace(serving);
   EndpointPtr best;
   bool is_best_unresponsive = false;
   double best_cost_tokens = 0;
@@ -128,14 +144,17 @@
         unresponsive.contains(endpoint->registration.id) ||
         endpoint->ejected_until > now ||
         IsDomainAvoided(*endpoint->domain, now);
+    const double tokens_to_prefill = TokensToPrefill(engine, prompt);
+    // Only the price of the prefill does not depend on the engine's pace.
     double cost_tokens =
-        engine.pending_prefill_tokens +
-        kPrefillCostFactor * TokensToPrefill(engine, prompt) +
-        kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now);
+        (kPrefillCostFactor - 1) * tokens_to_prefill +
+        PaceFactor(engine, is_uneven, now) *
+            (engine.pending_prefill_tokens + tokens_to_prefill +
+             kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now) +
+             (is_uneven ? kResponseCostTokens : 0));
     if (endpoint == rendezvous_engine) {
-      cost_tokens -=
-          kRendezvousEngineDiscount *
-          std::min(TokensToPrefill(engine, prompt), SharedTokens(prompt));
+      cost_tokens -= kRendezvousEngineDiscount *
+                     std::min(tokens_to_prefill, SharedTokens(prompt));
     }
     if (!data.domain.empty() &&
         endpoint->registration.failure_domain != data.domain) {
@@ -169,7 +188,9 @@
   }
   EngineState& engine = GetEngineState(placements, *best);
   const double pending_tokens = TokensToPrefill(engine, prompt);
-  placements.placed[request] = {best->registration.id, pending_tokens, now};
+  placements.placed[request] = {best->registration.id, pending_tokens, now,
+                                prompt.pool,
+                                engine.pending_prefill_tokens + pending_tokens};
   engine.pending_prefill_tokens += pending_tokens;
   engine.recent_prefill_tokens =
       DecayedRecentPrefillTokens(engine, now) + pending_tokens;
@@ -187,6 +208,35 @@
   return best;
 }
 
+void RecordPromptResponse(PromptPlacements& placements,
+                          const RequestId& request,
+                          EventSink& events,
+                          TimePoint now) {
+  const auto placed = placements.placed.find(request);
+  if (placed == placements.placed.end()) {
+    return;
+  }
+  const auto engine = placements.engines.find(placed->second.engine);
+  if (engine != placements.engines.end()) {
+    EnginePace& pace = engine->second.pace;
+    RecordResponseTime(pace, placements.usual_paces[placed->second.pool],
+                       placed->second.tokens_until_response,
+                       now - placed->second.placed, now);
+    if (UpdateIsSlow(pace, now)) {
+      events.Write(pace.is_slow ? "engine_slow" : "engine_no_longer_slow",
+                   {{"engine", engine->first.value()},
+                    {"pace", std::to_string(EstimateEnginePace(pace, now))}});
+    }
+  }
+  RemovePrompt(placements, request);
+}
+
+size_t CountSlowEngines(const PromptPlacements& placements) {
+  return static_cast<size_t>(std::count_if(
+      placements.engines.begin(), placements.engines.end(),
+      [](const auto& entry) { return entry.second.pace.is_slow; }));
+}
+
 void RemovePrompt(PromptPlacements& placements, const RequestId& request) {
   const auto placed = placements.placed.find(request);
   if (placed == placements.placed.end()) {
--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include "peridotmill_core/ids/ids.h"
+#include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/pace/engine_pace.h"
 #include "peridotmill_gateway/placement/prompt_demand.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 
@@ -30,6 +32,7 @@
   // Cached prefixes by hash, and the sum of their tokens.
   std::unordered_map<uint64_t, CachedPrefix> prefixes;
   int64_t cached_prefix_tokens = 0;
+  EnginePace pace;
 };
 
 // A placed prompt whose engine has not responded yet.
@@ -37,12 +40,16 @@
   EndpointId engine;
   double pending_prefill_tokens = 0;
   TimePoint placed;
+  PoolId pool;
+  // Uncached tokens of this prompt and of those that were pending before it.
+  double tokens_until_response = 0;
 };
 
 // Engines of one coordinator and the prompts placed at them.
 struct PromptPlacements {
   std::unordered_map<EndpointId, EngineState> engines;
   std::unordered_map<RequestId, PlacedPrompt> placed;
+  std::unordered_map<PoolId, UsualPace> usual_paces;
 };
 
 // What an engine has to fetch for a prompt.
@@ -60,8 +67,10 @@
 // are a quarter used while single engines have a queue of long prompts: an
 // engine that caches a shared prefix is chosen unless prefilling the prefix
 // again elsewhere takes less time than its queue. An unresponsive engine gets
-// no more prompts while other engines are left. Called at admission, the result
-// says where the stages should run.
+// no more prompts while other engines are left. Where engines state that their
+// pace differs, the time that a prompt takes at each of them counts by the pace
+// that was learned there. Called at admission, the result says where the stages
+// should run.
 EndpointPtr PreviewEngine(PromptPlacements& placements,
                           const std::vector<EndpointPtr>& serving,
                           const PromptDemand& prompt,
@@ -79,8 +88,19 @@
                         int64_t memory_tokens,
                         TimePoint now);
 
-// Removes a placed prompt whose engine has responded or whose request has
-// ended; does nothing if the prompt is not placed.
+// Removes a placed prompt whose engine has responded, and learns the engine's
+// pace from it. Logs that the engine has become slow, or is no longer slow.
+// Does nothing if the prompt is not placed.
+void RecordPromptResponse(PromptPlacements& placements,
+                          const RequestId& request,
+                          EventSink& events,
+                          TimePoint now);
+
+// Returns the number of engines that are slow; see UpdateIsSlow.
+size_t CountSlowEngines(const PromptPlacements& placements);
+
+// Removes a placed prompt without a response; does nothing if the prompt is not
+// placed.
 void RemovePrompt(PromptPlacements& placements, const RequestId& request);
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/registry/endpoint_registry.cc
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.cc
@@ -252,6 +252,13 @@
   }
 }
 
+size_t EndpointRegistry::CountStatedPaces() const {
+  return static_cast<size_t>(
+      std::count_if(by_id_.begin(), by_id_.end(), [](const auto& entry) {
+        return entry.second->pace.stated_at.has_value();
+      }));
+}
+
 DomainHealth& EndpointRegistry::Domain(const FailureDomainId& domain) {
   std::shared_ptr<DomainHealth>& health = domains_[domain];
   if (health == nullptr) {
--- a/modules/peridotmill_gateway/registry/endpoint_registry.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registry.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/pace/endpoint_pace.h"
 #include "peridotmill_gateway/registry/domain_health.h"
 #include "peridotmill_gateway/registry/endpoint_notice.h"
 #include "peridotmill_gateway/registry/endpoint_registration.h"
@@ -30,6 +31,7 @@
   int reported_running = 0;
   int reported_waiting = 0;
   TimePoint reported_at;
+  EndpointPace pace;
   // Duration of the endpoint's stage calls divided by the one configured for
   // their pool.
   double call_time_ratio = 1;
@@ -110,6 +112,8 @@
   // ids.
   const std::vector<EndpointPtr>& Serving(const PoolId& pool) const;
   size_t size() const { return by_id_.size(); }
+  // Returns how many registered endpoints have stated their pace to this node.
+  size_t CountStatedPaces() const;
 
   // Records what an endpoint asked for in a response. What it asked for
   // outlasts its registration, which may expire and return while the store is
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -7,6 +7,7 @@
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/estimates/completion_times.h"
+#include "peridotmill_gateway/pace/load_report.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
 #include "peridotmill_gateway/requests/stage_plan.h"
 
@@ -600,9 +601,7 @@
   response_head_ = head;
   has_response_head_ = true;
   if (head.load) {
-    endpoint_->reported_running = head.load->running;
-    endpoint_->reported_waiting = head.load->waiting;
-    endpoint_->reported_at = now;
+    RecordReportedLoad(*endpoint_, *head.load, now);
   }
   if (head.status < 300) {
     // The engine has fetched its inputs, so the stage results are released. A
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/pace/load_report.h"
 #include "peridotmill_gateway/stages/stage_pool.h"
 
 namespace peridotmill {
@@ -93,7 +94,9 @@
                   .on_request_end =
                       [this](const RequestId& request) {
                         request_prompts_.erase(request);
-                        RemovePrompt(prompt_placements_, request);
+                        RecordPromptResponse(prompt_placements_, request,
+                                             dependencies_.events,
+                                             dependencies_.clock.Now());
                       },
                   .throughputs = [this] { return EstimateThroughputs(); }}) {}
 
@@ -614,9 +617,7 @@
                    now - call.started);
   }
   if (response.load) {
-    endpoint.reported_running = response.load->running;
-    endpoint.reported_waiting = response.load->waiting;
-    endpoint.reported_at = now;
+    RecordReportedLoad(endpoint, *response.load, now);
   }
   if (response.malformed_handles > 0) {
     dependencies_.events.Write(
