--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -1,6 +1,7 @@
 #include "peridotmill_gateway/placement/prompt_placement.h"
 
 #include <algorithm>
+#include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/placement/endpoint_placement.h"
@@ -12,6 +13,8 @@
 // Weight of the tokens to prefill for the prompt itself. Above 1, because the
 // operators price the prefill of a shared prefix in addition to its time.
 constexpr double kPrefillCostFactor = 2.2;
+// Fixed part of the time until an engine responds, at its pace.
+constexpr double kResponseCostTokens = 1250;
 // Share of a shared prefix by which the prefix's rendezvous engine is preferred
 // while no prompt with the prefix was placed there.
 constexpr double kRendezvousEngineDiscount = 0.5;
@@ -35,15 +38,6 @@
 // Cost of an answer that is late, or pauses for too long: as much as prefilling
 // a medium prompt.
 constexpr double kLateAnswerCostTokens = 8'000;
-// Weight of one response in the moving averages of the prefill rate of all
-// engines and of one, and the fewest tokens from which a rate can be told.
-constexpr double kPrefillRateWeight = 0.02;
-constexpr double kEngineRateWeight = 0.15;
-// Engines share their hosts with other work, so what is known of one is
-// forgotten.
-constexpr Duration kEngineRateHalfLife = std::chrono::seconds(5);
-constexpr double kMinRateSampleTokens = 8'000;
-constexpr double kMaxPrefillTokensPerMs = 1'000;
 
 // Returns the state of an engine, which is reset if the engine has restarted.
 EngineState& GetEngineState(PromptPlacements& placements,
@@ -97,25 +91,23 @@
   }
 }
 
+// Returns whether any of these engines has stated its pace.
+bool StatePace(const std::vector<EndpointPtr>& serving) {
+  return std::any_of(serving.begin(), serving.end(),
+                     [](const EndpointPtr& endpoint) {
+                       return endpoint->pace.stated_at.has_value();
+                     });
+}
+
+double PaceFactor(const EngineState& engine, bool is_uneven, TimePoint now) {
+  return is_uneven ? EstimateEnginePace(engine.pace, now) : 1;
+}
+
 double DecayedOpenStreams(const EngineState& engine, TimePoint now) {
   return engine.open_streams *
          ExponentialDecay(now - engine.streams_updated_at, kStreamHalfLife);
 }
 
-// Returns the rate at which the engine is expected to prefill; 0 if no engine
-// has responded yet.
-double PrefillRate(const PromptPlacements& placements,
-                   const EngineState& engine,
-                   TimePoint now) {
-  const double average = placements.prefill_tokens_per_ms;
-  if (engine.prefill_tokens_per_ms == 0) {
-    return average;
-  }
-  return average + (engine.prefill_tokens_per_ms - average) *
-                       ExponentialDecay(now - engine.rate_updated_at,
-                                        kEngineRateHalfLife);
-}
-
 // Returns the cost of the answers that are late if the prompt is placed at an
 // engine: its own, and those of streams that its prefill holds up.
 double LateAnswerCostTokens(const PromptPlacements& placements,
@@ -123,15 +115,16 @@
                             const PromptDemand& prompt,
                             const PromptData& data,
                             TimePoint now) {
+  const auto usual = placements.usual_paces.find(prompt.pool);
+  if (usual == placements.usual_paces.end()) {
+    return 0;
+  }
   const PrefillBacklog backlog = {
       .pending_tokens = engine.pending_prefill_tokens,
       .pending_prompts = static_cast<double>(engine.pending_prompts),
       .open_streams = DecayedOpenStreams(engine, now),
       .new_tokens = TokensToPrefill(engine, prompt),
-      .tokens_per_ms = PrefillRate(placements, engine, now)};
-  if (backlog.tokens_per_ms <= 0) {
-    return 0;
-  }
+      .tokens_per_ms = PrefillTokensPerMs(engine.pace, usual->second, now)};
   double late_answers = 0;
   if (prompt.due) {
     late_answers += PredictLateness(backlog, *prompt.due - now);
@@ -176,6 +169,7 @@
       prompt.shared.empty()
           ? nullptr
           : FindRendezvousEndpoint(serving, PrefixAffinity(prompt.shared));
+  const bool is_uneven = StatePace(serving);
   EndpointPtr best;
   bool is_best_unresponsive = false;
   double best_cost_tokens = 0;
@@ -189,14 +183,17 @@
         unresponsive.contains(endpoint->registration.id) ||
         endpoint->ejected_until > now ||
         IsDomainAvoided(*endpoint->domain, now);
+    const double tokens_to_prefill = TokensToPrefill(engine, prompt);
+    // Only the price of the prefill does not depend on the engine's pace.
     double cost_tokens =
-        engine.pending_prefill_tokens +
-        kPrefillCostFactor * TokensToPrefill(engine, prompt) +
-        kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now);
+        (kPrefillCostFactor - 1) * tokens_to_prefill +
+        PaceFactor(engine, is_uneven, now) *
+            (engine.pending_prefill_tokens + tokens_to_prefill +
+             kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now) +
+             (is_uneven ? kResponseCostTokens : 0));
     if (endpoint == rendezvous_engine) {
-      cost_tokens -=
-          kRendezvousEngineDiscount *
-          std::min(TokensToPrefill(engine, prompt), SharedTokens(prompt));
+      cost_tokens -= kRendezvousEngineDiscount *
+                     std::min(tokens_to_prefill, SharedTokens(prompt));
     }
     if (!data.domain.empty() &&
         endpoint->registration.failure_domain != data.domain) {
@@ -205,7 +202,10 @@
     if (endpoint->registration.id == data.intended_engine) {
       cost_tokens -= kIntendedEngineDiscountTokens;
     }
-    cost_tokens += LateAnswerCostTokens(placements, engine, prompt, data, now);
+    if (is_uneven) {
+      cost_tokens +=
+          LateAnswerCostTokens(placements, engine, prompt, data, now);
+    }
     if (best == nullptr || (is_best_unresponsive && !is_unresponsive) ||
         (is_best_unresponsive == is_unresponsive &&
          cost_tokens < best_cost_tokens)) {
@@ -231,10 +231,11 @@
   }
   EngineState& engine = GetEngineState(placements, *best);
   const double pending_tokens = TokensToPrefill(engine, prompt);
+  placements.placed[request] = {best->registration.id, pending_tokens, now,
+                                prompt.pool,
+                                engine.pending_prefill_tokens + pending_tokens};
   engine.pending_prefill_tokens += pending_tokens;
   ++engine.pending_prompts;
-  placements.placed[request] = {best->registration.id, pending_tokens,
-                                engine.pending_prefill_tokens, now};
   engine.recent_prefill_tokens =
       DecayedRecentPrefillTokens(engine, now) + pending_tokens;
   engine.recent_updated_at = now;
@@ -253,6 +254,7 @@
 
 void RecordPromptResponse(PromptPlacements& placements,
                           const RequestId& request,
+                          EventSink& events,
                           TimePoint now) {
   const auto placed = placements.placed.find(request);
   if (placed == placements.placed.end()) {
@@ -262,26 +264,25 @@
   if (engine != placements.engines.end()) {
     engine->second.open_streams = DecayedOpenStreams(engine->second, now) + 1;
     engine->second.streams_updated_at = now;
-  }
-  const double elapsed_ms = ToMilliseconds(now - placed->second.placed);
-  if (placed->second.tokens_until_response >= kMinRateSampleTokens &&
-      elapsed_ms > 0) {
-    const double rate =
-        std::clamp(placed->second.tokens_until_response / elapsed_ms,
-                   kMinPrefillTokensPerMs, kMaxPrefillTokensPerMs);
-    double& average = placements.prefill_tokens_per_ms;
-    average =
-        average == 0 ? rate : average + kPrefillRateWeight * (rate - average);
-    if (engine != placements.engines.end()) {
-      const double before = PrefillRate(placements, engine->second, now);
-      engine->second.prefill_tokens_per_ms =
-          before + kEngineRateWeight * (rate - before);
-      engine->second.rate_updated_at = now;
+    EnginePace& pace = engine->second.pace;
+    RecordResponseTime(pace, placements.usual_paces[placed->second.pool],
+                       placed->second.tokens_until_response,
+                       now - placed->second.placed, now);
+    if (UpdateIsSlow(pace, now)) {
+      events.Write(pace.is_slow ? "engine_slow" : "engine_no_longer_slow",
+                   {{"engine", engine->first.value()},
+                    {"pace", std::to_string(EstimateEnginePace(pace, now))}});
     }
   }
   RemovePrompt(placements, request);
 }
 
+size_t CountSlowEngines(const PromptPlacements& placements) {
+  return static_cast<size_t>(std::count_if(
+      placements.engines.begin(), placements.engines.end(),
+      [](const auto& entry) { return entry.second.pace.is_slow; }));
+}
+
 void RemovePrompt(PromptPlacements& placements, const RequestId& request) {
   const auto placed = placements.placed.find(request);
   if (placed == placements.placed.end()) {
