Keep the arithmetic of pools that state no pace

Cause: with a pace of 1, the cost of a prompt was summed in another order than before, so that rounding could choose another engine.

Change: pools that state no pace use the expression of before.

Tests: peridotmill_gateway_tests pass but for the entry in KNOWN-RED.txt.

--- a/modules/peridotmill_gateway/placement/prompt_placement.cc
+++ b/modules/peridotmill_gateway/placement/prompt_placement.cc
@@ -93,8 +93,23 @@
                      });
 }
 
-double PaceFactor(const EngineState& engine, bool is_uneven, TimePoint now) {
-  return is_uneven ? EstimateEnginePace(engine.pace, now) : 1;
+// Returns the cost of a prompt at an engine before preferences. In a pool of
+// engines that state their pace, all but the price of the prefill is time, and
+// counts by the engine's pace.
+double PromptCostTokens(const EngineState& engine,
+                        double tokens_to_prefill,
+                        bool is_uneven,
+                        TimePoint now) {
+  const double recent_tokens =
+      kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now);
+  if (!is_uneven) {
+    return engine.pending_prefill_tokens +
+           kPrefillCostFactor * tokens_to_prefill + recent_tokens;
+  }
+  return (kPrefillCostFactor - 1) * tokens_to_prefill +
+         EstimateEnginePace(engine.pace, now) *
+             (kResponseCostTokens + engine.pending_prefill_tokens +
+              tokens_to_prefill + recent_tokens);
 }
 
 // Returns the engines that have not responded to a prompt for longer than its
@@ -145,13 +160,8 @@
         endpoint->ejected_until > now ||
         IsDomainAvoided(*endpoint->domain, now);
     const double tokens_to_prefill = TokensToPrefill(engine, prompt);
-    // Only the price of the prefill does not depend on the engine's pace.
     double cost_tokens =
-        (kPrefillCostFactor - 1) * tokens_to_prefill +
-        PaceFactor(engine, is_uneven, now) *
-            (engine.pending_prefill_tokens + tokens_to_prefill +
-             kRecentPrefillWeight * DecayedRecentPrefillTokens(engine, now) +
-             (is_uneven ? kResponseCostTokens : 0));
+        PromptCostTokens(engine, tokens_to_prefill, is_uneven, now);
     if (endpoint == rendezvous_engine) {
       cost_tokens -= kRendezvousEngineDiscount *
                      std::min(tokens_to_prefill, SharedTokens(prompt));
