--- a/modules/peridotmill_gateway/tests/stream_stalls_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_stalls_test.cc
@@ -127,7 +127,8 @@
       for (Stream& stream : engine.streams) {
         if (!stream.is_recorded && stream.first_event <= now_) {
           stream.is_recorded = true;
-          RecordPromptResponse(placements_, stream.request, stream.first_event);
+          RecordPromptResponse(placements_, stream.request, events_,
+                               stream.first_event);
         }
       }
     }
