--- a/modules/peridotmill_gateway/tests/stream_stalls_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_stalls_test.cc
@@ -13,6 +13,7 @@
 #include "peridotmill_core/maths/random.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/pace/endpoint_pace.h"
+#include "peridotmill_gateway/placement/endpoint_placement.h"
 #include "peridotmill_gateway/placement/prompt_placement.h"
 #include "peridotmill_gateway/tests/gateway_fixture.h"
 
@@ -184,28 +185,33 @@
 // Guards against a popular prompt that queues at the engine which has read its
 // shared part until it is late, although another one is in time.
 TEST(StreamStallsTest, APromptLeavesItsEngineIfItWouldBeLateThere) {
+  constexpr uint64_t kPrefix = 7;
   EndpointRegistry registry;
-  registry.Put(MakeRegistration("idle", "engines", "valley"));
-  registry.Put(MakeRegistration("holder", "engines", "valley"));
+  registry.Put(MakeRegistration("e1", "engines", "valley"));
+  registry.Put(MakeRegistration("e2", "engines", "valley"));
+  const auto& engines = registry.Serving(PoolId("engines"));
   const TimePoint now(1h);
-  RecordStatedPace(registry.Serving(PoolId("engines"))[0]->pace, 100, now);
-  const PromptDemand prompt = {
-      .pool = PoolId("engines"), .shared = {{7, 13'000}}, .tokens = 17'000};
+  RecordStatedPace(engines[0]->pace, 100, now);
+  const PromptDemand prompt = {.pool = PoolId("engines"),
+                               .shared = {{kPrefix, 11'000}},
+                               .tokens = 12'000};
+  const EndpointId holder =
+      FindRendezvousEndpoint(engines, PrefixAffinity(prompt.shared))
+          ->registration.id;
   PromptPlacements placements;
   placements.usual_paces[prompt.pool] = UsualPace();
-  EngineState& holder = placements.engines[EndpointId("holder")];
-  holder.prefixes[7].tokens = 8'000;
-  holder.pending_prefill_tokens = 14'000;
+  EngineState& state = placements.engines[holder];
+  state.prefixes[kPrefix].tokens = 11'000;
+  state.pending_prefill_tokens = 20'000;
   const auto choose = [&](std::optional<TimePoint> due) {
     PromptDemand demand = prompt;
     demand.due = due;
-    return PreviewEngine(placements, registry.Serving(PoolId("engines")),
-                         demand, PromptData(), now)
-        ->registration.id.value();
+    return PreviewEngine(placements, engines, demand, PromptData(), now)
+        ->registration.id;
   };
-  EXPECT_EQ(choose(std::nullopt), "holder");
-  EXPECT_EQ(choose(now + 375ms), "idle");
-  EXPECT_EQ(choose(now + 3s), "holder");
+  EXPECT_EQ(choose(std::nullopt), holder);
+  EXPECT_NE(choose(now + 420ms), holder);
+  EXPECT_EQ(choose(now + 3s), holder);
 }
 
 }  // namespace
