--- a/modules/peridotmill_gateway/placement/prompt_placement.h
+++ b/modules/peridotmill_gateway/placement/prompt_placement.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "peridotmill_core/ids/ids.h"
+#include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/pace/engine_pace.h"
 #include "peridotmill_gateway/placement/prompt_demand.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 
@@ -22,14 +24,6 @@
   // Tokens of recently placed prompts; decays with kRecentPrefillHalfLife.
   double recent_prefill_tokens = 0;
   TimePoint recent_updated_at;
-  // Placed prompts whose engine has not responded yet.
-  int pending_prompts = 0;
-  // Streams that the engine has begun to write; decays with kStreamHalfLife.
-  double open_streams = 0;
-  TimePoint streams_updated_at;
-  // Moving average of the engine's prefill rate; 0 until the first response.
-  double prefill_tokens_per_ms = 0;
-  TimePoint rate_updated_at;
   // A prefix that is assumed to be in the KV cache: the time at which a prompt
   // with this prefix was placed last, and the tokens of the prefix.
   struct CachedPrefix {
@@ -39,25 +33,29 @@
   // Cached prefixes by hash, and the sum of their tokens.
   std::unordered_map<uint64_t, CachedPrefix> prefixes;
   int64_t cached_prefix_tokens = 0;
+  EnginePace pace;
+  // Placed prompts whose engine has not responded yet.
+  int pending_prompts = 0;
+  // Streams that the engine has begun to write; decays with kStreamHalfLife.
+  double open_streams = 0;
+  TimePoint streams_updated_at;
 };
 
 // A placed prompt whose engine has not responded yet.
 struct PlacedPrompt {
   EndpointId engine;
   double pending_prefill_tokens = 0;
-  // All tokens that the engine had to prefill until its response, those of
-  // earlier prompts included.
-  double tokens_until_response = 0;
   TimePoint placed;
+  PoolId pool;
+  // Uncached tokens of this prompt and of those that were pending before it.
+  double tokens_until_response = 0;
 };
 
 // Engines of one coordinator and the prompts placed at them.
 struct PromptPlacements {
   std::unordered_map<EndpointId, EngineState> engines;
   std::unordered_map<RequestId, PlacedPrompt> placed;
-  // Moving average of the rate at which engines prefill; 0 until the first
-  // response.
-  double prefill_tokens_per_ms = 0;
+  std::unordered_map<PoolId, UsualPace> usual_paces;
 };
 
 // What an engine has to fetch for a prompt.
@@ -77,8 +75,10 @@
 // whose engines are a quarter used while single engines have a queue of long
 // prompts: an engine that caches a shared prefix is chosen unless prefilling
 // the prefix again elsewhere takes less time than its queue. An unresponsive
-// engine gets no more prompts while other engines are left. Called at
-// admission, the result says where the stages should run.
+// engine gets no more prompts while other engines are left. Where engines state
+// that their pace differs, the time that a prompt takes at each of them counts
+// by the pace that was learned there. Called at admission, the result says
+// where the stages should run.
 EndpointPtr PreviewEngine(PromptPlacements& placements,
                           const std::vector<EndpointPtr>& serving,
                           const PromptDemand& prompt,
@@ -96,13 +96,19 @@
                         int64_t memory_tokens,
                         TimePoint now);
 
-// Records that the engine of a placed prompt has responded, and removes the
-// prompt; does nothing if the prompt is not placed.
+// Removes a placed prompt whose engine has responded, and learns the engine's
+// pace from it. Logs that the engine has become slow, or is no longer slow.
+// Does nothing if the prompt is not placed.
 void RecordPromptResponse(PromptPlacements& placements,
                           const RequestId& request,
+                          EventSink& events,
                           TimePoint now);
 
-// Removes a placed prompt; does nothing if the prompt is not placed.
+// Returns the number of engines that are slow; see UpdateIsSlow.
+size_t CountSlowEngines(const PromptPlacements& placements);
+
+// Removes a placed prompt without a response; does nothing if the prompt is not
+// placed.
 void RemovePrompt(PromptPlacements& placements, const RequestId& request);
 
 }  // namespace peridotmill
