Free refused bodies, and bound calls and callers together

Bodies of unknown length also grew through small blocks; they now grow in few large steps. Callers and calls to endpoints now have a limit together (PlanDescriptors), and a request without room for its call is refused before its body is read.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -18,8 +18,6 @@
 namespace peridotmill {
 namespace {
 
-// File descriptors reserved for files, the store and calls to endpoints.
-constexpr size_t kReservedFileDescriptors = 600;
 // Interval at which the settings file is checked for changes, so that they are
 // applied without a signal too.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
@@ -128,6 +126,7 @@
       loop_(g_main_loop_new(nullptr, FALSE)),
       timers_(clock),
       memory_(PlanMemory(settings.memory_bytes)),
+      descriptors_(PlanDescriptors(settings.max_descriptors)),
       http_client_(clock),
       store_(settings.store_address, http_client_, timers_),
       store_retry_queue_(timers_, ComponentSeed(settings, kStoreRetrySeed)),
@@ -200,14 +199,12 @@
 }
 
 Result<void> GatewayProcess::StartListening() {
-  max_caller_connections_ =
-      settings_.max_descriptors > 2 * kReservedFileDescriptors
-          ? settings_.max_descriptors - kReservedFileDescriptors
-          : settings_.max_descriptors / 2;
   auto caller_server = HttpServer::Create(
       {.address = settings_.caller_address,
-       .max_connections = max_caller_connections_,
-       .memory = &memory_},
+       .max_connections = descriptors_.max_callers,
+       .memory = &memory_,
+       .max_connections_and_calls = descriptors_.max_callers_and_calls,
+       .count_calls = [this] { return http_client_.connection_count(); }},
       clock_, [this](const auto& exchange) { OnCallerRequest(exchange); });
   if (!caller_server) {
     return tl::unexpected(caller_server.error());
@@ -475,7 +472,11 @@
        {"small_share_bytes",
         std::to_string(memory_.limits().small_share_bytes)},
        {"connections", std::to_string(caller_server_->connection_count())},
-       {"max_connections", std::to_string(max_caller_connections_)},
+       {"max_connections", std::to_string(descriptors_.max_callers)},
+       {"endpoint_connections",
+        std::to_string(http_client_.connection_count())},
+       {"max_connections_and_calls",
+        std::to_string(descriptors_.max_callers_and_calls)},
        {"refused_unfinished", std::to_string(counters.refused_unfinished)},
        {"refused_new", std::to_string(counters.refused_new)},
        {"closed_idle", std::to_string(counters.closed_idle)}});
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -92,10 +92,10 @@
   GMainLoop* loop_;
   GlibTimerQueue timers_;
   MemoryBudget memory_;
+  DescriptorLimits descriptors_;
   // Memory counters that have been logged.
   MemoryCounters logged_memory_counters_;
   size_t used_before_trim_ = 0;
-  size_t max_caller_connections_ = 0;
   std::unique_ptr<Timer> memory_timer_;
   HttpClient http_client_;
   platform::StoreAdapter store_;
--- a/daemons/peridotmill-gateway/main.cc
+++ b/daemons/peridotmill-gateway/main.cc
@@ -50,7 +50,7 @@
 // are freed. By default the heap takes them over after the first one, and its
 // free parts stay in use between small blocks.
 void KeepHeapSmall() {
-  constexpr int kLargeBlockBytes = 128 * 1024;
+  constexpr int kLargeBlockBytes = 64 * 1024;
   constexpr int kFreeEndBytes = 1024 * 1024;
   (void)mallopt(M_MMAP_THRESHOLD, kLargeBlockBytes);
   (void)mallopt(M_TRIM_THRESHOLD, kFreeEndBytes);
--- a/modules/peridotmill_http/client/http_client.h
+++ b/modules/peridotmill_http/client/http_client.h
@@ -47,6 +47,8 @@
 
   const HttpClientCounters& counters() const { return counters_; }
   size_t idle_connection_count() const;
+  // Number of connections, those of calls and idle ones.
+  size_t connection_count() const { return connection_count_; }
 
  private:
   friend class HttpClientConnection;
@@ -63,6 +65,7 @@
   const Clock& clock_;
   guint idle_check_source_ = 0;
   HttpClientCounters counters_;
+  size_t connection_count_ = 0;
   // Body bytes that a connection has parsed in the current read.
   std::string received_body_;
   // Idle connections by server address, the most recently used one last.
--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -76,7 +76,13 @@
 
 }  // namespace
 
+HttpClientConnection::HttpClientConnection(HttpClient* client)
+    : client_(client) {
+  ++client_->connection_count_;
+}
+
 HttpClientConnection::~HttpClientConnection() {
+  --client_->connection_count_;
   StopConnectTimer();
 }
 
--- a/modules/peridotmill_http/client/http_client_connection.h
+++ b/modules/peridotmill_http/client/http_client_connection.h
@@ -20,7 +20,7 @@
 // A connection to a server that carries at most one call at a time.
 class HttpClientConnection final : public StreamSocket::Listener {
  public:
-  explicit HttpClientConnection(HttpClient* client) : client_(client) {}
+  explicit HttpClientConnection(HttpClient* client);
   ~HttpClientConnection() override;
 
   // Starts a call; connects to the server first if there is no connection yet.
--- a/modules/peridotmill_http/peridotmill_http.h
+++ b/modules/peridotmill_http/peridotmill_http.h
@@ -15,6 +15,7 @@
 
 #include "peridotmill_http/client/http_client.h"
 #include "peridotmill_http/logging/output_log.h"
+#include "peridotmill_http/memory/descriptor_limits.h"
 #include "peridotmill_http/memory/memory_budget.h"
 #include "peridotmill_http/peers/frame_link.h"
 #include "peridotmill_http/server/http_server.h"
--- a/modules/peridotmill_http/server/http_server.cc
+++ b/modules/peridotmill_http/server/http_server.cc
@@ -52,7 +52,10 @@
 }
 
 void HttpServer::OnAccepted(int descriptor) {
-  if (connections_.size() >= settings_.max_connections && !CloseOneForNew()) {
+  const bool is_full = connections_.size() >= settings_.max_connections ||
+                       connections_.size() + settings_.count_calls() >=
+                           settings_.max_connections_and_calls;
+  if (is_full && !CloseOneForNew()) {
     ++counters_.refused_connections;
     close(descriptor);
     return;
@@ -81,13 +84,23 @@
     return false;
   }
   ++counters_.closed_for_new_connections;
-  if (settings_.memory != nullptr) {
-    ++settings_.memory->counters().closed_idle;
-  }
+  CountRefusal(&MemoryCounters::closed_idle);
   connections[*chosen]->CloseForNew();
   return true;
 }
 
+void HttpServer::CountRefusal(uint64_t MemoryCounters::*counter) {
+  if (settings_.memory != nullptr) {
+    ++(settings_.memory->counters().*counter);
+  }
+}
+
+bool HttpServer::MakeRoomForCall() {
+  return connections_.size() + settings_.count_calls() <=
+             settings_.max_connections_and_calls ||
+         CloseOneForNew();
+}
+
 bool HttpServer::Reserve(const HttpServerConnection* requester,
                          MemoryCharge& charge,
                          size_t bytes) {
@@ -114,7 +127,7 @@
     return false;
   }
   for (const size_t index : yielding) {
-    ++settings_.memory->counters().refused_unfinished;
+    CountRefusal(&MemoryCounters::refused_unfinished);
     connections[index]->RefuseForMemory();
   }
   return charge.TrySet(bytes);
--- a/modules/peridotmill_http/server/http_server.h
+++ b/modules/peridotmill_http/server/http_server.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -30,6 +31,10 @@
   // What the connections may hold, or null for no limit. Must outlive the
   // server and its requests.
   MemoryBudget* memory = nullptr;
+  // Requests are refused while the connections and those that `count_calls`
+  // returns are more, and no connection can be closed.
+  size_t max_connections_and_calls = std::numeric_limits<size_t>::max();
+  std::function<size_t()> count_calls = [] { return size_t{0}; };
 };
 
 // Numbers of requests rejected by the server, by cause, and of connections
@@ -88,8 +93,12 @@
 
   void OnAccepted(int descriptor);
   static gboolean OnTimeoutCheck(gpointer data);
+  void CountRefusal(uint64_t MemoryCounters::*counter);
   // Closes a connection that is not in use. Returns whether there was one.
   bool CloseOneForNew();
+  // Returns whether a request may open a connection to an endpoint, after
+  // closing a connection that is not in use if need be.
+  bool MakeRoomForCall();
   // Changes a charge of `requester`, whose request is being received; refuses
   // requests that other connections are receiving if that makes room. Returns
   // whether the charge fits now.
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -36,7 +36,12 @@
 constexpr size_t kHeadCopies = 4;
 // Capacity of a body beyond its size counts up to this many bytes. Larger
 // blocks come from the system, which provides pages only as they are written.
-constexpr size_t kMaxSpareBytes = 65536;
+constexpr size_t kSpareBytes = 65536;
+// A body of unknown length that has exceeded this size gets a large block, and
+// one many times as large if that is not enough, so that it is seldom copied.
+constexpr size_t kUnknownLengthBytes = 16384;
+constexpr size_t kMinLargeCapacity = size_t{256} << 10;
+constexpr size_t kCapacityGrowth = 8;
 // A buffer of received bytes with more capacity is freed when it is empty.
 constexpr size_t kMaxKeptBufferBytes = 2048;
 // How long a refused caller may go on sending before its connection closes.
@@ -49,6 +54,11 @@
   MemoryCharge charge;
 };
 
+// Empties a string and frees its memory, unlike an assignment.
+void Free(std::string& text) {
+  std::string().swap(text);
+}
+
 bool HasBareLineFeed(std::string_view text) {
   for (size_t at = text.find('\n'); at != std::string_view::npos;
        at = text.find('\n', at + 1)) {
@@ -128,7 +138,7 @@
 
 void HttpServerConnection::RefuseForMemory() {
   drop_end_ = server_->clock_.Now() + kDropTime;
-  Reject(503, "the node is short of memory");
+  Reject(503, "the node is short of memory or connections");
 }
 
 void HttpServerConnection::CloseForNew() {
@@ -150,7 +160,7 @@
 
 void HttpServerConnection::ReleaseRequest() {
   request_ = HttpRequest();
-  body_ = std::string();
+  Free(body_);
   request_charge_.Set(0);
   body_charge_.Set(0);
 }
@@ -177,7 +187,7 @@
 void HttpServerConnection::CloseAndRemove() {
   socket_->Close();
   // The connection is destroyed later.
-  receive_buffer_ = std::string();
+  Free(receive_buffer_);
   ReleaseRequest();
   unsent_charge_.Set(0);
   connection_charge_.Set(0);
@@ -248,7 +258,7 @@
   const size_t held_bytes = kConnectionBytes + receive_buffer_.capacity();
   if (held_bytes > connection_charge_.bytes() &&
       !server_->Reserve(this, connection_charge_, held_bytes)) {
-    ++server_->settings_.memory->counters().refused_new;
+    server_->CountRefusal(&MemoryCounters::refused_new);
     RefuseForMemory();
     return;
   }
@@ -373,7 +383,8 @@
 }
 
 bool HttpServerConnection::ReserveForHead() {
-  return server_->Reserve(this, request_charge_,
+  return server_->MakeRoomForCall() &&
+         server_->Reserve(this, request_charge_,
                           kOpenRequestBytes + kHeadCopies * head_bytes_);
 }
 
@@ -388,7 +399,7 @@
     return MessageBody();
   }
   body_charge_.Set(body_.size() +
-                   std::min(body_.capacity() - body_.size(), kMaxSpareBytes));
+                   std::min(body_.capacity() - body_.size(), kSpareBytes));
   const auto body = std::make_shared<ChargedBody>(
       ChargedBody{.bytes = std::exchange(body_, std::string()),
                   .charge = std::move(body_charge_)});
@@ -410,7 +421,7 @@
 void HttpServerConnection::Reject(int status, std::string_view message) {
   is_keep_alive_ = false;
   state_ = State::kResponding;
-  receive_buffer_ = std::string();
+  Free(receive_buffer_);
   ReleaseRequest();
   ChargeReceiveBuffer();
   auto exchange = std::make_shared<HttpExchange>(this, HttpRequest());
@@ -475,7 +486,7 @@
   socket_->ResumeReading();
   if (receive_buffer_.empty() &&
       receive_buffer_.capacity() > kMaxKeptBufferBytes) {
-    receive_buffer_ = std::string();
+    Free(receive_buffer_);
     ChargeReceiveBuffer();
   }
   if (!receive_buffer_.empty()) {
@@ -552,7 +563,7 @@
   }
   if (!self->ReserveForHead() ||
       (has_length && !self->ReserveForBody(parser->content_length))) {
-    ++self->server_->settings_.memory->counters().refused_new;
+    self->server_->CountRefusal(&MemoryCounters::refused_new);
     self->is_refused_for_memory_ = true;
     return -1;
   }
@@ -576,14 +587,18 @@
     self->is_body_too_large_ = true;
     return -1;
   }
-  // A body without a length is charged in steps, so that it takes part in the
-  // search for others to yield less often.
+  const size_t step =
+      new_size <= kUnknownLengthBytes ? kUnknownLengthBytes : kSpareBytes;
   if (new_size > self->body_charge_.bytes() &&
-      !self->ReserveForBody(std::min(2 * new_size, limit))) {
-    ++self->server_->settings_.memory->counters().refused_unfinished;
+      !self->ReserveForBody(std::min(new_size + step, limit))) {
+    self->server_->CountRefusal(&MemoryCounters::refused_unfinished);
     self->is_refused_for_memory_ = true;
     return -1;
   }
+  if (new_size > self->body_.capacity() && new_size > kUnknownLengthBytes) {
+    self->body_.reserve(std::min(
+        std::max(new_size * kCapacityGrowth, kMinLargeCapacity), limit));
+  }
   self->body_.append(data, size);
   return 0;
 }
