Count calls that are still to be made, and scale held-back responses

Open requests count now, not only connections that exist. - Responses that the gateway holds back had 32 MiB in all whatever memory-mb says; now at most an eighth of it. - A connection keeps its small receive buffer between requests.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -164,7 +164,8 @@
       gateway_(
           {clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
            endpoint_registry_, retry_budget_, log, settings.failure_domain,
-           &prompt_quarantine_, [this] { return IsConfigurationOutdated(); }},
+           &prompt_quarantine_, [this] { return IsConfigurationOutdated(); },
+           BufferedResponseLimit(settings.memory_bytes)},
           ComponentSeed(settings, kGatewaySeed)),
       registration_reconciler_(
           endpoint_registry_,
@@ -203,8 +204,10 @@
       {.address = settings_.caller_address,
        .max_connections = descriptors_.max_callers,
        .memory = &memory_,
-       .max_connections_and_calls = descriptors_.max_callers_and_calls,
-       .count_calls = [this] { return http_client_.connection_count(); }},
+       .has_descriptors =
+           [this](size_t callers, size_t requests) {
+             return HasDescriptors(callers, requests);
+           }},
       clock_, [this](const auto& exchange) { OnCallerRequest(exchange); });
   if (!caller_server) {
     return tl::unexpected(caller_server.error());
@@ -451,6 +454,14 @@
              {{"file", settings_path_}, {"store", new_settings.store_address}});
 }
 
+bool GatewayProcess::HasDescriptors(size_t callers, size_t requests) const {
+  const size_t limit = descriptors_.max_callers_and_calls;
+  // The first sum counts the connections of open requests twice, and takes no
+  // search of the idle ones.
+  return callers + requests + http_client_.connection_count() <= limit ||
+         callers + requests + http_client_.idle_connection_count() <= limit;
+}
+
 void GatewayProcess::CheckMemory() {
   memory_timer_ =
       timers_.After(kMemoryCheckInterval, [this] { CheckMemory(); });
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -72,6 +72,9 @@
   void OnStoreUnresponsive();
   bool IsReady() const;
   void CheckSettingsFile();
+  // Returns whether there are descriptors for so many connections of callers,
+  // and for calls to endpoints for so many requests.
+  bool HasDescriptors(size_t callers, size_t requests) const;
   // Logs what was refused for lack of memory, and returns freed memory to the
   // host.
   void CheckMemory();
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -42,6 +42,9 @@
   // Returns whether this node knows that there is a newer configuration. May be
   // empty.
   std::function<bool()> is_configuration_outdated;
+  // Bytes of responses held back in the whole node, above which each further
+  // response may hold back little.
+  size_t max_buffered_response_bytes = size_t{32} << 20;
 };
 
 // Numbers of requests by outcome since the process started, for the metrics
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -22,10 +22,9 @@
 // A longer stream event is treated as one that never ends, and so are more
 // bytes of comments and empty lines between two events.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
-// Response bytes that all requests of the node may buffer. Above it, each one
-// may buffer only kMinBufferedResponseBytes, since many endpoints may send
+// Bytes that each response may buffer above
+// GatewayContext::max_buffered_response_bytes, since many endpoints may send
 // responses without end at the same time.
-constexpr size_t kMaxBufferedBytesOfNode = size_t{32} << 20;
 constexpr size_t kMinBufferedResponseBytes = size_t{16} << 10;
 // Longest idle time of a connection that is reused for a call which must not
 // run twice: a server may close an idle connection at any time, and then it is
@@ -134,7 +133,8 @@
 }
 
 size_t GatewayRequest::BufferLimit(size_t usual_limit) const {
-  return gateway_->buffered_response_bytes_ > kMaxBufferedBytesOfNode
+  return gateway_->buffered_response_bytes_ >
+                 context_.max_buffered_response_bytes
              ? kMinBufferedResponseBytes
              : usual_limit;
 }
--- a/modules/peridotmill_http/memory/memory_limits.cc
+++ b/modules/peridotmill_http/memory/memory_limits.cc
@@ -12,6 +12,9 @@
 constexpr size_t kMinBudgetDivisor = 4;
 constexpr size_t kSmallShareDivisor = 8;
 
+constexpr size_t kMaxBufferedResponses = size_t{32} << 20;
+constexpr size_t kBufferedDivisor = 8;
+
 // Part of the free memory that the unsent bytes of one response may take.
 constexpr size_t kUnsentDivisor = 64;
 constexpr size_t kMaxUnsentBytes = size_t{1} << 20;
@@ -31,6 +34,12 @@
   return limits;
 }
 
+size_t BufferedResponseLimit(size_t process_bytes) {
+  return process_bytes == 0 ? kMaxBufferedResponses
+                            : std::min(kMaxBufferedResponses,
+                                       process_bytes / kBufferedDivisor);
+}
+
 size_t MissingMemory(const MemoryLimits& limits,
                      size_t used,
                      size_t size,
--- a/modules/peridotmill_http/memory/memory_limits.h
+++ b/modules/peridotmill_http/memory/memory_limits.h
@@ -22,6 +22,10 @@
 // and the frames of peers, none of which are counted one by one.
 MemoryLimits PlanMemory(size_t process_bytes);
 
+// Returns how many bytes of responses the process may hold back in all, which
+// are not part of the budget.
+size_t BufferedResponseLimit(size_t process_bytes);
+
 // Returns how many of the `used` bytes must become free before a holder can
 // grow by `more` bytes, to `size` bytes; 0 if it fits.
 // Answers a crowd of callers whose large requests fill the memory: small
--- a/modules/peridotmill_http/server/http_server.cc
+++ b/modules/peridotmill_http/server/http_server.cc
@@ -52,9 +52,9 @@
 }
 
 void HttpServer::OnAccepted(int descriptor) {
-  const bool is_full = connections_.size() >= settings_.max_connections ||
-                       connections_.size() + settings_.count_calls() >=
-                           settings_.max_connections_and_calls;
+  const bool is_full =
+      connections_.size() >= settings_.max_connections ||
+      !settings_.has_descriptors(connections_.size() + 1, open_requests_);
   if (is_full && !CloseOneForNew()) {
     ++counters_.refused_connections;
     close(descriptor);
@@ -96,8 +96,7 @@
 }
 
 bool HttpServer::MakeRoomForCall() {
-  return connections_.size() + settings_.count_calls() <=
-             settings_.max_connections_and_calls ||
+  return settings_.has_descriptors(connections_.size(), open_requests_ + 1) ||
          CloseOneForNew();
 }
 
--- a/modules/peridotmill_http/server/http_server.h
+++ b/modules/peridotmill_http/server/http_server.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -31,10 +30,11 @@
   // What the connections may hold, or null for no limit. Must outlive the
   // server and its requests.
   MemoryBudget* memory = nullptr;
-  // Requests are refused while the connections and those that `count_calls`
-  // returns are more, and no connection can be closed.
-  size_t max_connections_and_calls = std::numeric_limits<size_t>::max();
-  std::function<size_t()> count_calls = [] { return size_t{0}; };
+  // Returns whether the process has descriptors for so many connections and
+  // for the calls of so many open requests. While it has not, requests are
+  // refused and further connections closed, unless another can be closed.
+  std::function<bool(size_t connections, size_t requests)> has_descriptors =
+      [](size_t, size_t) { return true; };
 };
 
 // Numbers of requests rejected by the server, by cause, and of connections
@@ -115,6 +115,8 @@
   guint timeout_check_source_ = 0;
   bool is_keep_alive_enabled_ = true;
   HttpServerCounters counters_;
+  // Requests whose head is complete and whose response is not.
+  size_t open_requests_ = 0;
   // When connections are searched next for those that yield memory or a
   // descriptor, after a search that found none.
   TimePoint next_memory_search_;
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -161,8 +161,14 @@
 void HttpServerConnection::ReleaseRequest() {
   request_ = HttpRequest();
   Free(body_);
-  request_charge_.Set(0);
   body_charge_.Set(0);
+  EndOpenRequest();
+}
+
+void HttpServerConnection::EndOpenRequest() {
+  request_charge_.Set(0);
+  server_->open_requests_ -= is_counted_ ? 1 : 0;
+  is_counted_ = false;
 }
 
 void HttpServerConnection::ChargeReceiveBuffer() {
@@ -285,8 +291,13 @@
     return;
   }
   if (state_ == State::kBody) {
-    const std::string received = std::exchange(receive_buffer_, std::string());
-    ReadBody(received);
+    std::string received = std::exchange(receive_buffer_, std::string());
+    const auto parsed = ParseRequest(received);
+    if (parsed) {
+      received.erase(0, *parsed);
+      receive_buffer_ = std::move(received);
+      FinishRead();
+    }
   }
 }
 
@@ -338,6 +349,14 @@
     return;
   }
   receive_buffer_.assign(bytes.substr(*parsed));
+  FinishRead();
+}
+
+void HttpServerConnection::FinishRead() {
+  if (receive_buffer_.empty() &&
+      receive_buffer_.capacity() > kMaxKeptBufferBytes) {
+    Free(receive_buffer_);
+  }
   ChargeReceiveBuffer();
   if (is_message_complete_) {
     DispatchRequest();
@@ -383,9 +402,14 @@
 }
 
 bool HttpServerConnection::ReserveForHead() {
-  return server_->MakeRoomForCall() &&
-         server_->Reserve(this, request_charge_,
-                          kOpenRequestBytes + kHeadCopies * head_bytes_);
+  if (!server_->MakeRoomForCall() ||
+      !server_->Reserve(this, request_charge_,
+                        kOpenRequestBytes + kHeadCopies * head_bytes_)) {
+    return false;
+  }
+  ++server_->open_requests_;
+  is_counted_ = true;
+  return true;
 }
 
 bool HttpServerConnection::ReserveForBody(size_t size) {
@@ -471,7 +495,7 @@
 void HttpServerConnection::FinishResponse() {
   exchange_->Detach();
   exchange_.reset();
-  request_charge_.Set(0);
+  EndOpenRequest();
   timeout_start_ = server_->clock_.Now();
   if (!is_keep_alive_) {
     state_ = State::kClosing;
--- a/modules/peridotmill_http/server/http_server_connection.h
+++ b/modules/peridotmill_http/server/http_server_connection.h
@@ -75,6 +75,8 @@
   std::optional<size_t> ParseRequest(std::string_view bytes);
   // Parses the received bytes, and keeps those that follow the request.
   void ReadBody(std::string_view bytes);
+  // Passes the request on if it is complete, after its bytes were parsed.
+  void FinishRead();
   // Charges the memory of a request whose head is complete. Returns whether it
   // fits.
   bool ReserveForHead();
@@ -85,6 +87,8 @@
   // Returns the received body and its charge.
   MessageBody TakeBody();
   void ReleaseRequest();
+  // Ends the charge of the request without its body.
+  void EndOpenRequest();
   // Passes the complete request to the server's handler.
   void DispatchRequest();
   // Sends an error response and closes the connection after it.
@@ -133,6 +137,8 @@
   bool is_body_too_large_ = false;
   bool has_too_many_fields_ = false;
   bool is_refused_for_memory_ = false;
+  // Whether the request counts as open in its server.
+  bool is_counted_ = false;
   bool is_keep_alive_ = true;
   bool is_http_1_0_ = false;
   // Whether the first byte of a request has arrived.
--- a/modules/peridotmill_http/tests/memory_server_test.cc
+++ b/modules/peridotmill_http/tests/memory_server_test.cc
@@ -22,14 +22,18 @@
 class MemoryServerTest : public testing::Test {
  protected:
   void Start(size_t max_connections) {
-    server_ =
-        *HttpServer::Create({.address = "127.0.0.1:0",
-                             .max_connections = max_connections,
-                             .memory = &memory_},
-                            clock_, [this](const auto& exchange) {
-                              exchanges_.push_back(exchange);
-                              bodies_.push_back(exchange->TakeRequest().body);
-                            });
+    server_ = *HttpServer::Create(
+        {.address = "127.0.0.1:0",
+         .max_connections = max_connections,
+         .memory = &memory_,
+         .has_descriptors =
+             [this](size_t callers, size_t requests) {
+               return callers + requests <= max_descriptors_;
+             }},
+        clock_, [this](const auto& exchange) {
+          exchanges_.push_back(exchange);
+          bodies_.push_back(exchange->TakeRequest().body);
+        });
   }
   std::unique_ptr<SocketPeer> Connect(const std::string& bytes) {
     auto peer = std::make_unique<SocketPeer>(server_->port());
@@ -47,6 +51,7 @@
   }
 
   SystemClock clock_;
+  size_t max_descriptors_ = 1000;
   MemoryBudget memory_{
       {.total_bytes = 3'400'000, .small_share_bytes = 300'000}};
   std::vector<std::shared_ptr<HttpExchange>> exchanges_;
@@ -132,5 +137,24 @@
   EXPECT_EQ(server_->counters().refused_connections, 1U);
 }
 
+// Guards against open requests whose calls take more descriptors than the
+// process has, and against refusing requests although connections are idle.
+TEST_F(MemoryServerTest, RefusesRequestsWithoutDescriptorsForTheirCalls) {
+  Start(100);
+  max_descriptors_ = 5;
+  const auto first = Connect(Head(3) + "abc");
+  const auto second = Connect(Head(3) + "abc");
+  ASSERT_TRUE(WaitForRequests(2));
+  const auto surplus = Connect(Head(3));
+  EXPECT_TRUE(WaitForRefusal(*surplus));
+  SendComplete(*exchanges_[0], {.status = 200}, "done");
+  RunLoopFor(1200ms);
+  max_descriptors_ = 4;
+  const auto third = Connect(Head(3) + "abc");
+  ASSERT_TRUE(WaitForRequests(3));
+  EXPECT_TRUE(RunLoopUntil([&] { return first->end.has_value(); }));
+  EXPECT_FALSE(second->end.has_value());
+}
+
 }  // namespace
 }  // namespace peridotmill
--- a/modules/peridotmill_http/tests/memory_yielding_test.cc
+++ b/modules/peridotmill_http/tests/memory_yielding_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "peridotmill_http/memory/descriptor_limits.h"
 #include "peridotmill_http/memory/memory_charge.h"
 
 namespace peridotmill {
@@ -76,6 +77,17 @@
   }
 }
 
+// Guards against callers that take the descriptors of the store and of peers,
+// also where a process has few.
+TEST(PlanDescriptorsTest, LeavesDescriptorsToTheRest) {
+  for (const size_t descriptors : {64, 150, 1024, 1201, 4100}) {
+    const DescriptorLimits limits = PlanDescriptors(descriptors);
+    EXPECT_LT(limits.max_callers, limits.max_callers_and_calls) << descriptors;
+    EXPECT_LE(limits.max_callers_and_calls, descriptors - descriptors / 14);
+    EXPECT_GE(limits.max_callers, descriptors / 2 - 1);
+  }
+}
+
 // Guards against a crowd of large requests that leaves no room for small ones,
 // and charges that are not returned.
 TEST(MemoryChargeTest, LeavesAShareToSmallRequests) {
