--- a/modules/peridotmill_http/memory/memory_charge.h
+++ b/modules/peridotmill_http/memory/memory_charge.h
@@ -38,7 +38,8 @@
 
   // Changes the charge, also beyond the budget.
   void Set(size_t bytes) {
-    if (budget_ != nullptr) {
+    // A charge of nothing may outlive the budget.
+    if (budget_ != nullptr && bytes != bytes_) {
       budget_->Subtract(bytes_);
       budget_->Add(bytes);
     }
--- a/modules/peridotmill_http/sockets/stream_socket.h
+++ b/modules/peridotmill_http/sockets/stream_socket.h
@@ -84,9 +84,7 @@
  private:
   // Bytes of the queue of unsent ones: either its own or those of a body.
   struct Piece {
-    std::string_view bytes() const {
-      return body.empty() ? std::string_view(own) : body.bytes();
-    }
+    std::string_view bytes() const { return body.empty() ? own : body.bytes(); }
     std::string own;
     MessageBody body;
   };
--- a/modules/peridotmill_http/tests/memory_server_test.cc
+++ b/modules/peridotmill_http/tests/memory_server_test.cc
@@ -63,9 +63,9 @@
 // ordinary large request needs.
 TEST_F(MemoryServerTest, RefusesStalledBodiesForNewOnes) {
   Start(100);
-  std::vector<std::unique_ptr<SocketPeer>> crowd;
-  for (int i = 0; i < 3; ++i) {
-    crowd.push_back(Connect(Head(kLargeBytes) + std::string(900'000, 'x')));
+  std::vector<std::unique_ptr<SocketPeer>> crowd(3);
+  for (auto& peer : crowd) {
+    peer = Connect(Head(kLargeBytes) + std::string(900'000, 'x'));
   }
   RunLoopFor(1200ms);
   const auto caller =
