Never close a connection for its own request

A request that had arrived behind an open one for 1 s or more counted as stalled when it was parsed. Under a shortage of descriptors its own connection was then chosen to make room for it: it got 503, not run, and was run all the same. Its wait begins anew when its head is parsed. MemoryServerTest.NeverRunsARefusedPipelinedRequest failed before (two requests run, one refused) and passes; peridotmill_http_tests: 67 passed.

--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -312,6 +312,8 @@
   state_ = State::kBody;
   timeout_start_ = server_->clock_.Now();
   body_start_ = timeout_start_;
+  // The request may have waited here behind another one.
+  last_receive_ = timeout_start_;
   return true;
 }
 
--- a/modules/peridotmill_http/tests/memory_server_test.cc
+++ b/modules/peridotmill_http/tests/memory_server_test.cc
@@ -156,5 +156,18 @@
   EXPECT_FALSE(second->end.has_value());
 }
 
+// Guards against running a request that was refused: one that had arrived
+// behind an open one for so long that its connection seems stalled.
+TEST_F(MemoryServerTest, NeverRunsARefusedPipelinedRequest) {
+  Start(100);
+  const auto caller = Connect(Head(3) + "abc" + Head(3) + "def");
+  ASSERT_TRUE(WaitForRequests(1));
+  RunLoopFor(1200ms);
+  max_descriptors_ = 1;
+  SendComplete(*exchanges_[0], {.status = 200}, "done");
+  EXPECT_TRUE(WaitForRefusal(*caller));
+  EXPECT_EQ(exchanges_.size(), 1U);
+}
+
 }  // namespace
 }  // namespace peridotmill
