--- a/daemons/peridotmill-gateway/gateway_metrics.cc
+++ b/daemons/peridotmill-gateway/gateway_metrics.cc
@@ -54,6 +54,14 @@
     add("reasons_total{reason=\"" + std::string(info.name) + "\"}",
         gateway_.reasons().Get(info.reason));
   }
+  add("memory_used_bytes", memory_.used_bytes());
+  add("memory_peak_bytes", memory_.peak_bytes());
+  add("memory_limit_bytes", memory_.limits().total_bytes);
+  add("memory_refused_unfinished_total", memory_.counters().refused_unfinished);
+  add("memory_refused_new_total", memory_.counters().refused_new);
+  add("callers_closed_for_new_total",
+      caller_server_->counters().closed_for_new_connections);
+  add("callers_refused_total", caller_server_->counters().refused_connections);
   add("endpoints_stating_pace", endpoint_registry_.CountStatedPaces());
   add("engines_slow", coordinator_.slow_engine_count());
   return page;
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -78,6 +78,12 @@
   void OnStoreUnresponsive();
   bool IsReady() const;
   void CheckSettingsFile();
+  // Returns whether there are descriptors for so many connections of callers,
+  // and for calls to endpoints for so many requests.
+  bool HasDescriptors(size_t callers, size_t requests) const;
+  // Logs what was refused for lack of memory, and returns freed memory to the
+  // host.
+  void CheckMemory();
   void ContinueStopping();
   // Returns whether neither callers nor other nodes have work here.
   bool IsUnused() const;
@@ -95,6 +101,12 @@
   OutputLog& log_;
   GMainLoop* loop_;
   GlibTimerQueue timers_;
+  MemoryBudget memory_;
+  DescriptorLimits descriptors_;
+  // Memory counters that have been logged.
+  MemoryCounters logged_memory_counters_;
+  size_t used_before_trim_ = 0;
+  std::unique_ptr<Timer> memory_timer_;
   HttpClient http_client_;
   platform::StoreAdapter store_;
   StoreRetryQueue store_retry_queue_;
--- a/modules/peridotmill_http/server/http_server.h
+++ b/modules/peridotmill_http/server/http_server.h
@@ -12,6 +12,7 @@
 #include "peridotmill_core/errors/error.h"
 #include "peridotmill_core/http/http_message.h"
 #include "peridotmill_core/time/clock.h"
+#include "peridotmill_http/memory/memory_charge.h"
 #include "peridotmill_http/server/http_exchange.h"
 #include "peridotmill_http/sockets/tcp_listener.h"
 
@@ -22,19 +23,29 @@
 struct HttpServerSettings {
   // Address to listen on, "a.b.c.d:port"; port 0 selects any free port.
   std::string address;
-  // Further connections are closed immediately after they are accepted.
+  // For each further connection, one that is not in use is closed; if there is
+  // none, the further connection itself.
   size_t max_connections = 1024;
   HttpLimits limits;
+  // What the connections may hold, or null for no limit. Must outlive the
+  // server and its requests.
+  MemoryBudget* memory = nullptr;
+  // Returns whether the process has descriptors for so many connections and
+  // for the calls of so many open requests. While it has not, requests are
+  // refused and further connections closed, unless another can be closed.
+  std::function<bool(size_t connections, size_t requests)> has_descriptors =
+      [](size_t, size_t) { return true; };
 };
 
 // Numbers of requests rejected by the server, by cause, and of connections
-// refused because HttpServerSettings::max_connections were open.
+// refused or closed because HttpServerSettings::max_connections were open.
 struct HttpServerCounters {
   uint64_t malformed = 0;
   uint64_t head_too_large = 0;
   uint64_t body_too_large = 0;
   uint64_t timed_out = 0;
   uint64_t refused_connections = 0;
+  uint64_t closed_for_new_connections = 0;
 };
 
 // HTTP/1.1 server on the default GLib main context. Handles the requests of one
@@ -82,6 +93,18 @@
 
   void OnAccepted(int descriptor);
   static gboolean OnTimeoutCheck(gpointer data);
+  void CountRefusal(uint64_t MemoryCounters::*counter);
+  // Closes a connection that is not in use. Returns whether there was one.
+  bool CloseOneForNew();
+  // Returns whether a request may open a connection to an endpoint, after
+  // closing a connection that is not in use if need be.
+  bool MakeRoomForCall();
+  // Changes a charge of `requester`, whose request is being received; refuses
+  // requests that other connections are receiving if that makes room. Returns
+  // whether the charge fits now.
+  bool Reserve(const HttpServerConnection* requester,
+               MemoryCharge& charge,
+               size_t bytes);
   // Removes the connection and destroys it later from the main loop.
   void RemoveConnection(HttpServerConnection* connection);
 
@@ -92,6 +115,12 @@
   guint timeout_check_source_ = 0;
   bool is_keep_alive_enabled_ = true;
   HttpServerCounters counters_;
+  // Requests whose head is complete and whose response is not.
+  size_t open_requests_ = 0;
+  // When connections are searched next for those that yield memory or a
+  // descriptor, after a search that found none.
+  TimePoint next_memory_search_;
+  TimePoint next_connection_search_;
   std::unordered_map<HttpServerConnection*,
                      std::unique_ptr<HttpServerConnection>>
       connections_;
--- a/modules/peridotmill_http/server/http_server_connection.cc
+++ b/modules/peridotmill_http/server/http_server_connection.cc
@@ -23,9 +23,17 @@
 // idle. The first byte may have to be sent again once.
 constexpr Duration kFirstByteTimeout = std::chrono::seconds(1);
 
-// Maximum number of fields in the head of a request. Each takes far more memory
-// than its bytes, so that the limit on the size of a head is not enough.
-constexpr size_t kMaxRequestFields = 512;
+// Memory of a connection without its buffers.
+constexpr size_t kConnectionBytes = 4096;
+// A buffer of received bytes with more capacity is freed when it is empty.
+constexpr size_t kMaxKeptBufferBytes = 2048;
+// How long a refused caller may go on sending before its connection closes.
+constexpr Duration kDropTime = std::chrono::seconds(2);
+
+// Empties a string and frees its memory, unlike an assignment.
+void Free(std::string& text) {
+  std::string().swap(text);
+}
 
 bool HasBareLineFeed(std::string_view text) {
   for (size_t at = text.find('\n'); at != std::string_view::npos;
@@ -37,16 +45,18 @@
   return false;
 }
 
-HttpServerConnection* GetConnection(http_parser* parser) {
-  return static_cast<HttpServerConnection*>(parser->data);
-}
-
 }  // namespace
 
 HttpServerConnection::HttpServerConnection(HttpServer* server, int descriptor)
     : server_(server),
       socket_(StreamSocket::Accepted(descriptor, this)),
-      timeout_start_(server->clock_.Now()) {
+      connection_charge_(server->settings_.memory),
+      request_charge_(server->settings_.memory),
+      body_charge_(server->settings_.memory),
+      unsent_charge_(server->settings_.memory),
+      timeout_start_(server->clock_.Now()),
+      last_receive_(timeout_start_) {
+  ChargeReceiveBuffer();
   http_parser_init(&parser_, HTTP_REQUEST);
   parser_.data = this;
 }
@@ -61,6 +71,82 @@
          socket_->unsent_bytes() == 0 && !socket_->has_unread_bytes();
 }
 
+std::optional<UnfinishedRequest> HttpServerConnection::unfinished_request()
+    const {
+  if (state_ == State::kBody) {
+    return UnfinishedRequest{
+        .charged_bytes = request_charge_.bytes() + body_charge_.bytes(),
+        .received_bytes = head_bytes_ + body_.size(),
+        .start = body_start_,
+        .last_progress = last_receive_};
+  }
+  if (state_ == State::kHead && !receive_buffer_.empty()) {
+    return UnfinishedRequest{
+        .charged_bytes = connection_charge_.bytes() - kConnectionBytes,
+        .received_bytes = receive_buffer_.size(),
+        .start = timeout_start_,
+        .last_progress = last_receive_};
+  }
+  return std::nullopt;
+}
+
+OpenConnection HttpServerConnection::GetState(TimePoint now) const {
+  using Phase = OpenConnection::State;
+  if (state_ == State::kClosing) {
+    return {.state = drop_end_ ? Phase::kClosing : Phase::kOpenRequest,
+            .since = timeout_start_};
+  }
+  if (const auto request = unfinished_request()) {
+    return {.state = Phase::kUnfinishedRequest,
+            .is_stalled = IsStalled(*request, now),
+            .since = last_receive_};
+  }
+  if (state_ == State::kHead && socket_->unsent_bytes() == 0) {
+    return {.state = has_received_bytes_ ? Phase::kIdle : Phase::kNew,
+            .since = timeout_start_};
+  }
+  return {.state = Phase::kOpenRequest, .since = timeout_start_};
+}
+
+void HttpServerConnection::RefuseForMemory() {
+  drop_end_ = server_->clock_.Now() + kDropTime;
+  Reject(503, "the node is short of memory or connections");
+}
+
+void HttpServerConnection::CloseForNew() {
+  if (unfinished_request()) {
+    Reject(503, "the node is short of connections");
+  }
+  if (socket_->is_open()) {
+    CloseAndRemove();
+  }
+}
+
+size_t HttpServerConnection::unsent_limit() const {
+  const MemoryBudget* const memory = server_->settings_.memory;
+  return memory == nullptr
+             ? ResponseWriter::kDefaultUnsentLimit
+             : UnsentResponseLimit(memory->limits(), memory->used_bytes(),
+                                   ResponseWriter::kDefaultUnsentLimit);
+}
+
+void HttpServerConnection::ReleaseRequest() {
+  request_ = HttpRequest();
+  Free(body_);
+  body_charge_.Set(0);
+  EndOpenRequest();
+}
+
+void HttpServerConnection::EndOpenRequest() {
+  request_charge_.Set(0);
+  server_->open_requests_ -= is_counted_ ? 1 : 0;
+  is_counted_ = false;
+}
+
+void HttpServerConnection::ChargeReceiveBuffer() {
+  connection_charge_.Set(kConnectionBytes + receive_buffer_.capacity());
+}
+
 void HttpServerConnection::EndBeforeExit() {
   const bool is_receiving =
       state_ == State::kBody ||
@@ -78,6 +164,11 @@
 
 void HttpServerConnection::CloseAndRemove() {
   socket_->Close();
+  // The connection is destroyed later.
+  Free(receive_buffer_);
+  ReleaseRequest();
+  unsent_charge_.Set(0);
+  connection_charge_.Set(0);
   if (exchange_ != nullptr) {
     exchange_->Detach();
     auto exchange = std::move(exchange_);
@@ -89,6 +180,10 @@
 }
 
 void HttpServerConnection::CheckTimeout(TimePoint now) {
+  if (drop_end_ && now >= *drop_end_) {
+    CloseAndRemove();
+    return;
+  }
   const HttpLimits& limits = server_->settings_.limits;
   const bool is_receiving_head =
       state_ == State::kHead && !receive_buffer_.empty();
@@ -98,7 +193,7 @@
       state_ == State::kBody &&
       now - body_start_ >
           limits.idle_timeout +
-              FromMilliseconds(static_cast<double>(request_.body.size()) /
+              FromMilliseconds(static_cast<double>(body_.size()) /
                                kMinBodyBytesPerMs);
   if (state_ == State::kResponding ||
       (now - timeout_start_ < limit && !is_body_too_slow)) {
@@ -114,25 +209,44 @@
 
 void HttpServerConnection::OnSocketData(std::string_view bytes) {
   if (state_ == State::kClosing) {
+    dropped_bytes_ += bytes.size();
+    if (drop_end_ &&
+        dropped_bytes_ > server_->settings_.limits.max_body_bytes) {
+      CloseAndRemove();
+    }
     return;
   }
+  last_receive_ = server_->clock_.Now();
   if (state_ != State::kHead || receive_buffer_.empty()) {
-    timeout_start_ = server_->clock_.Now();
+    timeout_start_ = last_receive_;
   }
   has_received_bytes_ = true;
+  if (state_ == State::kBody) {
+    ReadBody(bytes);
+    return;
+  }
   receive_buffer_.append(bytes);
   if (state_ == State::kResponding) {
+    ChargeReceiveBuffer();
     if (receive_buffer_.size() > kMaxPipelinedBytes) {
       socket_->PauseReading();
     }
     return;
   }
+  const size_t held_bytes = kConnectionBytes + receive_buffer_.capacity();
+  if (held_bytes > connection_charge_.bytes() &&
+      !server_->Reserve(this, connection_charge_, held_bytes)) {
+    server_->CountRefusal(&MemoryCounters::refused_new);
+    RefuseForMemory();
+    return;
+  }
   ReadRequests();
 }
 
 void HttpServerConnection::OnSocketDrained() {
+  unsent_charge_.Set(0);
   if (state_ == State::kClosing) {
-    CloseAndRemove();
+    CloseAfterResponse();
   } else if (state_ == State::kResponding && exchange_->on_drained_) {
     // Keeps the exchange alive if its callback finishes the response.
     const std::shared_ptr<HttpExchange> exchange = exchange_;
@@ -149,7 +263,13 @@
     return;
   }
   if (state_ == State::kBody) {
-    ReadBody();
+    std::string received = std::exchange(receive_buffer_, std::string());
+    const auto parsed = ParseRequest(received);
+    if (parsed) {
+      received.erase(0, *parsed);
+      receive_buffer_ = std::move(received);
+      FinishRead();
+    }
   }
 }
 
@@ -184,47 +304,34 @@
     return false;
   }
   request_ = HttpRequest();
+  head_bytes_ = head_size;
   is_message_complete_ = false;
   is_body_too_large_ = false;
   has_too_many_fields_ = false;
+  is_refused_for_memory_ = false;
   state_ = State::kBody;
   timeout_start_ = server_->clock_.Now();
   body_start_ = timeout_start_;
+  // The request may have waited here behind another one.
+  last_receive_ = timeout_start_;
   return true;
 }
 
-void HttpServerConnection::ReadBody() {
-  static const http_parser_settings parser_callbacks = [] {
-    http_parser_settings callbacks;
-    http_parser_settings_init(&callbacks);
-    callbacks.on_url = OnUrl;
-    callbacks.on_header_field = OnHeaderField;
-    callbacks.on_header_value = OnHeaderValue;
-    callbacks.on_headers_complete = OnHeadersComplete;
-    callbacks.on_body = OnBody;
-    callbacks.on_message_complete = OnMessageComplete;
-    return callbacks;
-  }();
-  const size_t parsed =
-      http_parser_execute(&parser_, &parser_callbacks, receive_buffer_.data(),
-                          receive_buffer_.size());
-  const http_errno error = HTTP_PARSER_ERRNO(&parser_);
-  if (is_body_too_large_) {
-    ++server_->counters_.body_too_large;
-    Reject(413, "the request body is too large");
-    return;
-  }
-  if (has_too_many_fields_) {
-    ++server_->counters_.head_too_large;
-    Reject(431, "the request head has too many fields");
+void HttpServerConnection::ReadBody(std::string_view bytes) {
+  const auto parsed = ParseRequest(bytes);
+  if (!parsed) {
     return;
   }
-  if (error != HPE_OK && error != HPE_PAUSED) {
-    ++server_->counters_.malformed;
-    Reject(400, http_errno_description(error));
-    return;
+  receive_buffer_.assign(bytes.substr(*parsed));
+  FinishRead();
+}
+
+void HttpServerConnection::FinishRead() {
+  if (receive_buffer_.empty() &&
+      receive_buffer_.capacity() > kMaxKeptBufferBytes) {
+    Free(receive_buffer_);
   }
-  receive_buffer_.erase(0, parsed);
+  ChargeReceiveBuffer();
   if (is_message_complete_) {
     DispatchRequest();
   }
@@ -234,6 +341,7 @@
   is_keep_alive_ = http_should_keep_alive(&parser_) != 0;
   http_parser_pause(&parser_, 0);
   state_ = State::kResponding;
+  request_.body = TakeBody();
   exchange_ = std::make_shared<HttpExchange>(this, std::move(request_));
   request_ = HttpRequest();
   // Keeps the exchange alive if the handler finishes the response immediately.
@@ -244,11 +352,17 @@
 void HttpServerConnection::Reject(int status, std::string_view message) {
   is_keep_alive_ = false;
   state_ = State::kResponding;
+  Free(receive_buffer_);
+  ReleaseRequest();
+  ChargeReceiveBuffer();
   auto exchange = std::make_shared<HttpExchange>(this, HttpRequest());
   exchange_ = exchange;
   HttpResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "application/json");
+  if (drop_end_) {
+    head.headers.Add("Retry-After", "1");
+  }
   std::string body = R"({"error":{"message":")";
   body += message;
   body += R"(","execution":"not_run"}})";
@@ -277,17 +391,23 @@
     bytes += "Connection: close\r\n";
   }
   bytes += "\r\n";
+  Send(bytes);
+}
+
+void HttpServerConnection::Send(std::string_view bytes) {
   socket_->Write(bytes);
+  unsent_charge_.Set(socket_->unsent_bytes());
 }
 
 void HttpServerConnection::FinishResponse() {
   exchange_->Detach();
   exchange_.reset();
+  EndOpenRequest();
   timeout_start_ = server_->clock_.Now();
   if (!is_keep_alive_) {
     state_ = State::kClosing;
     if (socket_->unsent_bytes() == 0) {
-      CloseAndRemove();
+      CloseAfterResponse();
     }
     return;
   }
@@ -295,101 +415,29 @@
   http_parser_init(&parser_, HTTP_REQUEST);
   parser_.data = this;
   socket_->ResumeReading();
+  if (receive_buffer_.empty() &&
+      receive_buffer_.capacity() > kMaxKeptBufferBytes) {
+    Free(receive_buffer_);
+    ChargeReceiveBuffer();
+  }
   if (!receive_buffer_.empty()) {
     ReadRequests();
   }
 }
 
+void HttpServerConnection::CloseAfterResponse() {
+  if (drop_end_ && server_->clock_.Now() < *drop_end_) {
+    socket_->ShutDownWriting();
+    socket_->ResumeReading();
+    return;
+  }
+  CloseAndRemove();
+}
+
 void HttpServerConnection::AbortResponse() {
   state_ = State::kClosing;
   socket_->Abort();
   CloseAndRemove();
 }
 
-int HttpServerConnection::OnUrl(http_parser* parser,
-                                const char* data,
-                                size_t size) {
-  GetConnection(parser)->request_.target.append(data, size);
-  return 0;
-}
-
-int HttpServerConnection::OnHeaderField(http_parser* parser,
-                                        const char* data,
-                                        size_t size) {
-  auto* const self = GetConnection(parser);
-  if (self->is_in_header_value_) {
-    self->FinishHeader();
-  }
-  self->header_name_.append(data, size);
-  self->has_too_many_fields_ =
-      self->request_.headers.fields().size() >= kMaxRequestFields;
-  return self->has_too_many_fields_ ? -1 : 0;
-}
-
-int HttpServerConnection::OnHeaderValue(http_parser* parser,
-                                        const char* data,
-                                        size_t size) {
-  auto* const self = GetConnection(parser);
-  self->is_in_header_value_ = true;
-  self->header_value_.append(data, size);
-  return 0;
-}
-
-void HttpServerConnection::FinishHeader() {
-  if (is_in_header_value_) {
-    request_.headers.Add(std::move(header_name_), std::move(header_value_));
-  }
-  header_name_.clear();
-  header_value_.clear();
-  is_in_header_value_ = false;
-}
-
-int HttpServerConnection::OnHeadersComplete(http_parser* parser) {
-  auto* const self = GetConnection(parser);
-  self->FinishHeader();
-  self->request_.method =
-      http_method_str(static_cast<http_method>(parser->method));
-  self->is_http_1_0_ = parser->http_major == 1 && parser->http_minor == 0;
-  // Protocol upgrades are not supported, so a request for one is ignored.
-  parser->upgrade = 0;
-  const bool has_length = (parser->flags & F_CONTENTLENGTH) != 0;
-  if (has_length &&
-      parser->content_length > self->server_->settings_.limits.max_body_bytes) {
-    self->is_body_too_large_ = true;
-    return -1;
-  }
-  if (has_length) {
-    self->request_.body.reserve(parser->content_length);
-  }
-  if (self->request_.headers.HasToken("Expect", "100-continue")) {
-    self->request_.headers.Remove("Expect");
-    self->Send("HTTP/1.1 100 Continue\r\n\r\n");
-  }
-  return 0;
-}
-
-int HttpServerConnection::OnBody(http_parser* parser,
-                                 const char* data,
-                                 size_t size) {
-  auto* const self = GetConnection(parser);
-  self->request_.body.append(data, size);
-  if (self->request_.body.size() >
-      self->server_->settings_.limits.max_body_bytes) {
-    self->is_body_too_large_ = true;
-    return -1;
-  }
-  return 0;
-}
-
-int HttpServerConnection::OnMessageComplete(http_parser* parser) {
-  auto* const self = GetConnection(parser);
-  // Trailer fields are discarded.
-  self->header_name_.clear();
-  self->header_value_.clear();
-  self->is_in_header_value_ = false;
-  self->is_message_complete_ = true;
-  http_parser_pause(parser, 1);
-  return 0;
-}
-
 }  // namespace peridotmill
