Fail streams without any event that end with their connection

Cause: the kernel closes the connections of a killed process in order, so that the end of a stream which has neither a length nor chunks proves nothing.

Change: MayBeWhole() in streams/stream_end.h decides. Without any event, a stream is whole only if its framing says so. Otherwise the attempt has failed: another endpoint runs a resumable stream, other callers get 502. gateway_request.cc loses four lines.

--- a/modules/peridotmill_gateway/calls/endpoint_call.h
+++ b/modules/peridotmill_gateway/calls/endpoint_call.h
@@ -47,6 +47,8 @@
   // Headers that are forwarded to the caller.
   HeaderList headers;
   std::optional<uint64_t> content_length;
+  // Neither a length nor the chunked coding frames the body.
+  bool ends_with_connection = false;
   // The endpoint guarantees that it has not run the request and will not run
   // it.
   bool is_stated_not_run = false;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -762,11 +762,7 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
     return;
   }
-  if (IsAuthenticStreamResponse() &&
-      (event_splitter_.ends_inside_event() ||
-       resumed_after_events_ == event_splitter_.event_count())) {
-    // A resumption without any event does not prove that the events so far are
-    // all of them.
+  if (IsAuthenticStreamResponse() && !MayBeWhole(EndOfStream())) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -16,6 +16,7 @@
 #include "peridotmill_gateway/requests/refusal.h"
 #include "peridotmill_gateway/requests/stage_progress.h"
 #include "peridotmill_gateway/streams/event_splitter.h"
+#include "peridotmill_gateway/streams/stream_end.h"
 
 namespace peridotmill {
 
@@ -137,6 +138,14 @@
   // Returns whether the current response is an engine's event stream, which
   // starts or resumes the caller's.
   bool IsAuthenticStreamResponse() const;
+  StreamEnd EndOfStream() const {
+    // The head alone is the whole response to HEAD.
+    return {.events = AttemptEventCount(),
+            .ends_inside_event = event_splitter_.ends_inside_event(),
+            .is_resumption = resumed_after_events_.has_value(),
+            .ends_with_connection = response_head_.ends_with_connection &&
+                                    request_.message.method != "HEAD"};
+  }
   void ForwardStreamBytes(std::string_view bytes);
   // `events_before` is the number of events received before these.
   void ForwardEvents(std::string_view complete_events, uint64_t events_before);
