--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -19,8 +19,6 @@
 namespace peridotmill {
 namespace {
 
-// File descriptors reserved for files, the store and calls to endpoints.
-constexpr size_t kReservedFileDescriptors = 600;
 // Interval at which the settings file is checked for changes, so that they are
 // applied without a signal too.
 constexpr Duration kSettingsCheckInterval = std::chrono::seconds(2);
@@ -36,6 +34,10 @@
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
 // Interval at which the number of nodes is read again until it is known.
 constexpr Duration kNodeCountCheckInterval = std::chrono::milliseconds(500);
+// Interval of the checks for requests refused for lack of memory, and the fall
+// of the memory in use after which freed memory is returned to the host.
+constexpr Duration kMemoryCheckInterval = std::chrono::seconds(1);
+constexpr size_t kMinTrimmedBytes = size_t{8} << 20;
 // Routes of a new configuration that are decoded before other work goes on.
 constexpr size_t kRoutesPerStep = 64;
 // Give each component its own seed for random choices.
@@ -138,6 +140,8 @@
       log_(log),
       loop_(g_main_loop_new(nullptr, FALSE)),
       timers_(clock),
+      memory_(PlanMemory(settings.memory_bytes)),
+      descriptors_(PlanDescriptors(settings.max_descriptors)),
       http_client_(clock),
       store_(settings.store_address, http_client_, timers_),
       store_retry_queue_(timers_, ComponentSeed(settings, kStoreRetrySeed)),
@@ -175,7 +179,8 @@
       gateway_(
           {clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
            endpoint_registry_, retry_budget_, log, settings.failure_domain,
-           &prompt_quarantine_, [this] { return IsConfigurationOutdated(); }},
+           &prompt_quarantine_, [this] { return IsConfigurationOutdated(); },
+           BufferedResponseLimit(settings.memory_bytes)},
           ComponentSeed(settings, kGatewaySeed)),
       evacuations_(endpoint_registry_, clock, log),
       registration_reconciler_(
@@ -211,13 +216,14 @@
 }
 
 Result<void> GatewayProcess::StartListening() {
-  const size_t max_caller_connections =
-      settings_.max_descriptors > 2 * kReservedFileDescriptors
-          ? settings_.max_descriptors - kReservedFileDescriptors
-          : settings_.max_descriptors / 2;
   auto caller_server = HttpServer::Create(
       {.address = settings_.caller_address,
-       .max_connections = max_caller_connections},
+       .max_connections = descriptors_.max_callers,
+       .memory = &memory_,
+       .has_descriptors =
+           [this](size_t callers, size_t requests) {
+             return HasDescriptors(callers, requests);
+           }},
       clock_, [this](const auto& exchange) { OnCallerRequest(exchange); });
   if (!caller_server) {
     return tl::unexpected(caller_server.error());
@@ -323,6 +329,7 @@
   node_registration_.Start();
   settings_timer_ =
       timers_.After(kSettingsCheckInterval, [this] { CheckSettingsFile(); });
+  CheckMemory();
   g_main_loop_run(loop_);
   return 0;
 }
@@ -514,6 +521,45 @@
              {{"file", settings_path_}, {"store", new_settings.store_address}});
 }
 
+bool GatewayProcess::HasDescriptors(size_t callers, size_t requests) const {
+  const size_t limit = descriptors_.max_callers_and_calls;
+  // The first sum counts the connections of open requests twice, and takes no
+  // search of the idle ones.
+  return callers + requests + http_client_.connection_count() <= limit ||
+         callers + requests + http_client_.idle_connection_count() <= limit;
+}
+
+void GatewayProcess::CheckMemory() {
+  memory_timer_ =
+      timers_.After(kMemoryCheckInterval, [this] { CheckMemory(); });
+  used_before_trim_ = std::max(used_before_trim_, memory_.used_bytes());
+  if (used_before_trim_ - memory_.used_bytes() >= kMinTrimmedBytes) {
+    malloc_trim(0);
+    used_before_trim_ = memory_.used_bytes();
+  }
+  const MemoryCounters& counters = memory_.counters();
+  if (counters == logged_memory_counters_) {
+    return;
+  }
+  logged_memory_counters_ = counters;
+  log_.Write(
+      "memory_short",
+      {{"used_bytes", std::to_string(memory_.used_bytes())},
+       {"peak_bytes", std::to_string(memory_.peak_bytes())},
+       {"limit_bytes", std::to_string(memory_.limits().total_bytes)},
+       {"small_share_bytes",
+        std::to_string(memory_.limits().small_share_bytes)},
+       {"connections", std::to_string(caller_server_->connection_count())},
+       {"max_connections", std::to_string(descriptors_.max_callers)},
+       {"endpoint_connections",
+        std::to_string(http_client_.connection_count())},
+       {"max_connections_and_calls",
+        std::to_string(descriptors_.max_callers_and_calls)},
+       {"refused_unfinished", std::to_string(counters.refused_unfinished)},
+       {"refused_new", std::to_string(counters.refused_new)},
+       {"closed_idle", std::to_string(counters.closed_idle)}});
+}
+
 void GatewayProcess::RequestStop() {
   if (is_stopping_) {
     return;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -23,14 +23,10 @@
 // A longer stream event is treated as one that never ends, and so are more
 // bytes of comments and empty lines between two events.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
-// Response bytes that all requests of the node may buffer. Above it, each one
-// may buffer only kMinBufferedResponseBytes, since many endpoints may send
+// Bytes that each response may buffer above
+// GatewayContext::max_buffered_response_bytes, since many endpoints may send
 // responses without end at the same time.
-constexpr size_t kMaxBufferedBytesOfNode = size_t{32} << 20;
 constexpr size_t kMinBufferedResponseBytes = size_t{16} << 10;
-// Unsent bytes for a slowly reading caller above which the gateway stops
-// reading from the endpoint.
-constexpr size_t kMaxUnsentResponseBytes = 65536;
 // Longest idle time of a connection that is reused for a call which must not
 // run twice: a server may close an idle connection at any time, and then it is
 // unknown whether the call has run.
@@ -138,7 +134,8 @@
 }
 
 size_t GatewayRequest::BufferLimit(size_t usual_limit) const {
-  return gateway_->buffered_response_bytes_ > kMaxBufferedBytesOfNode
+  return gateway_->buffered_response_bytes_ >
+                 context_.max_buffered_response_bytes
              ? kMinBufferedResponseBytes
              : usual_limit;
 }
@@ -664,7 +661,7 @@
 
 void GatewayRequest::PauseResponseIfCallerIsSlow() {
   if (!is_paused_ && call_ != nullptr &&
-      channel_->unsent_bytes() > kMaxUnsentResponseBytes) {
+      channel_->unsent_bytes() > channel_->unsent_limit()) {
     is_paused_ = true;
     call_->PauseReading();
     // The endpoint makes no progress because the gateway does not read from it.
@@ -766,11 +763,7 @@
     HandleFailedAttempt(AttemptOutcome::kFailed, Reason::kEndpointFailed);
     return;
   }
-  if (IsAuthenticStreamResponse() &&
-      (event_splitter_.ends_inside_event() ||
-       resumed_after_events_ == event_splitter_.event_count())) {
-    // A resumption without any event does not prove that the events so far are
-    // all of them.
+  if (IsAuthenticStreamResponse() && !MayBeWhole(EndOfStream())) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
     return;
   }
