Decide by priority, outlook and work which stage requests yield

Change: where several priorities share the pools, overload/ decides: the reserve of late requests grows with the pressure on a pool, late requests are ordered by priority with 2 s a level, among equals the larger yield for 60 ms a unit of usual work, each priority has a guaranteed share of what starts, a waiting request that must yield too long is refused at once, and refused callers get distinct times to return. With one priority, nothing changes.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -550,6 +550,7 @@
     add("reasons_total{reason=\"" + std::string(info.name) + "\"}",
         gateway_.reasons().Get(info.reason));
   }
+  add("stage_requests_displaced_total", coordinator_.displaced_request_count());
   return page;
 }
 
--- a/modules/peridotmill_gateway/admission/admission_queue.h
+++ b/modules/peridotmill_gateway/admission/admission_queue.h
@@ -7,6 +7,8 @@
 #include <vector>
 
 #include "peridotmill_gateway/admission/planned_work.h"
+#include "peridotmill_gateway/overload/pool_demands.h"
+#include "peridotmill_gateway/overload/yield_order.h"
 
 namespace peridotmill {
 
@@ -23,6 +25,8 @@
   // 0 is the most urgent.
   int priority = 0;
   std::vector<PlannedWork> work;
+  // How long the work takes the pools; see PoolSeconds.
+  double pool_seconds = 0;
 };
 
 // Work of a request that has started.
@@ -36,6 +40,10 @@
 struct AdmissionQueue {
   std::map<AdmissionId, WaitingRequest> waiting;
   std::map<AdmissionId, std::vector<StartedWork>> started;
+  // Recent demand by priority. Without it, requests of all priorities leave
+  // each other equal room.
+  PriorityDemands demands;
+  PoolDemands pool_demands;
 };
 
 // Throughput of a pool.
@@ -46,13 +54,23 @@
 };
 using PoolThroughputs = std::map<PoolId, PoolThroughput>;
 
+// Returns how long the work of a request takes the pools that it uses, in
+// seconds of the time of a whole pool.
+double PoolSeconds(const std::vector<PlannedWork>& work,
+                   const PoolThroughputs& throughputs);
+
+// Returns the time by which waiting requests with the same outlook are ordered.
+TimePoint OrderingTime(const AdmissionQueue& queue,
+                       const WaitingRequest& request,
+                       StartOutlook outlook);
+
 // Moves the requests that can start now from waiting to started and returns
 // them in the order in which they start. Handles bursts above the capacity of
 // the stage pools: a request starts only when each pool of its later stages
 // will have time and result memory for it, so that excess requests wait where
 // they hold no results, and started requests are not delayed. Requests that
 // would be on time behind the started work go first, in order of priority; the
-// others use the remaining capacity.
+// others use the remaining capacity. Each priority gets a guaranteed share.
 std::vector<AdmissionId> AdmitRequests(AdmissionQueue& queue,
                                        const PoolThroughputs& throughputs,
                                        TimePoint now);
--- a/modules/peridotmill_gateway/admission/stage_admission.cc
+++ b/modules/peridotmill_gateway/admission/stage_admission.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/overload/displacement.h"
 
 namespace peridotmill {
 namespace {
@@ -15,6 +16,9 @@
 // Interval at which waiting requests are reconsidered; a pool finishes a few
 // items in this time.
 constexpr Duration kAdmissionRetryInterval = std::chrono::milliseconds(30);
+// Interval at which waiting requests that will not be served in time are
+// refused.
+constexpr Duration kDisplacementInterval = std::chrono::milliseconds(100);
 // Requests that waited at least this long are logged when they are admitted.
 constexpr Duration kLoggedWait = std::chrono::milliseconds(200);
 
@@ -73,12 +77,19 @@
   request.latest_useful_start = task.deadline - call_time;
   request.priority = task.priority;
   request.work = task.plan;
-  const auto retry_after =
-      DecideRefusal(queue_, handlers_.throughputs(), request, now);
+  const PoolThroughputs throughputs = handlers_.throughputs();
+  request.pool_seconds = PoolSeconds(request.work, throughputs);
+  RecordArrival(queue_.demands, request.priority, request.pool_seconds, now);
+  RecordPoolDemand(queue_.pool_demands, request.work, now);
+  auto retry_after = DecideRefusal(queue_, throughputs, request, now);
   if (!retry_after) {
     queue_.waiting.emplace(admission_id, std::move(request));
     return false;
   }
+  if (DoPrioritiesCompete(queue_.demands)) {
+    retry_after =
+        ReserveReturn(returns_, request, throughputs, *retry_after, now);
+  }
   events_.Write("admission_refused",
                 {{"request", task.request.value()},
                  {"wait_ms", FormatMilliseconds(*retry_after)},
@@ -165,6 +176,32 @@
   });
 }
 
+void StageAdmission::RefuseDisplaced(const PoolThroughputs& throughputs,
+                                     TimePoint now) {
+  if (now < next_displacement_) {
+    return;
+  }
+  next_displacement_ = now + kDisplacementInterval;
+  for (const DisplacedRequest& displaced :
+       TakeDisplaced(queue_, throughputs, now)) {
+    const auto found = requests_.find(displaced.id);
+    if (found == requests_.end()) {
+      continue;
+    }
+    ++displaced_count_;
+    events_.Write(
+        "request_displaced",
+        {{"request", found->second.request.value()},
+         {"waited_ms", FormatMilliseconds(now - found->second.submitted)},
+         {"wait_ms", FormatMilliseconds(displaced.retry_after)}});
+    // Iterates over a copy, since the handler removes the tasks.
+    for (const StageTaskId task : std::vector(found->second.waiting)) {
+      handlers_.on_refuse(task, StageItemOutcome::kRefused,
+                          displaced.retry_after);
+    }
+  }
+}
+
 void StageAdmission::AdmitWaitingRequests() {
   const TimePoint now = clock_.Now();
   for (const AdmissionId id : TakeExpired(queue_, now)) {
@@ -177,8 +214,9 @@
       handlers_.on_refuse(task, StageItemOutcome::kLate, Duration::zero());
     }
   }
-  for (const AdmissionId id :
-       AdmitRequests(queue_, handlers_.throughputs(), now)) {
+  const PoolThroughputs throughputs = handlers_.throughputs();
+  RefuseDisplaced(throughputs, now);
+  for (const AdmissionId id : AdmitRequests(queue_, throughputs, now)) {
     const RequestState& request = requests_.at(id);
     if (now - request.submitted >= kLoggedWait) {
       events_.Write("request_admitted",
--- a/modules/peridotmill_gateway/admission/stage_admission.h
+++ b/modules/peridotmill_gateway/admission/stage_admission.h
@@ -10,6 +10,7 @@
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/admission/admission_queue.h"
 #include "peridotmill_gateway/logging/event_sink.h"
+#include "peridotmill_gateway/overload/return_schedule.h"
 #include "peridotmill_gateway/stages/batch_queue.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
@@ -52,6 +53,8 @@
 
   size_t waiting_count() const { return queue_.waiting.size(); }
   size_t started_count() const { return queue_.started.size(); }
+  // Returns how many waiting requests have been refused in favour of others.
+  int64_t displaced_count() const { return displaced_count_; }
 
  private:
   // A request with tasks at this coordinator.
@@ -77,12 +80,17 @@
   bool StartOrQueue(StageTaskId id, const StageTask& task, Duration call_time);
   void ScheduleAdmission(Duration delay);
   void AdmitWaitingRequests();
+  // Refuses the waiting requests that have to yield to others for too long.
+  void RefuseDisplaced(const PoolThroughputs& throughputs, TimePoint now);
 
   const Clock& clock_;
   TimerQueue& timers_;
   EventSink& events_;
   Handlers handlers_;
   AdmissionQueue queue_;
+  ReturnSchedule returns_;
+  int64_t displaced_count_ = 0;
+  TimePoint next_displacement_;
   std::map<AdmissionId, RequestState> requests_;
   std::unordered_map<RequestId, AdmissionId> admission_ids_;
   std::unordered_map<StageTaskId, TaskState> tasks_;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -51,6 +51,9 @@
   size_t task_count() const { return tasks_.size(); }
   size_t waiting_request_count() const { return admission_.waiting_count(); }
   size_t started_request_count() const { return admission_.started_count(); }
+  int64_t displaced_request_count() const {
+    return admission_.displaced_count();
+  }
 
  private:
   class Call;
--- a/modules/peridotmill_gateway/tests/simulated_fleet.h
+++ b/modules/peridotmill_gateway/tests/simulated_fleet.h
@@ -37,6 +37,11 @@
     engine_fetch_time_ = fetch;
     engine_first_event_time_ = first_event;
   }
+  // Makes one of `interval` engine calls take this long to its first event.
+  void set_slow_engine_calls(int interval, Duration first_event) {
+    slow_engine_call_interval_ = interval;
+    slow_engine_first_event_time_ = first_event;
+  }
 
   // StageCaller
   std::unique_ptr<StageCallHandle> Start(const EndpointRegistration& endpoint,
@@ -63,9 +68,14 @@
       EndpointCallListener* listener) override {
     auto open = std::make_unique<EngineHandle>();
     EngineHandle* const raw = open.get();
+    const bool is_slow = slow_engine_call_interval_ > 0 &&
+                         ++engine_call_count_ % slow_engine_call_interval_ == 0;
+    const Duration first_event_time =
+        is_slow ? slow_engine_first_event_time_ : engine_first_event_time_;
     open->fetch = timers_.After(
         engine_fetch_time_,
-        [this, raw, listener, domain = call.endpoint.failure_domain,
+        [this, raw, listener, first_event_time,
+         domain = call.endpoint.failure_domain,
          inputs = call.inputs.value_or(std::vector<ResultHandle>())] {
           if (!FetchInputs(inputs, domain)) {
             ++lost_input_count_;
@@ -76,8 +86,8 @@
             listener->OnResponseEnd(HttpCallEnd::kComplete);
             return;
           }
-          raw->first_event = timers_.After(
-              engine_first_event_time_ - engine_fetch_time_, [listener] {
+          raw->first_event =
+              timers_.After(first_event_time - engine_fetch_time_, [listener] {
                 EndpointResponseHead head;
                 head.status = 200;
                 head.is_authentic = true;
@@ -222,6 +232,9 @@
   std::map<ResultHandle, Result> results_;
   Duration engine_fetch_time_ = std::chrono::milliseconds(15);
   Duration engine_first_event_time_ = std::chrono::milliseconds(90);
+  Duration slow_engine_first_event_time_ = std::chrono::milliseconds(90);
+  int slow_engine_call_interval_ = 0;
+  int engine_call_count_ = 0;
   int64_t result_count_ = 0;
   int64_t call_count_ = 0;
   int64_t fetched_bytes_ = 0;
