Let requests yield also where all teams have the same priority

Change: they are on where routes of different priorities use the same stage pool. request_admitted and request_displaced name the priority.

--- a/modules/peridotmill_gateway/admission/stage_admission.cc
+++ b/modules/peridotmill_gateway/admission/stage_admission.cc
@@ -46,6 +46,7 @@
   const AdmissionId id = next_admission_id_++;
   requests_[id].request = task.request;
   requests_[id].submitted = clock_.Now();
+  requests_[id].priority = task.priority;
   admission_ids_[task.request] = id;
   if (task.plan.empty()) {
     // An empty plan means that the request started at another coordinator.
@@ -193,6 +194,7 @@
         "request_displaced",
         {{"request", found->second.request.value()},
          {"waited_ms", FormatMilliseconds(now - found->second.submitted)},
+         {"priority", std::to_string(found->second.priority)},
          {"wait_ms", FormatMilliseconds(displaced.retry_after)}});
     // Iterates over a copy, since the handler removes the tasks.
     for (const StageTaskId task : std::vector(found->second.waiting)) {
@@ -222,6 +224,7 @@
       events_.Write("request_admitted",
                     {{"request", request.request.value()},
                      {"waited_ms", FormatMilliseconds(now - request.submitted)},
+                     {"priority", std::to_string(request.priority)},
                      {"waiting", std::to_string(queue_.waiting.size())},
                      {"started", std::to_string(queue_.started.size())}});
     }
--- a/modules/peridotmill_gateway/admission/stage_admission.h
+++ b/modules/peridotmill_gateway/admission/stage_admission.h
@@ -51,6 +51,11 @@
   // Returns whether stages of the task's request have not started or ended yet.
   bool HasUnfinishedStages(StageTaskId id) const;
 
+  // Sets whether routes of several priorities share stage pools.
+  void set_do_routes_compete(bool value) {
+    queue_.demands.do_routes_compete = value;
+  }
+
   size_t waiting_count() const { return queue_.waiting.size(); }
   size_t started_count() const { return queue_.started.size(); }
   // Returns how many waiting requests have been refused in favour of others.
@@ -61,6 +66,7 @@
   struct RequestState {
     RequestId request;
     TimePoint submitted;
+    int priority = 0;
     // Tasks that wait for the request to start.
     std::vector<StageTaskId> waiting;
     int open_tasks = 0;
--- a/modules/peridotmill_gateway/overload/priority_demands.cc
+++ b/modules/peridotmill_gateway/overload/priority_demands.cc
@@ -59,6 +59,9 @@
 }
 
 bool DoPrioritiesCompete(const PriorityDemands& demands) {
+  if (demands.do_routes_compete) {
+    return true;
+  }
   const double min_seconds = kMinCompetingShare * Sum(demands).arrived_seconds;
   int count = 0;
   for (const auto& [priority, demand] : demands.priorities) {
--- a/modules/peridotmill_gateway/overload/priority_demands.h
+++ b/modules/peridotmill_gateway/overload/priority_demands.h
@@ -20,6 +20,9 @@
 struct PriorityDemands {
   std::map<int, PriorityDemand> priorities;
   TimePoint updated;
+  // Routes of several priorities share the pools, although the teams of the
+  // present callers may all have the same.
+  bool do_routes_compete = false;
 };
 
 // Records that a request whose work takes `pool_seconds` has arrived, or has
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/overload/route_competition.h"
 #include "peridotmill_gateway/stages/stage_pool.h"
 
 namespace peridotmill {
@@ -101,6 +102,9 @@
 
 void StageCoordinator::SetConfiguration(ActiveConfigurationPtr configuration) {
   configuration_ = std::move(configuration);
+  admission_.set_do_routes_compete(
+      configuration_ != nullptr &&
+      DoRoutesCompeteForStages(configuration_->config()));
 }
 
 const StagePoolDefinition* StageCoordinator::FindStagePool(
--- a/modules/peridotmill_gateway/tests/overload_decisions_test.cc
+++ b/modules/peridotmill_gateway/tests/overload_decisions_test.cc
@@ -4,6 +4,7 @@
 
 #include "peridotmill_gateway/overload/displacement.h"
 #include "peridotmill_gateway/overload/return_schedule.h"
+#include "peridotmill_gateway/overload/route_competition.h"
 #include "peridotmill_gateway/overload/yield_order.h"
 
 namespace peridotmill {
@@ -45,6 +46,21 @@
   EXPECT_FALSE(IsBelowGuaranteedShare(demands, 1));
 }
 
+// Guards against a deployment whose teams all have the same priority and whose
+// kinds compete, but are not recognised as such.
+TEST(OverloadDecisionsTest, RoutesOfSeveralPrioritiesCompeteForAPool) {
+  GatewayConfig config;
+  config.routes.resize(2);
+  for (RouteDefinition& route : config.routes) {
+    route.stages = {{.pool = kPool, .after = {}, .result_bytes = 1}};
+  }
+  EXPECT_FALSE(DoRoutesCompeteForStages(config));
+  config.routes[1].priority = 2;
+  EXPECT_TRUE(DoRoutesCompeteForStages(config));
+  config.routes[1].stages[0].pool = PoolId("merge");
+  EXPECT_FALSE(DoRoutesCompeteForStages(config));
+}
+
 // Guards against requests that wait in calm for nobody's benefit, and against
 // late ones that take the room of those which can be on time.
 TEST(OverloadDecisionsTest, LateRequestsLeaveRoomOnlyUnderPressure) {
