--- a/daemons/peridotmill-gateway/gateway_metrics.cc
+++ b/daemons/peridotmill-gateway/gateway_metrics.cc
@@ -62,6 +62,7 @@
   add("callers_closed_for_new_total",
       caller_server_->counters().closed_for_new_connections);
   add("callers_refused_total", caller_server_->counters().refused_connections);
+  add("stage_requests_displaced_total", coordinator_.displaced_request_count());
   add("endpoints_stating_pace", endpoint_registry_.CountStatedPaces());
   add("engines_slow", coordinator_.slow_engine_count());
   return page;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "peridotmill_core/time/milliseconds.h"
+#include "peridotmill_gateway/overload/route_competition.h"
 #include "peridotmill_gateway/pace/load_report.h"
 #include "peridotmill_gateway/stages/stage_pool.h"
 
@@ -114,6 +115,9 @@
       }
     }
   }
+  admission_.set_do_routes_compete(
+      configuration_ != nullptr &&
+      DoRoutesCompeteForStages(configuration_->config()));
 }
 
 std::optional<Duration> StageCoordinator::MaxPause(const PoolId& pool) const {
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -54,6 +54,9 @@
   size_t slow_engine_count() const {
     return CountSlowEngines(prompt_placements_);
   }
+  int64_t displaced_request_count() const {
+    return admission_.displaced_count();
+  }
 
  private:
   class Call;
