--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -6,14 +6,12 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <set>
 #include <utility>
 
 #include "daemons/peridotmill-gateway/settings_file.h"
 #include "peridotmill_core/hashing/hashing.h"
 #include "peridotmill_core/time/milliseconds.h"
 #include "platform/caller_codec.h"
-#include "platform/registration_codec.h"
 #include "platform/wire_names.h"
 
 namespace peridotmill {
@@ -32,21 +30,14 @@
 constexpr int kFinalResponseDivisor = 10;
 constexpr int kForcedExitDivisor = 32;
 constexpr Duration kStopCheckInterval = std::chrono::milliseconds(50);
-// Interval at which the number of nodes is read again until it is known.
-constexpr Duration kNodeCountCheckInterval = std::chrono::milliseconds(500);
 // Interval of the checks for requests refused for lack of memory, and the fall
 // of the memory in use after which freed memory is returned to the host.
 constexpr Duration kMemoryCheckInterval = std::chrono::seconds(1);
 constexpr size_t kMinTrimmedBytes = size_t{8} << 20;
-// Routes of a new configuration that are decoded before other work goes on.
-constexpr size_t kRoutesPerStep = 64;
 // Give each component its own seed for random choices.
 constexpr uint64_t kCoordinatorSeed = 1;
 constexpr uint64_t kGatewaySeed = 2;
 constexpr uint64_t kStoreRetrySeed = 3;
-// Nodes whose registrations expired during an outage of the store register
-// again within this time after it.
-constexpr Duration kNodeReregistrationTime = std::chrono::seconds(3);
 
 // Delays between watches; the changes made within one are reported by one
 // response. They suffice because endpoints that leave keep serving for at least
@@ -93,21 +84,6 @@
   return prefixes;
 }
 
-// Returns the endpoint's id: its registration's key without the prefix.
-std::string_view EndpointIdFromKey(const StoreEntry& entry) {
-  std::string_view id = entry.key;
-  id.remove_prefix(std::min(id.size(), platform::kRegistrationPrefix.size()));
-  return id;
-}
-
-// Returns the failure domain of an evacuation's key, or an empty one for other
-// keys.
-FailureDomainId EvacuatedDomainFromKey(std::string_view key) {
-  return key.starts_with(platform::kEvacuationPrefix)
-             ? FailureDomainId(key.substr(platform::kEvacuationPrefix.size()))
-             : FailureDomainId();
-}
-
 void SendText(HttpExchange& exchange, int status, std::string_view body) {
   HttpResponseHead head;
   head.status = status;
@@ -280,50 +256,6 @@
   replica_.ReloadAll();
 }
 
-void GatewayProcess::OnSnapshot(ReplicaPart part,
-                                const std::vector<StoreEntry>& entries,
-                                bool was_unreachable) {
-  switch (part) {
-    case ReplicaPart::kConfiguration:
-      OnOperatorSnapshot(entries);
-      break;
-    case ReplicaPart::kRegistrations:
-      OnRegistrationSnapshot(entries, was_unreachable);
-      break;
-    case ReplicaPart::kNodes:
-      OnNodeSnapshot(entries, was_unreachable);
-      break;
-  }
-}
-
-void GatewayProcess::OnChange(ReplicaPart part, const StoreChange& change) {
-  switch (part) {
-    case ReplicaPart::kConfiguration:
-      OnOperatorChange(change);
-      break;
-    case ReplicaPart::kRegistrations:
-      OnRegistrationChange(change);
-      break;
-    case ReplicaPart::kNodes:
-      node_directory_.Apply(change);
-      replica_sources_.OnNodesChanged();
-      UpdateWarmUpBounds();
-      break;
-  }
-}
-
-void GatewayProcess::OnNodeSnapshot(const std::vector<StoreEntry>& entries,
-                                    bool was_unreachable) {
-  node_directory_.Replace(entries, was_unreachable);
-  replica_sources_.OnNodesChanged();
-  UpdateWarmUpBounds();
-  if (was_unreachable) {
-    node_reload_timer_ = timers_.After(kNodeReregistrationTime, [this] {
-      replica_.Reload(ReplicaPart::kNodes);
-    });
-  }
-}
-
 int GatewayProcess::Run() {
   replica_.ReadNodes();
   node_registration_.Start();
@@ -360,139 +292,6 @@
   SendText(*exchange, kOk, FormatMetrics());
 }
 
-bool GatewayProcess::IsConfigurationOutdated() const {
-  const bool is_decoding = configuration_timer_ != nullptr;
-  return is_decoding || replica_sources_.IsConfigurationOutdated();
-}
-
-void GatewayProcess::OnOperatorSnapshot(
-    const std::vector<StoreEntry>& entries) {
-  std::set<FailureDomainId> evacuated;
-  for (const StoreEntry& entry : entries) {
-    if (const FailureDomainId domain = EvacuatedDomainFromKey(entry.key);
-        !domain.empty()) {
-      evacuated.insert(domain);
-    } else {
-      OnConfigurationEntry(entry);
-    }
-  }
-  evacuations_.Replace(evacuated);
-}
-
-void GatewayProcess::OnOperatorChange(const StoreChange& change) {
-  const FailureDomainId domain = EvacuatedDomainFromKey(change.entry.key);
-  if (domain.empty()) {
-    if (!change.is_removed) {
-      OnConfigurationEntry(change.entry);
-    }
-  } else if (change.is_removed) {
-    evacuations_.End(domain);
-  } else {
-    evacuations_.Begin(domain);
-  }
-}
-
-void GatewayProcess::UpdateWarmUpBounds() {
-  warm_up_timer_.reset();
-  if (!replica_.is_loaded(ReplicaPart::kNodes) ||
-      gateway_.configuration() == nullptr) {
-    return;
-  }
-  const TimePoint now = clock_.Now();
-  RecordNodeCount(node_count_, static_cast<int>(node_directory_.size()), now);
-  const int nodes = NodesToShareWith(node_count_, now);
-  endpoint_registry_.SetWarmUpBounds(MakeWarmUpBounds(
-      gateway_.configuration()->config(), nodes, settings_.node));
-  if (nodes == 0) {
-    warm_up_timer_ = timers_.After(kNodeCountCheckInterval,
-                                   [this] { UpdateWarmUpBounds(); });
-  }
-}
-
-void GatewayProcess::OnConfigurationEntry(const StoreEntry& entry) {
-  if (entry.key != platform::kConfigurationKey ||
-      entry.mod_revision <= configuration_store_revision_) {
-    return;
-  }
-  configuration_store_revision_ = entry.mod_revision;
-  configuration_reader_.Begin(entry.value);
-  ContinueConfiguration();
-}
-
-void GatewayProcess::ContinueConfiguration() {
-  configuration_timer_.reset();
-  if (!configuration_reader_.Continue(kRoutesPerStep)) {
-    configuration_timer_ =
-        timers_.After(Duration::zero(), [this] { ContinueConfiguration(); });
-    return;
-  }
-  Findings findings = configuration_reader_.TakeFindings();
-  GatewayConfig config = configuration_reader_.TakeConfiguration();
-  if (findings.empty()) {
-    findings = CheckGatewayConfig(config);
-  }
-  const std::string revision = std::to_string(config.revision.value());
-  if (!findings.empty()) {
-    log_.Write("configuration_rejected",
-               {{"revision", revision}, {"findings", ToString(findings)}});
-    return;
-  }
-  const HttpLimits limits = config.limits;
-  const size_t route_count = config.routes.size();
-  const bool is_adopted = gateway_.SetConfiguration(
-      std::make_shared<const ActiveConfiguration>(std::move(config)));
-  log_.Write(is_adopted ? "configuration_adopted" : "configuration_ignored",
-             {{"revision", revision},
-              {"store_revision", std::to_string(configuration_store_revision_)},
-              {"routes", std::to_string(route_count)}});
-  if (is_adopted) {
-    coordinator_.SetConfiguration(gateway_.configuration());
-    UpdateWarmUpBounds();
-    caller_server_->set_limits(limits);
-    // Decoding a large document leaves much freed memory in the heap.
-    malloc_trim(0);
-  }
-}
-
-void GatewayProcess::OnRegistrationSnapshot(
-    const std::vector<StoreEntry>& entries,
-    bool was_unreachable) {
-  std::vector<EndpointRegistration> registrations;
-  for (const StoreEntry& entry : entries) {
-    auto registration =
-        platform::DecodeRegistration(EndpointIdFromKey(entry), entry.value);
-    if (registration) {
-      RecordWarmUp(*registration);
-      registrations.push_back(*std::move(registration));
-    } else {
-      log_.Write("registration_unreadable", {{"key", entry.key}});
-    }
-  }
-  registration_reconciler_.Replace(std::move(registrations), was_unreachable);
-}
-
-void GatewayProcess::OnRegistrationChange(const StoreChange& change) {
-  const std::string_view id = EndpointIdFromKey(change.entry);
-  if (change.is_removed) {
-    registration_reconciler_.Remove(EndpointId(id));
-    return;
-  }
-  auto registration = platform::DecodeRegistration(id, change.entry.value);
-  if (!registration) {
-    log_.Write("registration_unreadable", {{"key", change.entry.key}});
-    registration_reconciler_.Remove(EndpointId(id));
-    return;
-  }
-  RecordWarmUp(*registration);
-  registration_reconciler_.Put(*std::move(registration));
-}
-
-void GatewayProcess::RecordWarmUp(const EndpointRegistration& registration) {
-  RecordEndpointNotice(endpoint_registry_, log_, IncarnationOf(registration),
-                       {.warm_up_left = registration.warm_up_left},
-                       clock_.Now());
-}
-
 void GatewayProcess::CheckSettingsFile() {
   settings_timer_ =
       timers_.After(kSettingsCheckInterval, [this] { CheckSettingsFile(); });
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -51,6 +51,8 @@
   void OnCallerRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnReadinessCheck(const std::shared_ptr<HttpExchange>& exchange);
   void OnMetricsRequest(const std::shared_ptr<HttpExchange>& exchange);
+  // The next ones, up to OnNodeSnapshot, are defined in
+  // gateway_store_entries.cc.
   void OnSnapshot(ReplicaPart part,
                   const std::vector<StoreEntry>& entries,
                   bool was_unreachable);
