Log attempts that are ended because their endpoint is silent

Cause: only a counter told that an attempt had been ended for silence, so that a log could not show whether a stream was cut for it. Change: attempt_abandoned names the endpoint, the events that it had sent and whether stages have to run again.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -590,6 +590,13 @@
   }
   ++gateway_->counters_.repeats;
   gateway_->reasons_.Add(Reason::kAttemptTimeout);
+  context_.events.Write(
+      "attempt_abandoned",
+      {{"request", request_.id.value()},
+       {"endpoint", endpoint_->registration.id.value()},
+       {"events", std::to_string(AttemptEventCount())},
+       {"stages_run_again", are_results_released_ ? "1" : "0"},
+       {"ms", Milliseconds(now - attempt_started_at_)}});
   EndAttempt(CallOutcome::kFailure, AttemptOutcome::kOutcomeUnknown);
   StartAttempt();
 }
