Keep a silent engine until another one can take its stream over

Callers of resumable streams after stages got a reset in the middle of an answer, around SIGTERM and at other times (LOST). Cause: after three pauses without an event the call to the engine was ended first, and only then were the stages run again whose results the engine had consumed. A spent retry budget, a stage that failed or was late, or the lack of another engine then cut a stream that its engine went on with. The class: what works is ended before what replaces it is secured. Why it works: the stages run beside the call; only when they have ended and an engine is there is the call ended. An event, a failed stage or a lost engine leave the stream where it is.

--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -378,12 +378,18 @@
       RecordPreparationTime(gateway_->completion_times_, *route_,
                             TimeSinceAcceptance());
     }
-    StartAttempt();
+    if (is_preparing_takeover_) {
+      TakeOver();
+    } else {
+      StartAttempt();
+    }
   }
 }
 
 void GatewayRequest::OnStageTaskEnd(size_t stage, StageTaskResult result) {
-  if (result.outcome == StageItemOutcome::kQuarantined) {
+  const bool ends_takeover = is_preparing_takeover_ && call_ != nullptr &&
+                             result.outcome != StageItemOutcome::kDone;
+  if (result.outcome == StageItemOutcome::kQuarantined && !ends_takeover) {
     Fail(Reason::kPromptQuarantined, result.retry_after);
     return;
   }
@@ -401,6 +407,10 @@
        {"outcome", std::string(ToString(result.outcome))},
        {"domain", result.maker_domain.value()},
        {"ms", Milliseconds(context_.clock.Now() - state.submitted_at)}});
+  if (ends_takeover) {
+    CancelTakeover(ToString(result.outcome));
+    return;
+  }
   if (result.outcome == StageItemOutcome::kRefused) {
     Fail(Reason::kQueueFull,
          BoundRetryAfter(result.retry_after, deadline_ - context_.clock.Now(),
@@ -429,11 +439,20 @@
 }
 
 bool GatewayRequest::RerunStages() {
-  if (stage_rerun_count_ >= kMaxStageReruns ||
-      !context_.retry_budget.TryTakeRetries(route_->stages.front().pool, 1,
-                                            context_.clock.Now())) {
+  if (!TryTakeStageRerun()) {
     return false;
   }
+  BeginStageRerun();
+  return true;
+}
+
+bool GatewayRequest::TryTakeStageRerun() {
+  return stage_rerun_count_ < kMaxStageReruns &&
+         context_.retry_budget.TryTakeRetries(route_->stages.front().pool, 1,
+                                              context_.clock.Now());
+}
+
+void GatewayRequest::BeginStageRerun() {
   ++stage_rerun_count_;
   for (auto& task : stage_tasks_) {
     task.reset();
@@ -442,7 +461,6 @@
   stage_tasks_.resize(route_->stages.size());
   are_results_released_ = false;
   SubmitReadyStages();
-  return true;
 }
 
 EndpointPtr GatewayRequest::TakeSuggestedEngine(TimePoint now) {
@@ -570,35 +588,12 @@
       context_.timers.After(limit, [this] { OnProgressTimeout(); });
 }
 
-void GatewayRequest::OnProgressTimeout() {
-  progress_timer_.reset();
-  if (call_ == nullptr || IsPlainResponseStarted()) {
-    return;
-  }
-  // The attempt is ended only if another endpoint can take over.
-  AttemptHistory next = attempt_history_;
-  next.Add(endpoint_->registration.id, AttemptOutcome::kOutcomeUnknown);
+bool GatewayRequest::CanTakeOver(const AttemptHistory& history) const {
   PlacementRequest placement;
-  placement.tried = next.tried();
-  const TimePoint now = context_.clock.Now();
-  if (!next.MayRetry(*route_) ||
-      ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
-                     kMaxServiceResponseWait, now,
-                     gateway_->random_) == nullptr ||
-      !context_.retry_budget.TryTakeRetries(pool_, 1, now)) {
-    return;
-  }
-  ++gateway_->counters_.repeats;
-  gateway_->reasons_.Add(Reason::kAttemptTimeout);
-  context_.events.Write(
-      "attempt_abandoned",
-      {{"request", request_.id.value()},
-       {"endpoint", endpoint_->registration.id.value()},
-       {"events", std::to_string(AttemptEventCount())},
-       {"stages_run_again", are_results_released_ ? "1" : "0"},
-       {"ms", Milliseconds(now - attempt_started_at_)}});
-  EndAttempt(CallOutcome::kFailure, AttemptOutcome::kOutcomeUnknown);
-  StartAttempt();
+  placement.tried = history.tried();
+  return ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
+                        kMaxServiceResponseWait, context_.clock.Now(),
+                        gateway_->random_) != nullptr;
 }
 
 void GatewayRequest::OnResponseHead(const EndpointResponseHead& head) {
@@ -711,6 +706,9 @@
   channel_->SendBody(complete_events);
   // Comments do not count as progress: a stalled stream may still send them.
   if (event_splitter_.event_count() > events_before) {
+    if (is_preparing_takeover_) {
+      CancelTakeover("engine_resumed");
+    }
     RestartProgressTimer();
   }
   PauseResponseIfCallerIsSlow();
@@ -875,6 +873,10 @@
              : is_unreachable                    ? CallOutcome::kUnresponsive
                                                  : CallOutcome::kFailure,
              outcome);
+  if (is_preparing_takeover_) {
+    // The stages already run for another engine.
+    return;
+  }
   if (TryTakeRetry(outcome)) {
     if (outcome == AttemptOutcome::kNotSent && !is_response_head_sent_ &&
         IsStream() && request_.generation && !are_results_released_) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -87,6 +87,10 @@
   // Runs all stages again after some of their results were lost. Returns false
   // if the number of reruns or the retry budget does not allow it.
   bool RerunStages();
+  // Returns whether the number of reruns and the retry budget allow another
+  // rerun, and charges the budget.
+  bool TryTakeStageRerun();
+  void BeginStageRerun();
   // Returns the latest time at which `stage` may end so that the engine's first
   // event comes by `limit`.
   TimePoint LatestStageEnd(size_t stage, TimePoint limit) const;
@@ -106,6 +110,19 @@
   // Restarts the timer that ends an attempt without progress, if the route
   // allows another attempt.
   void RestartProgressTimer();
+
+  // Takeovers (stream_takeover.cc): an endpoint that is silent is replaced by
+  // another one. While stages have to run again for that, the attempt goes on.
+  // Returns whether an endpoint that is not in `history` can be called now.
+  bool CanTakeOver(const AttemptHistory& history) const;
+  // Returns the history with the current attempt as one that may have run.
+  AttemptHistory HistoryAfterAbandonment() const;
+  void AbandonAttempt();
+  // Replaces the silent endpoint after the stages have run again.
+  void TakeOver();
+  // Leaves the response to the silent endpoint.
+  void CancelTakeover(std::string_view reason);
+
   // Stops reading from the endpoint while the caller has too many unsent bytes.
   void PauseResponseIfCallerIsSlow();
   // Updates the share of this request in the buffered bytes of the node.
@@ -202,6 +219,8 @@
   bool are_results_released_ = false;
   // How often the stages were run again because results were lost.
   int stage_rerun_count_ = 0;
+  // The stages run again so that another engine can replace a silent one.
+  bool is_preparing_takeover_ = false;
 
   AttemptHistory attempt_history_;
   // Addresses of the attempts so far. A new endpoint may have the address of
