Let a stream whose takeover is refused try other engines before it is cut

Callers of resumable streams got a reset when their silent engine was given up and the next one refused the request (LOST). Cause: a refusal ends the takeover, and without retry budget or an engine that was not tried the stream was cut at once, although its caller waits on for the longest of two seconds, four times the target and eight times the pause. Why it works: such a stream asks for budget and an engine every 100 ms until its caller gives up or the node stops; engines that refused, and the silent one, may be asked again when no other is left. Measured: the three new tests fail before and pass now.

--- a/modules/peridotmill_gateway/requests/attempt_history.h
+++ b/modules/peridotmill_gateway/requests/attempt_history.h
@@ -15,6 +15,7 @@
 class AttemptHistory {
  public:
   void Add(const EndpointId& endpoint, AttemptOutcome outcome) {
+    ++attempts_;
     tried_.push_back(endpoint);
     if (!IsKnownNotRun(outcome)) {
       ++possible_runs_;
@@ -34,10 +35,15 @@
     return possible_runs_ < route.max_attempts;
   }
 
+  // Lets all endpoints be chosen again.
+  void ForgetTried() { tried_.clear(); }
+
+  int attempts() const { return attempts_; }
   const std::vector<EndpointId>& tried() const { return tried_; }
   int possible_runs() const { return possible_runs_; }
 
  private:
+  int attempts_ = 0;
   std::vector<EndpointId> tried_;
   int possible_runs_ = 0;
 };
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -501,7 +501,7 @@
         gateway_->random_);
   }
   if (endpoint_ == nullptr) {
-    if (!WaitForPermit()) {
+    if (!WaitForPermit() && !WaitToResume()) {
       Fail(Reason::kNoEndpoint, EndpointRetryAfter());
     }
     return;
@@ -706,6 +706,8 @@
   channel_->SendBody(complete_events);
   // Comments do not count as progress: a stalled stream may still send them.
   if (event_splitter_.event_count() > events_before) {
+    last_event_at_ = context_.clock.Now();
+    has_abandoned_engine_ = false;
     if (is_preparing_takeover_) {
       CancelTakeover("engine_resumed");
     }
@@ -892,6 +894,9 @@
     StartAttempt();
     return;
   }
+  if (WaitToResume()) {
+    return;
+  }
   Fail(reason, EndpointRetryAfter());
 }
 
@@ -1025,6 +1030,8 @@
     waits_for = "endpoint " + endpoint_->registration.id.value();
   } else if (permit_timer_ != nullptr) {
     waits_for = "permit";
+  } else if (resume_timer_ != nullptr) {
+    waits_for = "another engine";
   } else if (is_awaiting_engine_) {
     waits_for = "engine choice";
   } else {
@@ -1058,6 +1065,7 @@
   deadline_timer_.reset();
   progress_timer_.reset();
   permit_timer_.reset();
+  resume_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
   placement_task_.reset();
@@ -1071,7 +1079,7 @@
        {"status", std::to_string(status)},
        {"reason", std::string(reason)},
        {"revision", std::to_string(configuration_->config().revision.value())},
-       {"attempts", std::to_string(attempt_history_.tried().size())},
+       {"attempts", std::to_string(attempt_history_.attempts())},
        {"events", std::to_string(event_splitter_.event_count())},
        {"first_ms", Milliseconds(first - accepted_at_)},
        {"ms", Milliseconds(TimeSinceAcceptance())}});
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -122,6 +122,11 @@
   void TakeOver();
   // Leaves the response to the silent endpoint.
   void CancelTakeover(std::string_view reason);
+  // Waits until an engine may be called that goes on with a stream whose silent
+  // engine was given up. Returns false if the caller gives up before, or the
+  // stream was not begun.
+  bool WaitToResume();
+  void TryToResume();
 
   // Stops reading from the endpoint while the caller has too many unsent bytes.
   void PauseResponseIfCallerIsSlow();
@@ -247,10 +252,16 @@
   // The coordinator has been asked for an engine and has not responded yet.
   bool is_awaiting_engine_ = false;
   TimePoint first_event_at_;
+  TimePoint last_event_at_;
+  // The silent engine of the stream was given up, and no other one has sent an
+  // event yet.
+  bool has_abandoned_engine_ = false;
   std::unique_ptr<Timer> deadline_timer_;
   std::unique_ptr<Timer> progress_timer_;
   // Set while the request waits for a permit.
   std::unique_ptr<Timer> permit_timer_;
+  // Set while a stream waits for an engine that goes on with it.
+  std::unique_ptr<Timer> resume_timer_;
   // Until when the request may wait for a permit; set when it begins to.
   std::optional<TimePoint> permit_wait_end_;
   bool is_ended_ = false;
--- a/modules/peridotmill_gateway/requests/stream_takeover.cc
+++ b/modules/peridotmill_gateway/requests/stream_takeover.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cmath>
 #include <string>
 
@@ -5,6 +6,12 @@
 #include "peridotmill_gateway/requests/gateway_request.h"
 
 namespace peridotmill {
+namespace {
+
+// Interval at which a stream without an engine looks for one.
+constexpr Duration kResumeCheckInterval = std::chrono::milliseconds(100);
+
+}  // namespace
 
 void GatewayRequest::OnProgressTimeout() {
   progress_timer_.reset();
@@ -49,6 +56,7 @@
        {"ms", std::to_string(std::lround(ToMilliseconds(
                   context_.clock.Now() - attempt_started_at_)))}});
   EndAttempt(CallOutcome::kFailure, AttemptOutcome::kOutcomeUnknown);
+  has_abandoned_engine_ = IsStreamStarted();
 }
 
 void GatewayRequest::TakeOver() {
@@ -79,4 +87,30 @@
   RestartProgressTimer();
 }
 
+bool GatewayRequest::WaitToResume() {
+  const TimePoint end = std::min(deadline_, last_event_at_ + CallerTimeout());
+  if (!has_abandoned_engine_ || !attempt_history_.MayRetry(*route_) ||
+      IsUnfinishable() || context_.clock.Now() + kResumeCheckInterval >= end) {
+    return false;
+  }
+  resume_timer_ =
+      context_.timers.After(kResumeCheckInterval, [this] { TryToResume(); });
+  return true;
+}
+
+void GatewayRequest::TryToResume() {
+  resume_timer_.reset();
+  if (!HasUntriedEndpoint(attempt_history_)) {
+    // Those that refused may have room now, and the silent one may go on.
+    attempt_history_.ForgetTried();
+  }
+  if (HasUntriedEndpoint(attempt_history_) &&
+      context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
+    ++gateway_->counters_.repeats;
+    StartAttempt();
+  } else if (!WaitToResume()) {
+    Fail(Reason::kNoEndpoint, EndpointRetryAfter());
+  }
+}
+
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/stream_takeover_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_takeover_test.cc
@@ -117,10 +117,70 @@
   ServeStages(2);
   EXPECT_EQ(stage_caller_.calls.size(), 4u);
   ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  endpoint_caller_.listener(1).OnResponseHead(FakeEndpointCaller::StreamHead());
   EndStream(endpoint_caller_.listener(1));
   EXPECT_TRUE(caller_->is_finished);
 }
 
+// Guards against a stream that is cut because the engine that is to take over
+// refuses it while the retry budget is spent.
+TEST_F(StreamTakeoverTest, ARefusedTakeoverIsTriedAgain) {
+  endpoints_.Put(MakeRegistration("e3", "engines", "valley"));
+  timers_.Advance(kSilence);
+  ServeStages(2);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
+  }
+  EndpointCallListener& refusing = endpoint_caller_.listener(1);
+  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
+  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  timers_.Advance(300ms);
+  ASSERT_FALSE(caller_->is_aborted);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 2u);
+  retry_budget_.set_settings({.ratio = 0.2, .node_allowance = 10});
+  timers_.Advance(200ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 3u);
+  endpoint_caller_.listener(2).OnResponseHead(FakeEndpointCaller::StreamHead());
+  EndStream(endpoint_caller_.listener(2));
+  EXPECT_TRUE(caller_->is_finished);
+}
+
+// Guards against a stream that is cut because all engines but the silent one
+// refuse it.
+TEST_F(StreamTakeoverTest, ARefusedStreamGoesOnAtItsSilentEngine) {
+  timers_.Advance(kSilence);
+  ServeStages(2);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EndpointCallListener& refusing = endpoint_caller_.listener(1);
+  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
+  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  endpoints_.Remove(endpoint_caller_.calls[1]->call.endpoint.id);
+  timers_.Advance(150ms);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 3u);
+  EXPECT_EQ(endpoint_caller_.calls[2]->call.endpoint.id,
+            endpoint_caller_.calls[0]->call.endpoint.id);
+  EXPECT_EQ(endpoint_caller_.calls[2]->call.resume_after_event, "1");
+  EXPECT_FALSE(caller_->is_aborted);
+}
+
+// Guards against a stream that waits for an engine after its caller has given
+// it up.
+TEST_F(StreamTakeoverTest, ARefusedTakeoverIsNotTriedForLong) {
+  timers_.Advance(kSilence);
+  ServeStages(2);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
+  }
+  EndpointCallListener& refusing = endpoint_caller_.listener(1);
+  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
+  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  // Four times the target latency after the last event.
+  timers_.Advance(2600ms);
+  EXPECT_FALSE(caller_->is_aborted);
+  timers_.Advance(200ms);
+  EXPECT_TRUE(caller_->is_aborted);
+}
+
 // Guards against a stopping node that gives up an engine although no other one
 // could finish the stream before the node exits.
 TEST_F(StreamTakeoverTest, AStoppingNodeMovesNoStreamThatItCannotFinish) {
