--- a/modules/peridotmill_gateway/tests/stream_takeover_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_takeover_test.cc
@@ -181,6 +181,20 @@
   EXPECT_TRUE(caller_->is_aborted);
 }
 
+// Guards against a long stream whose stages count as late when they run again,
+// since its caller waited for the first event only until then.
+TEST_F(StreamTakeoverTest, ALongStreamIsResumedWhenItsEngineFails) {
+  for (int id = 2; id <= 5; ++id) {
+    timers_.Advance(1000ms);
+    engine().OnResponseBody("id: " + std::to_string(id) + "\ndata: a\n\n");
+  }
+  engine().OnResponseEnd(HttpCallEnd::kTruncated);
+  ServeStages(2);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  EXPECT_EQ(endpoint_caller_.calls[1]->call.resume_after_event, "5");
+  EXPECT_FALSE(caller_->is_aborted);
+}
+
 // Guards against a stopping node that gives up an engine although no other one
 // could finish the stream before the node exits.
 TEST_F(StreamTakeoverTest, AStoppingNodeMovesNoStreamThatItCannotFinish) {
