--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -343,8 +343,8 @@
   task.due = LatestStageEnd(stage, accepted_at_ + route_->target_latency);
   const TimePoint waits_since =
       IsStreamStarted() ? last_event_at_ : accepted_at_;
-  task.deadline = LatestStageEnd(
-      stage, std::min(deadline_, waits_since + CallerTimeout()));
+  task.deadline =
+      LatestStageEnd(stage, std::min(deadline_, waits_since + CallerTimeout()));
   task.priority = priority_;
   task.group = configuration_->StagePoolGroup(definition.pool);
   if (!is_admitted_ && stage_rerun_count_ == 0) {
