--- a/modules/peridotmill_gateway/replication/store_replica.cc
+++ b/modules/peridotmill_gateway/replication/store_replica.cc
@@ -174,6 +174,11 @@
   const bool is_newer = revision > state(part).revision;
   const auto changes = ApplySnapshot(mutable_state(part), revision, entries);
   if (!changes) {
+    dependencies_.log.Write(
+        "snapshot_ignored",
+        {{"part", std::to_string(static_cast<int>(part))},
+         {"revision", std::to_string(revision)},
+         {"own_revision", std::to_string(state(part).revision)}});
     return;
   }
   if (was_unreachable) {
