--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -66,6 +66,20 @@
     }
   }
 
+  // The contents of the store at one time.
+  struct Copy {
+    std::map<std::string, StoreEntry> entries;
+    int64_t revision = 0;
+  };
+  Copy MakeCopy() const { return {entries_, revision_}; }
+  // Replaces the contents by those of a copy, and fails the waiting watches.
+  // Revisions after that of the copy are given out again.
+  void Restore(const Copy& copy) {
+    entries_ = copy.entries;
+    revision_ = copy.revision;
+    CompactHistory();
+  }
+
   // Number of reads and watches so far, without lease renewals.
   int read_and_watch_calls() const { return read_and_watch_calls_; }
 
@@ -171,7 +185,8 @@
           callback(StoreChanges());
         }
       });
-    } else if (after_revision < store_.history_start_) {
+    } else if (after_revision < store_.history_start_ ||
+               after_revision > store_.revision_) {
       store_.CompleteWatch(watch, {.status = StoreCallStatus::kCompacted});
     } else if (!store_.ChangesFor(*watch).empty()) {
       store_.SendChanges(watch);
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -374,6 +374,24 @@
   EXPECT_EQ(CountReverts(), 0);
 }
 
+// Guards against nodes that ignore a store which was restored from a copy until
+// its revision has passed theirs, and against those that go on watching it from
+// a revision that was given out again.
+TEST_F(ReplicaFleetTest, ARestoredStoreDelaysNoChange) {
+  for (const int writes_after : {0, 1, 2, 20}) {
+    const MemoryStore::Copy copy = store_.MakeCopy();
+    MeasurePropagationTime();
+    timers_.Advance(500ms);
+    store_.Restore(copy);
+    for (int i = 0; i < writes_after; ++i) {
+      store_.Write("other", "o" + std::to_string(i));
+    }
+    timers_.Advance(500ms);
+    EXPECT_LE(MeasurePropagationTime(), kFaultPropagationLimit) << writes_after;
+    EXPECT_LE(MeasurePropagationTime(), kPropagationLimit) << writes_after;
+  }
+}
+
 // Guards against a starting node that watches the store although other nodes
 // have the data.
 TEST_F(ReplicaFleetTest, ANewNodeLoadsFromItsPeers) {
