Order the states of a store that is restored from a copy by its era

After a store had been restored, confirmed changes of the configuration were not in force and routes that had been added got 404 (CONFIG, DENIED). Cause: all copies of the store's data go forward by revision alone. The class: an order that is not that of the thing ordered. Evidence: snapshot_ignored revision=40 own_revision=41 at all hosts. Why it works: positions put the store's era, which rises with each restoration, before its revision; all that compared revisions compares positions now, also between nodes, whose messages carry the era beside the revision that older versions read. A watch that is answered from another era is followed by a read. What a copy lacks is kept for the time in which it is written again, as after an outage.

--- a/modules/peridotmill_gateway/replication/replica_message.cc
+++ b/modules/peridotmill_gateway/replication/replica_message.cc
@@ -6,6 +6,7 @@
 
 #include "peridotmill_core/time/milliseconds.h"
 #include "peridotmill_gateway/replication/schema/replica_wire.h"
+#include "peridotmill_gateway/store/store_position.h"
 
 namespace peridotmill {
 namespace {
@@ -14,9 +15,39 @@
 using flatbuffers::Offset;
 using WireEntries = flatbuffers::Vector<Offset<replicawire::Entry>>;
 using WireRevisions = flatbuffers::Vector<int64_t>;
+using WireEras = flatbuffers::Vector<uint32_t>;
 
 constexpr uint32_t kNoStoreContactAgeMs = std::numeric_limits<uint32_t>::max();
 
+uint32_t EncodeEra(int64_t position) {
+  return static_cast<uint32_t>(StoreEraOf(position));
+}
+
+// Returns the position of a revision and its era; 0 if one of them is out of
+// range.
+int64_t DecodePosition(uint32_t era, int64_t revision) {
+  return era <= kMaxStoreEra && revision >= 0 && revision <= kMaxStoreRevision
+             ? MakeStorePosition(era, revision)
+             : 0;
+}
+
+// The revisions of all parts, and their eras.
+struct EncodedRevisions {
+  Offset<flatbuffers::Vector<int64_t>> revisions;
+  Offset<flatbuffers::Vector<uint32_t>> eras;
+};
+
+EncodedRevisions EncodeRevisions(FlatBufferBuilder& builder,
+                                 const ReplicaRevisions& positions) {
+  std::vector<int64_t> revisions;
+  std::vector<uint32_t> eras;
+  for (const int64_t position : positions) {
+    revisions.push_back(StoreRevisionOf(position));
+    eras.push_back(EncodeEra(position));
+  }
+  return {builder.CreateVector(revisions), builder.CreateVector(eras)};
+}
+
 Offset<flatbuffers::Vector<uint8_t>> EncodeBytes(FlatBufferBuilder& builder,
                                                  std::string_view bytes) {
   return builder.CreateVector(reinterpret_cast<const uint8_t*>(bytes.data()),
@@ -38,8 +69,10 @@
   const auto key = builder.CreateString(entry.key);
   const auto value = EncodeBytes(builder, is_omitted ? "" : entry.value);
   return replicawire::CreateEntry(
-      builder, key, value, entry.create_revision, entry.mod_revision,
-      is_removed, is_omitted ? static_cast<uint32_t>(entry.value.size()) : 0);
+      builder, key, value, StoreRevisionOf(entry.create_revision),
+      StoreRevisionOf(entry.mod_revision), is_removed,
+      is_omitted ? static_cast<uint32_t>(entry.value.size()) : 0,
+      EncodeEra(entry.create_revision), EncodeEra(entry.mod_revision));
 }
 
 StoreEntry DecodeEntry(const replicawire::Entry& wire) {
@@ -48,8 +81,9 @@
     entry.key = wire.key()->str();
   }
   entry.value = DecodeBytes(wire.value());
-  entry.create_revision = wire.create_revision();
-  entry.mod_revision = wire.mod_revision();
+  entry.create_revision =
+      DecodePosition(wire.create_era(), wire.create_revision());
+  entry.mod_revision = DecodePosition(wire.mod_era(), wire.mod_revision());
   return entry;
 }
 
@@ -59,11 +93,11 @@
   size_t max_value_bytes;
 
   Offset<replicawire::Message> operator()(const SubscribeMessage& message) {
-    const auto revisions = builder.CreateVector(message.revisions.data(),
-                                                message.revisions.size());
+    const auto encoded = EncodeRevisions(builder, message.revisions);
     return BuildMessage(replicawire::Body::Subscribe,
                         replicawire::CreateSubscribe(
-                            builder, revisions, message.accepts_omitted_values)
+                            builder, encoded.revisions,
+                            message.accepts_omitted_values, encoded.eras)
                             .Union());
   }
   Offset<replicawire::Message> operator()(const SnapshotMessage& message) {
@@ -76,8 +110,9 @@
     return BuildMessage(
         replicawire::Body::Snapshot,
         replicawire::CreateSnapshot(builder, static_cast<uint8_t>(message.part),
-                                    message.revision, message.is_after_outage,
-                                    message.is_last, vector)
+                                    StoreRevisionOf(message.revision),
+                                    message.is_after_outage, message.is_last,
+                                    vector, EncodeEra(message.revision))
             .Union());
   }
   Offset<replicawire::Message> operator()(const ChangesMessage& message) {
@@ -89,43 +124,51 @@
     const auto vector = builder.CreateVector(entries);
     return BuildMessage(
         replicawire::Body::Changes,
-        replicawire::CreateChanges(builder, static_cast<uint8_t>(message.part),
-                                   message.changes.after_revision,
-                                   message.changes.revision, vector,
-                                   message.is_after_outage)
+        replicawire::CreateChanges(
+            builder, static_cast<uint8_t>(message.part),
+            StoreRevisionOf(message.changes.after_revision),
+            StoreRevisionOf(message.changes.revision), vector,
+            message.is_after_outage, EncodeEra(message.changes.after_revision),
+            EncodeEra(message.changes.revision))
             .Union());
   }
   Offset<replicawire::Message> operator()(const FreshnessMessage& message) {
-    const auto revisions = builder.CreateVector(message.revisions.data(),
-                                                message.revisions.size());
+    const auto encoded = EncodeRevisions(builder, message.revisions);
     const double age_ms = ToMilliseconds(message.store_contact_age);
     const uint32_t age = age_ms < kNoStoreContactAgeMs
                              ? static_cast<uint32_t>(std::max(age_ms, 0.0))
                              : kNoStoreContactAgeMs;
-    return BuildMessage(
-        replicawire::Body::Freshness,
-        replicawire::CreateFreshness(builder, revisions, age).Union());
+    return BuildMessage(replicawire::Body::Freshness,
+                        replicawire::CreateFreshness(builder, encoded.revisions,
+                                                     age, encoded.eras)
+                            .Union());
   }
 
   Offset<replicawire::Message> operator()(const FetchValueMessage& message) {
     const auto key = builder.CreateString(message.version.key);
-    return BuildMessage(replicawire::Body::FetchValue,
-                        replicawire::CreateFetchValue(
-                            builder, static_cast<uint8_t>(message.version.part),
-                            key, message.version.mod_revision,
-                            message.base_revision, message.offset, message.size)
-                            .Union());
+    return BuildMessage(
+        replicawire::Body::FetchValue,
+        replicawire::CreateFetchValue(
+            builder, static_cast<uint8_t>(message.version.part), key,
+            StoreRevisionOf(message.version.mod_revision),
+            StoreRevisionOf(message.base_revision), message.offset,
+            message.size, EncodeEra(message.version.mod_revision),
+            EncodeEra(message.base_revision))
+            .Union());
   }
   Offset<replicawire::Message> operator()(const ValueChunkMessage& message) {
     const auto key = builder.CreateString(message.version.key);
     const auto bytes = EncodeBytes(builder, message.bytes);
-    return BuildMessage(replicawire::Body::ValueChunk,
-                        replicawire::CreateValueChunk(
-                            builder, static_cast<uint8_t>(message.version.part),
-                            key, message.version.mod_revision,
-                            message.base_revision, message.transfer_digest,
-                            message.transfer_size, message.offset, bytes)
-                            .Union());
+    return BuildMessage(
+        replicawire::Body::ValueChunk,
+        replicawire::CreateValueChunk(
+            builder, static_cast<uint8_t>(message.version.part), key,
+            StoreRevisionOf(message.version.mod_revision),
+            StoreRevisionOf(message.base_revision), message.transfer_digest,
+            message.transfer_size, message.offset, bytes,
+            EncodeEra(message.version.mod_revision),
+            EncodeEra(message.base_revision))
+            .Union());
   }
 
   Offset<replicawire::Message> BuildMessage(replicawire::Body type,
@@ -134,12 +177,16 @@
   }
 };
 
-std::optional<ReplicaRevisions> DecodeRevisions(const WireRevisions* wire) {
+std::optional<ReplicaRevisions> DecodeRevisions(const WireRevisions* wire,
+                                                const WireEras* eras) {
   if (wire == nullptr || wire->size() != kReplicaPartCount) {
     return std::nullopt;
   }
+  const bool has_eras = eras != nullptr && eras->size() == kReplicaPartCount;
   ReplicaRevisions revisions = {};
-  std::copy(wire->begin(), wire->end(), revisions.begin());
+  for (flatbuffers::uoffset_t i = 0; i < kReplicaPartCount; ++i) {
+    revisions.at(i) = DecodePosition(has_eras ? eras->Get(i) : 0, wire->Get(i));
+  }
   return revisions;
 }
 
@@ -152,7 +199,7 @@
 
 std::optional<ReplicaMessage> DecodeSubscribe(
     const replicawire::Subscribe& wire) {
-  const auto revisions = DecodeRevisions(wire.revisions());
+  const auto revisions = DecodeRevisions(wire.revisions(), wire.eras());
   if (!revisions) {
     return std::nullopt;
   }
@@ -175,11 +222,12 @@
 std::optional<ReplicaMessage> DecodeSnapshot(
     const replicawire::Snapshot& wire) {
   const auto part = DecodePart(wire.part());
-  if (!part || wire.revision() <= 0) {
+  const int64_t revision = DecodePosition(wire.era(), wire.revision());
+  if (!part || revision <= 0) {
     return std::nullopt;
   }
   SnapshotMessage message = {.part = *part,
-                             .revision = wire.revision(),
+                             .revision = revision,
                              .is_after_outage = wire.is_after_outage(),
                              .is_last = wire.is_last()};
   if (wire.entries() != nullptr) {
@@ -194,14 +242,16 @@
 
 std::optional<ReplicaMessage> DecodeChanges(const replicawire::Changes& wire) {
   const auto part = DecodePart(wire.part());
-  if (!part || wire.after_revision() <= 0 ||
-      wire.revision() < wire.after_revision()) {
+  const int64_t after_revision =
+      DecodePosition(wire.after_era(), wire.after_revision());
+  const int64_t revision = DecodePosition(wire.era(), wire.revision());
+  if (!part || after_revision <= 0 || revision < after_revision) {
     return std::nullopt;
   }
   ChangesMessage message = {.part = *part,
                             .is_after_outage = wire.is_after_outage()};
-  message.changes.after_revision = wire.after_revision();
-  message.changes.revision = wire.revision();
+  message.changes.after_revision = after_revision;
+  message.changes.revision = revision;
   if (wire.entries() != nullptr) {
     for (const replicawire::Entry* const entry : *wire.entries()) {
       message.changes.changes.push_back(
@@ -215,7 +265,7 @@
 
 std::optional<ReplicaMessage> DecodeFreshness(
     const replicawire::Freshness& wire) {
-  const auto revisions = DecodeRevisions(wire.revisions());
+  const auto revisions = DecodeRevisions(wire.revisions(), wire.eras());
   if (!revisions) {
     return std::nullopt;
   }
@@ -239,28 +289,34 @@
 
 std::optional<ReplicaMessage> DecodeFetchValue(
     const replicawire::FetchValue& wire) {
-  auto version = DecodeVersion(wire.part(), wire.key(), wire.mod_revision());
+  auto version =
+      DecodeVersion(wire.part(), wire.key(),
+                    DecodePosition(wire.mod_era(), wire.mod_revision()));
   if (!version) {
     return std::nullopt;
   }
-  return FetchValueMessage{.version = *std::move(version),
-                           .base_revision = wire.base_revision(),
-                           .offset = wire.offset(),
-                           .size = wire.size()};
+  return FetchValueMessage{
+      .version = *std::move(version),
+      .base_revision = DecodePosition(wire.base_era(), wire.base_revision()),
+      .offset = wire.offset(),
+      .size = wire.size()};
 }
 
 std::optional<ReplicaMessage> DecodeValueChunk(
     const replicawire::ValueChunk& wire) {
-  auto version = DecodeVersion(wire.part(), wire.key(), wire.mod_revision());
+  auto version =
+      DecodeVersion(wire.part(), wire.key(),
+                    DecodePosition(wire.mod_era(), wire.mod_revision()));
   if (!version) {
     return std::nullopt;
   }
-  return ValueChunkMessage{.version = *std::move(version),
-                           .base_revision = wire.base_revision(),
-                           .transfer_digest = wire.transfer_digest(),
-                           .transfer_size = wire.transfer_size(),
-                           .offset = wire.offset(),
-                           .bytes = DecodeBytes(wire.bytes())};
+  return ValueChunkMessage{
+      .version = *std::move(version),
+      .base_revision = DecodePosition(wire.base_era(), wire.base_revision()),
+      .transfer_digest = wire.transfer_digest(),
+      .transfer_size = wire.transfer_size(),
+      .offset = wire.offset(),
+      .bytes = DecodeBytes(wire.bytes())};
 }
 
 std::optional<ReplicaMessage> DecodeBody(const replicawire::Message& message) {
--- a/modules/peridotmill_gateway/replication/schema/replica_generated.h
+++ b/modules/peridotmill_gateway/replication/schema/replica_generated.h
@@ -120,7 +120,8 @@
   typedef SubscribeBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISIONS = 4,
-    VT_ACCEPTS_OMITTED_VALUES = 6
+    VT_ACCEPTS_OMITTED_VALUES = 6,
+    VT_ERAS = 8
   };
   const flatbuffers::Vector<int64_t> *revisions() const {
     return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_REVISIONS);
@@ -128,11 +129,16 @@
   bool accepts_omitted_values() const {
     return GetField<uint8_t>(VT_ACCEPTS_OMITTED_VALUES, 0) != 0;
   }
+  const flatbuffers::Vector<uint32_t> *eras() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ERAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REVISIONS) &&
            verifier.VerifyVector(revisions()) &&
            VerifyField<uint8_t>(verifier, VT_ACCEPTS_OMITTED_VALUES, 1) &&
+           VerifyOffset(verifier, VT_ERAS) &&
+           verifier.VerifyVector(eras()) &&
            verifier.EndTable();
   }
 };
@@ -147,6 +153,9 @@
   void add_accepts_omitted_values(bool accepts_omitted_values) {
     fbb_.AddElement<uint8_t>(Subscribe::VT_ACCEPTS_OMITTED_VALUES, static_cast<uint8_t>(accepts_omitted_values), 0);
   }
+  void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> eras) {
+    fbb_.AddOffset(Subscribe::VT_ERAS, eras);
+  }
   explicit SubscribeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -161,8 +170,10 @@
 inline flatbuffers::Offset<Subscribe> CreateSubscribe(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> revisions = 0,
-    bool accepts_omitted_values = false) {
+    bool accepts_omitted_values = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> eras = 0) {
   SubscribeBuilder builder_(_fbb);
+  builder_.add_eras(eras);
   builder_.add_revisions(revisions);
   builder_.add_accepts_omitted_values(accepts_omitted_values);
   return builder_.Finish();
@@ -171,12 +182,15 @@
 inline flatbuffers::Offset<Subscribe> CreateSubscribeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<int64_t> *revisions = nullptr,
-    bool accepts_omitted_values = false) {
+    bool accepts_omitted_values = false,
+    const std::vector<uint32_t> *eras = nullptr) {
   auto revisions__ = revisions ? _fbb.CreateVector<int64_t>(*revisions) : 0;
+  auto eras__ = eras ? _fbb.CreateVector<uint32_t>(*eras) : 0;
   return peridotmill::replicawire::CreateSubscribe(
       _fbb,
       revisions__,
-      accepts_omitted_values);
+      accepts_omitted_values,
+      eras__);
 }
 
 struct Entry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -187,7 +201,9 @@
     VT_CREATE_REVISION = 8,
     VT_MOD_REVISION = 10,
     VT_IS_REMOVED = 12,
-    VT_OMITTED_BYTES = 14
+    VT_OMITTED_BYTES = 14,
+    VT_CREATE_ERA = 16,
+    VT_MOD_ERA = 18
   };
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
@@ -207,6 +223,12 @@
   uint32_t omitted_bytes() const {
     return GetField<uint32_t>(VT_OMITTED_BYTES, 0);
   }
+  uint32_t create_era() const {
+    return GetField<uint32_t>(VT_CREATE_ERA, 0);
+  }
+  uint32_t mod_era() const {
+    return GetField<uint32_t>(VT_MOD_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_KEY) &&
@@ -217,6 +239,8 @@
            VerifyField<int64_t>(verifier, VT_MOD_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_REMOVED, 1) &&
            VerifyField<uint32_t>(verifier, VT_OMITTED_BYTES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_CREATE_ERA, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MOD_ERA, 4) &&
            verifier.EndTable();
   }
 };
@@ -243,6 +267,12 @@
   void add_omitted_bytes(uint32_t omitted_bytes) {
     fbb_.AddElement<uint32_t>(Entry::VT_OMITTED_BYTES, omitted_bytes, 0);
   }
+  void add_create_era(uint32_t create_era) {
+    fbb_.AddElement<uint32_t>(Entry::VT_CREATE_ERA, create_era, 0);
+  }
+  void add_mod_era(uint32_t mod_era) {
+    fbb_.AddElement<uint32_t>(Entry::VT_MOD_ERA, mod_era, 0);
+  }
   explicit EntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -261,10 +291,14 @@
     int64_t create_revision = 0,
     int64_t mod_revision = 0,
     bool is_removed = false,
-    uint32_t omitted_bytes = 0) {
+    uint32_t omitted_bytes = 0,
+    uint32_t create_era = 0,
+    uint32_t mod_era = 0) {
   EntryBuilder builder_(_fbb);
   builder_.add_mod_revision(mod_revision);
   builder_.add_create_revision(create_revision);
+  builder_.add_mod_era(mod_era);
+  builder_.add_create_era(create_era);
   builder_.add_omitted_bytes(omitted_bytes);
   builder_.add_value(value);
   builder_.add_key(key);
@@ -279,7 +313,9 @@
     int64_t create_revision = 0,
     int64_t mod_revision = 0,
     bool is_removed = false,
-    uint32_t omitted_bytes = 0) {
+    uint32_t omitted_bytes = 0,
+    uint32_t create_era = 0,
+    uint32_t mod_era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return peridotmill::replicawire::CreateEntry(
@@ -289,7 +325,9 @@
       create_revision,
       mod_revision,
       is_removed,
-      omitted_bytes);
+      omitted_bytes,
+      create_era,
+      mod_era);
 }
 
 struct Snapshot FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -299,7 +337,8 @@
     VT_REVISION = 6,
     VT_IS_AFTER_OUTAGE = 8,
     VT_IS_LAST = 10,
-    VT_ENTRIES = 12
+    VT_ENTRIES = 12,
+    VT_ERA = 14
   };
   uint8_t part() const {
     return GetField<uint8_t>(VT_PART, 0);
@@ -316,6 +355,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *>(VT_ENTRIES);
   }
+  uint32_t era() const {
+    return GetField<uint32_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -325,6 +367,7 @@
            VerifyOffset(verifier, VT_ENTRIES) &&
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint32_t>(verifier, VT_ERA, 4) &&
            verifier.EndTable();
   }
 };
@@ -348,6 +391,9 @@
   void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries) {
     fbb_.AddOffset(Snapshot::VT_ENTRIES, entries);
   }
+  void add_era(uint32_t era) {
+    fbb_.AddElement<uint32_t>(Snapshot::VT_ERA, era, 0);
+  }
   explicit SnapshotBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -365,9 +411,11 @@
     int64_t revision = 0,
     bool is_after_outage = false,
     bool is_last = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries = 0,
+    uint32_t era = 0) {
   SnapshotBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_era(era);
   builder_.add_entries(entries);
   builder_.add_is_last(is_last);
   builder_.add_is_after_outage(is_after_outage);
@@ -381,7 +429,8 @@
     int64_t revision = 0,
     bool is_after_outage = false,
     bool is_last = false,
-    const std::vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries = nullptr) {
+    const std::vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries = nullptr,
+    uint32_t era = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::replicawire::Entry>>(*entries) : 0;
   return peridotmill::replicawire::CreateSnapshot(
       _fbb,
@@ -389,7 +438,8 @@
       revision,
       is_after_outage,
       is_last,
-      entries__);
+      entries__,
+      era);
 }
 
 struct Changes FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -399,7 +449,9 @@
     VT_AFTER_REVISION = 6,
     VT_REVISION = 8,
     VT_ENTRIES = 10,
-    VT_IS_AFTER_OUTAGE = 12
+    VT_IS_AFTER_OUTAGE = 12,
+    VT_AFTER_ERA = 14,
+    VT_ERA = 16
   };
   uint8_t part() const {
     return GetField<uint8_t>(VT_PART, 0);
@@ -416,6 +468,12 @@
   bool is_after_outage() const {
     return GetField<uint8_t>(VT_IS_AFTER_OUTAGE, 0) != 0;
   }
+  uint32_t after_era() const {
+    return GetField<uint32_t>(VT_AFTER_ERA, 0);
+  }
+  uint32_t era() const {
+    return GetField<uint32_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -425,6 +483,8 @@
            verifier.VerifyVector(entries()) &&
            verifier.VerifyVectorOfTables(entries()) &&
            VerifyField<uint8_t>(verifier, VT_IS_AFTER_OUTAGE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_AFTER_ERA, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ERA, 4) &&
            verifier.EndTable();
   }
 };
@@ -448,6 +508,12 @@
   void add_is_after_outage(bool is_after_outage) {
     fbb_.AddElement<uint8_t>(Changes::VT_IS_AFTER_OUTAGE, static_cast<uint8_t>(is_after_outage), 0);
   }
+  void add_after_era(uint32_t after_era) {
+    fbb_.AddElement<uint32_t>(Changes::VT_AFTER_ERA, after_era, 0);
+  }
+  void add_era(uint32_t era) {
+    fbb_.AddElement<uint32_t>(Changes::VT_ERA, era, 0);
+  }
   explicit ChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -465,10 +531,14 @@
     int64_t after_revision = 0,
     int64_t revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<peridotmill::replicawire::Entry>>> entries = 0,
-    bool is_after_outage = false) {
+    bool is_after_outage = false,
+    uint32_t after_era = 0,
+    uint32_t era = 0) {
   ChangesBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_after_revision(after_revision);
+  builder_.add_era(era);
+  builder_.add_after_era(after_era);
   builder_.add_entries(entries);
   builder_.add_is_after_outage(is_after_outage);
   builder_.add_part(part);
@@ -481,7 +551,9 @@
     int64_t after_revision = 0,
     int64_t revision = 0,
     const std::vector<flatbuffers::Offset<peridotmill::replicawire::Entry>> *entries = nullptr,
-    bool is_after_outage = false) {
+    bool is_after_outage = false,
+    uint32_t after_era = 0,
+    uint32_t era = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<peridotmill::replicawire::Entry>>(*entries) : 0;
   return peridotmill::replicawire::CreateChanges(
       _fbb,
@@ -489,14 +561,17 @@
       after_revision,
       revision,
       entries__,
-      is_after_outage);
+      is_after_outage,
+      after_era,
+      era);
 }
 
 struct Freshness FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef FreshnessBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_REVISIONS = 4,
-    VT_STORE_CONTACT_AGE_MS = 6
+    VT_STORE_CONTACT_AGE_MS = 6,
+    VT_ERAS = 8
   };
   const flatbuffers::Vector<int64_t> *revisions() const {
     return GetPointer<const flatbuffers::Vector<int64_t> *>(VT_REVISIONS);
@@ -504,11 +579,16 @@
   uint32_t store_contact_age_ms() const {
     return GetField<uint32_t>(VT_STORE_CONTACT_AGE_MS, 0);
   }
+  const flatbuffers::Vector<uint32_t> *eras() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ERAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REVISIONS) &&
            verifier.VerifyVector(revisions()) &&
            VerifyField<uint32_t>(verifier, VT_STORE_CONTACT_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_ERAS) &&
+           verifier.VerifyVector(eras()) &&
            verifier.EndTable();
   }
 };
@@ -523,6 +603,9 @@
   void add_store_contact_age_ms(uint32_t store_contact_age_ms) {
     fbb_.AddElement<uint32_t>(Freshness::VT_STORE_CONTACT_AGE_MS, store_contact_age_ms, 0);
   }
+  void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> eras) {
+    fbb_.AddOffset(Freshness::VT_ERAS, eras);
+  }
   explicit FreshnessBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -537,8 +620,10 @@
 inline flatbuffers::Offset<Freshness> CreateFreshness(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<int64_t>> revisions = 0,
-    uint32_t store_contact_age_ms = 0) {
+    uint32_t store_contact_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> eras = 0) {
   FreshnessBuilder builder_(_fbb);
+  builder_.add_eras(eras);
   builder_.add_store_contact_age_ms(store_contact_age_ms);
   builder_.add_revisions(revisions);
   return builder_.Finish();
@@ -547,12 +632,15 @@
 inline flatbuffers::Offset<Freshness> CreateFreshnessDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<int64_t> *revisions = nullptr,
-    uint32_t store_contact_age_ms = 0) {
+    uint32_t store_contact_age_ms = 0,
+    const std::vector<uint32_t> *eras = nullptr) {
   auto revisions__ = revisions ? _fbb.CreateVector<int64_t>(*revisions) : 0;
+  auto eras__ = eras ? _fbb.CreateVector<uint32_t>(*eras) : 0;
   return peridotmill::replicawire::CreateFreshness(
       _fbb,
       revisions__,
-      store_contact_age_ms);
+      store_contact_age_ms,
+      eras__);
 }
 
 struct FetchValue FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -563,7 +651,9 @@
     VT_MOD_REVISION = 8,
     VT_BASE_REVISION = 10,
     VT_OFFSET = 12,
-    VT_SIZE = 14
+    VT_SIZE = 14,
+    VT_MOD_ERA = 16,
+    VT_BASE_ERA = 18
   };
   uint8_t part() const {
     return GetField<uint8_t>(VT_PART, 0);
@@ -583,6 +673,12 @@
   uint32_t size() const {
     return GetField<uint32_t>(VT_SIZE, 0);
   }
+  uint32_t mod_era() const {
+    return GetField<uint32_t>(VT_MOD_ERA, 0);
+  }
+  uint32_t base_era() const {
+    return GetField<uint32_t>(VT_BASE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -592,6 +688,8 @@
            VerifyField<int64_t>(verifier, VT_BASE_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
            VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MOD_ERA, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BASE_ERA, 4) &&
            verifier.EndTable();
   }
 };
@@ -618,6 +716,12 @@
   void add_size(uint32_t size) {
     fbb_.AddElement<uint32_t>(FetchValue::VT_SIZE, size, 0);
   }
+  void add_mod_era(uint32_t mod_era) {
+    fbb_.AddElement<uint32_t>(FetchValue::VT_MOD_ERA, mod_era, 0);
+  }
+  void add_base_era(uint32_t base_era) {
+    fbb_.AddElement<uint32_t>(FetchValue::VT_BASE_ERA, base_era, 0);
+  }
   explicit FetchValueBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -636,10 +740,14 @@
     int64_t mod_revision = 0,
     int64_t base_revision = 0,
     uint32_t offset = 0,
-    uint32_t size = 0) {
+    uint32_t size = 0,
+    uint32_t mod_era = 0,
+    uint32_t base_era = 0) {
   FetchValueBuilder builder_(_fbb);
   builder_.add_base_revision(base_revision);
   builder_.add_mod_revision(mod_revision);
+  builder_.add_base_era(base_era);
+  builder_.add_mod_era(mod_era);
   builder_.add_size(size);
   builder_.add_offset(offset);
   builder_.add_key(key);
@@ -654,7 +762,9 @@
     int64_t mod_revision = 0,
     int64_t base_revision = 0,
     uint32_t offset = 0,
-    uint32_t size = 0) {
+    uint32_t size = 0,
+    uint32_t mod_era = 0,
+    uint32_t base_era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return peridotmill::replicawire::CreateFetchValue(
       _fbb,
@@ -663,7 +773,9 @@
       mod_revision,
       base_revision,
       offset,
-      size);
+      size,
+      mod_era,
+      base_era);
 }
 
 struct ValueChunk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -676,7 +788,9 @@
     VT_TRANSFER_DIGEST = 12,
     VT_TRANSFER_SIZE = 14,
     VT_OFFSET = 16,
-    VT_BYTES = 18
+    VT_BYTES = 18,
+    VT_MOD_ERA = 20,
+    VT_BASE_ERA = 22
   };
   uint8_t part() const {
     return GetField<uint8_t>(VT_PART, 0);
@@ -702,6 +816,12 @@
   const flatbuffers::Vector<uint8_t> *bytes() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
   }
+  uint32_t mod_era() const {
+    return GetField<uint32_t>(VT_MOD_ERA, 0);
+  }
+  uint32_t base_era() const {
+    return GetField<uint32_t>(VT_BASE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_PART, 1) &&
@@ -714,6 +834,8 @@
            VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
            VerifyOffset(verifier, VT_BYTES) &&
            verifier.VerifyVector(bytes()) &&
+           VerifyField<uint32_t>(verifier, VT_MOD_ERA, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BASE_ERA, 4) &&
            verifier.EndTable();
   }
 };
@@ -746,6 +868,12 @@
   void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
     fbb_.AddOffset(ValueChunk::VT_BYTES, bytes);
   }
+  void add_mod_era(uint32_t mod_era) {
+    fbb_.AddElement<uint32_t>(ValueChunk::VT_MOD_ERA, mod_era, 0);
+  }
+  void add_base_era(uint32_t base_era) {
+    fbb_.AddElement<uint32_t>(ValueChunk::VT_BASE_ERA, base_era, 0);
+  }
   explicit ValueChunkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -766,11 +894,15 @@
     uint64_t transfer_digest = 0,
     uint32_t transfer_size = 0,
     uint32_t offset = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0,
+    uint32_t mod_era = 0,
+    uint32_t base_era = 0) {
   ValueChunkBuilder builder_(_fbb);
   builder_.add_transfer_digest(transfer_digest);
   builder_.add_base_revision(base_revision);
   builder_.add_mod_revision(mod_revision);
+  builder_.add_base_era(base_era);
+  builder_.add_mod_era(mod_era);
   builder_.add_bytes(bytes);
   builder_.add_offset(offset);
   builder_.add_transfer_size(transfer_size);
@@ -788,7 +920,9 @@
     uint64_t transfer_digest = 0,
     uint32_t transfer_size = 0,
     uint32_t offset = 0,
-    const std::vector<uint8_t> *bytes = nullptr) {
+    const std::vector<uint8_t> *bytes = nullptr,
+    uint32_t mod_era = 0,
+    uint32_t base_era = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
   return peridotmill::replicawire::CreateValueChunk(
@@ -800,7 +934,9 @@
       transfer_digest,
       transfer_size,
       offset,
-      bytes__);
+      bytes__,
+      mod_era,
+      base_era);
 }
 
 struct Message FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/store/prefix_watcher.cc
+++ b/modules/peridotmill_gateway/store/prefix_watcher.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "peridotmill_gateway/store/store_position.h"
+
 namespace peridotmill {
 
 PrefixWatcher::PrefixWatcher(PrefixWatcherSettings settings,
@@ -57,6 +59,24 @@
     return;
   }
   RecordSuccess();
+  const bool is_restored =
+      revision_ > 0 && StoreEraOf(page.store_revision) != StoreEraOf(revision_);
+  if (is_restored) {
+    // What was written since the copy may be missing until it is written again,
+    // like what expired in an outage.
+    was_unreachable_ = true;
+    log_.Write(
+        "store_restored",
+        {{"prefix", settings_.prefix},
+         {"era", std::to_string(StoreEraOf(page.store_revision))},
+         {"earlier_era", std::to_string(StoreEraOf(revision_))},
+         {"revision", std::to_string(StoreRevisionOf(page.store_revision))}});
+  }
+  if (is_restored && !pending_entries_.empty()) {
+    revision_ = page.store_revision;
+    Start();
+    return;
+  }
   // The watch starts at the first page's revision, so that it reports the
   // changes made while later pages are read.
   if (pending_entries_.empty()) {
@@ -98,6 +118,11 @@
     return;
   }
   RecordSuccess();
+  if (StoreEraOf(changes.store_revision) != StoreEraOf(revision_)) {
+    // The watch began at a revision that was given out again.
+    Start();
+    return;
+  }
   const int64_t after_revision = revision_;
   revision_ = std::max(revision_, changes.store_revision);
   callbacks_.on_changes({.after_revision = after_revision,
--- a/modules/peridotmill_gateway/store/store_channel.h
+++ b/modules/peridotmill_gateway/store/store_channel.h
@@ -29,6 +29,7 @@
   StoreCallStatus status = StoreCallStatus::kUnknown;
   std::vector<StoreEntry> entries;
   bool has_more = false;
+  // Position of the store (store_position.h), like all its revisions.
   int64_t store_revision = 0;
 };
 
@@ -50,6 +51,9 @@
   StoreCallStatus status = StoreCallStatus::kUnknown;
   int64_t id = 0;
   Duration time_to_live = Duration::zero();
+  // Era of the store (store_position.h). Leases granted in an earlier one may
+  // be gone, and their ids those of other leases.
+  int64_t store_era = 0;
 };
 
 // A call in flight. Destroying the handle cancels the callback.
--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -12,6 +12,7 @@
 
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/store/store_channel.h"
+#include "peridotmill_gateway/store/store_position.h"
 
 namespace peridotmill {
 
@@ -75,8 +76,13 @@
   // Replaces the contents by those of a copy, and fails the waiting watches.
   // Revisions after that of the copy are given out again.
   void Restore(const Copy& copy) {
+    const int64_t era = StoreEraOf(revision_) + 1;
+    revision_ = MakeStorePosition(era, StoreRevisionOf(copy.revision));
     entries_ = copy.entries;
-    revision_ = copy.revision;
+    for (auto& [key, entry] : entries_) {
+      entry.mod_revision =
+          MakeStorePosition(era, StoreRevisionOf(entry.mod_revision));
+    }
     CompactHistory();
   }
 
@@ -103,7 +109,8 @@
   std::vector<StoreChange> ChangesFor(const Watch& watch) const {
     std::vector<StoreChange> changes;
     for (const StoreChange& change : history_) {
-      if (change.entry.mod_revision > watch.after_revision &&
+      if (StoreRevisionOf(change.entry.mod_revision) >
+              StoreRevisionOf(watch.after_revision) &&
           change.entry.key.starts_with(watch.prefix)) {
         changes.push_back(change);
       }
@@ -185,8 +192,10 @@
           callback(StoreChanges());
         }
       });
-    } else if (after_revision < store_.history_start_ ||
-               after_revision > store_.revision_) {
+    } else if (StoreRevisionOf(after_revision) <
+                   StoreRevisionOf(store_.history_start_) ||
+               StoreRevisionOf(after_revision) >
+                   StoreRevisionOf(store_.revision_)) {
       store_.CompleteWatch(watch, {.status = StoreCallStatus::kCompacted});
     } else if (!store_.ChangesFor(*watch).empty()) {
       store_.SendChanges(watch);
@@ -206,15 +215,17 @@
   std::unique_ptr<StoreCallHandle> GrantLease(
       Duration time_to_live,
       std::function<void(StoreLease)> callback) override {
-    return RespondLater<StoreLease>(std::move(callback), [time_to_live] {
-      return StoreLease{StoreCallStatus::kOk, 1, time_to_live};
+    return RespondLater<StoreLease>(std::move(callback), [this, time_to_live] {
+      return StoreLease{StoreCallStatus::kOk, 1, time_to_live,
+                        StoreEraOf(store_.revision_)};
     });
   }
   std::unique_ptr<StoreCallHandle> RenewLease(
       int64_t lease,
       std::function<void(StoreLease)> callback) override {
-    return RespondLater<StoreLease>(std::move(callback), [lease] {
-      return StoreLease{StoreCallStatus::kOk, lease, std::chrono::seconds(6)};
+    return RespondLater<StoreLease>(std::move(callback), [this, lease] {
+      return StoreLease{StoreCallStatus::kOk, lease, std::chrono::seconds(6),
+                        StoreEraOf(store_.revision_)};
     });
   }
   std::unique_ptr<StoreCallHandle> EndLease(
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -14,6 +14,8 @@
 #include "peridotmill_gateway/replication/replica_role.h"
 #include "peridotmill_gateway/replication/replica_service.h"
 #include "peridotmill_gateway/replication/replica_sources.h"
+#include "peridotmill_gateway/replication/schema/replica_wire.h"
+#include "peridotmill_gateway/store/store_position.h"
 #include "peridotmill_gateway/tests/manual_timer_queue.h"
 #include "peridotmill_gateway/tests/memory_store.h"
 #include "peridotmill_gateway/tests/peer_network.h"
@@ -141,6 +143,34 @@
   EXPECT_EQ(decoded_changes.changes.changes[0].entry.mod_revision, 5);
 }
 
+// Guards against nodes that take each other's revisions for those of another
+// era, and against revisions that older versions can't read.
+TEST(ReplicaMessageTest, KeepsTheErasOfRevisions) {
+  const int64_t before = MakeStorePosition(3, 900);
+  const int64_t after = MakeStorePosition(4, 7);
+  ChangesMessage changes = {.part = ReplicaPart::kConfiguration};
+  changes.changes = {before, after, {Put("a", after), Removal("b", before)}};
+  const auto decoded = DecodeReplicaMessage(EncodeReplicaMessage(changes));
+  const PrefixChanges& received = std::get<ChangesMessage>(*decoded).changes;
+  EXPECT_EQ(received.after_revision, before);
+  EXPECT_EQ(received.revision, after);
+  EXPECT_EQ(received.changes[0].entry.mod_revision, after);
+  EXPECT_EQ(received.changes[1].entry.mod_revision, before);
+  const auto fetch = DecodeReplicaMessage(EncodeReplicaMessage(
+      FetchValueMessage{{ReplicaPart::kConfiguration, "a", after}, before}));
+  EXPECT_EQ(std::get<FetchValueMessage>(*fetch).version.mod_revision, after);
+  EXPECT_EQ(std::get<FetchValueMessage>(*fetch).base_revision, before);
+  const std::string frame =
+      EncodeReplicaMessage(FreshnessMessage{{before, after, 0}, 20ms});
+  const auto freshness = DecodeReplicaMessage(frame);
+  EXPECT_EQ(std::get<FreshnessMessage>(*freshness).revisions,
+            (ReplicaRevisions{before, after, 0}));
+  const auto* const wire =
+      replicawire::GetMessage(frame.data())->body_as_Freshness();
+  EXPECT_EQ(wire->revisions()->Get(0), 900);
+  EXPECT_EQ(wire->revisions()->Get(1), 7);
+}
+
 std::string NodeKey(const std::string& node) {
   return kNodeKeyPrefix + node;
 }
--- a/modules/peridotmill_gateway/tests/store_watchers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_watchers_test.cc
@@ -3,6 +3,7 @@
 #include "peridotmill_gateway/peers/node_registration.h"
 #include "peridotmill_gateway/store/prefix_watcher.h"
 #include "peridotmill_gateway/store/registration_reconciler.h"
+#include "peridotmill_gateway/store/store_position.h"
 #include "peridotmill_gateway/tests/fake_store_channel.h"
 #include "peridotmill_gateway/tests/gateway_fixture.h"
 
@@ -56,6 +57,35 @@
   EXPECT_EQ(store_.watched_after_revision, 10);
 }
 
+// Guards against a watch that goes on from a revision which a restored store
+// has given out again, and against removing at once what is missing in its
+// copy.
+TEST_F(PrefixWatcherTest, ReadsAgainFromARestoredStore) {
+  store_.AnswerRead({"p/a", "p/b"}, MakeStorePosition(1, 20));
+  StoreChanges answer;
+  answer.status = StoreCallStatus::kOk;
+  answer.changes.resize(1);
+  answer.store_revision = MakeStorePosition(2, 25);
+  store_.AnswerWatch(answer);
+  EXPECT_EQ(change_count_, 0);
+  EXPECT_EQ(store_.read_calls, 2);
+  store_.AnswerRead({"p/a"}, MakeStorePosition(2, 25));
+  EXPECT_TRUE(was_unreachable_);
+  EXPECT_TRUE(events_.Has("store_restored prefix=p/ era=2 earlier_era=1"));
+  EXPECT_EQ(store_.watched_after_revision, MakeStorePosition(2, 25));
+}
+
+// Guards against entries of two eras in one snapshot.
+TEST_F(PrefixWatcherTest, ReadsAllPagesFromOneEra) {
+  store_.AnswerRead({"p/a"}, MakeStorePosition(1, 20), /*has_more=*/true);
+  store_.AnswerRead({"p/c"}, MakeStorePosition(2, 18));
+  EXPECT_TRUE(snapshots_.empty());
+  EXPECT_EQ(store_.last_after_key, "");
+  store_.AnswerRead({"p/a", "p/b"}, MakeStorePosition(2, 18));
+  EXPECT_EQ(snapshots_, std::vector<size_t>{2});
+  EXPECT_TRUE(was_unreachable_);
+}
+
 // Guards against resuming a failed watch: the store may have compacted the
 // changes in between and does not report that until the next change.
 TEST_F(PrefixWatcherTest, ReadsAgainAfterAFailedWatch) {
