Register a node again after the store was restored from a copy

A node could be missing in a restored store for good while its renewals succeeded, so that others gave it no work and didn't follow it. Cause: leases since the copy are gone and their ids are given out again; a renewal that succeeds may be that of another node's lease. Measured: the new test fails before and passes now.

--- a/modules/peridotmill_gateway/peers/node_registration.cc
+++ b/modules/peridotmill_gateway/peers/node_registration.cc
@@ -55,6 +55,7 @@
       return;
     }
     lease_id_ = lease.id;
+    lease_era_ = lease.store_era;
     PutRecord();
   });
 }
@@ -83,7 +84,11 @@
         lease.status == StoreCallStatus::kConflict) {
       listener_.on_store_response();
     }
-    if (lease.status == StoreCallStatus::kConflict) {
+    // After the store was restored from a copy, the record may be missing, and
+    // the lease that was renewed may be that of another node.
+    const bool is_restored =
+        lease.status == StoreCallStatus::kOk && lease.store_era != lease_era_;
+    if (lease.status == StoreCallStatus::kConflict || is_restored) {
       log_.Write("node_registration_lapsed", {{"node", node_.value()}});
       RequestLease();
       return;
--- a/modules/peridotmill_gateway/peers/node_registration.h
+++ b/modules/peridotmill_gateway/peers/node_registration.h
@@ -57,6 +57,8 @@
   EventSink& log_;
   StoreContactListener listener_;
   int64_t lease_id_ = 0;
+  // Era of the store that granted the lease.
+  int64_t lease_era_ = 0;
   bool is_store_reachable_ = true;
   bool is_stopped_ = false;
   std::unique_ptr<StoreCallHandle> call_;
--- a/modules/peridotmill_gateway/tests/store_watchers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_watchers_test.cc
@@ -283,5 +283,31 @@
   EXPECT_EQ(store.end_lease_calls, 1);
 }
 
+// Guards against a node that is missing in a restored store while it renews the
+// lease of another node, which has got the same id.
+TEST(NodeRegistrationTest, RegistersAgainInARestoredStore) {
+  ManualClock clock;
+  ManualTimerQueue timers(clock);
+  FakeStoreChannel store;
+  RecordingEvents events;
+  NodeRegistration registration(
+      NodeId("n1"), {"10.0.0.1:7", FailureDomainId("d")}, store, timers, events,
+      {.on_store_response = [] {},
+       .on_store_contact_lost = [] {},
+       .is_watching = [] { return true; }});
+  registration.Start();
+  store.on_lease({StoreCallStatus::kOk, 9, 6s, 1});
+  store.on_put(StoreCallStatus::kOk);
+  timers.Advance(1300ms);
+  store.on_renew({StoreCallStatus::kOk, 9, 6s, 1});
+  EXPECT_EQ(store.grant_calls, 1);
+  timers.Advance(1300ms);
+  store.on_renew({StoreCallStatus::kOk, 9, 6s, 2});
+  ASSERT_EQ(store.grant_calls, 2);
+  store.on_lease({StoreCallStatus::kOk, 12, 6s, 2});
+  ASSERT_EQ(store.puts.size(), 2u);
+  EXPECT_EQ(store.puts[1].lease, 12);
+}
+
 }  // namespace
 }  // namespace peridotmill
