--- a/modules/peridotmill_gateway/registry/endpoint_registration.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registration.h
@@ -26,6 +26,8 @@
   // Distinguishes successive processes with the same id; Unix time in
   // milliseconds.
   int64_t started_at_ms = 0;
+  // Rises with each report of the process about itself; 0 if unknown.
+  int64_t sequence = 0;
 
   friend bool operator==(const EndpointRegistration&,
                          const EndpointRegistration&) = default;
--- a/modules/peridotmill_gateway/tests/store_watchers_test.cc
+++ b/modules/peridotmill_gateway/tests/store_watchers_test.cc
@@ -249,6 +249,51 @@
   EXPECT_EQ(CountServing(), 0u);
 }
 
+EndpointRegistration MakeReport(const std::string& id,
+                                int64_t sequence,
+                                bool is_draining = false) {
+  EndpointRegistration registration = MakeRegistration(id, "p", "d");
+  registration.started_at_ms = 1000;
+  registration.sequence = sequence;
+  registration.is_draining = is_draining;
+  return registration;
+}
+
+// Guards against new work for endpoints that leave or are gone, which a store
+// that was restored from a copy names as ready again.
+TEST_F(RegistrationReconcilerTest, IgnoresReportsOfARestoredStore) {
+  reconciler_.Replace(
+      {MakeReport("a", 5), MakeReport("b", 5), MakeReport("c", 5)}, false);
+  reconciler_.Put(MakeReport("a", 9, /*is_draining=*/true));
+  reconciler_.Remove(EndpointId("b"));
+  ASSERT_EQ(CountServing(), 1u);
+  reconciler_.Replace(
+      {MakeReport("a", 5), MakeReport("b", 5), MakeReport("c", 5)}, true);
+  reconciler_.Put(MakeReport("a", 5));
+  reconciler_.Put(MakeReport("b", 5));
+  EXPECT_EQ(CountServing(), 1u);
+  // What the endpoints write again counts, and so does another process.
+  reconciler_.Put(MakeReport("b", 12));
+  EXPECT_EQ(CountServing(), 2u);
+  EndpointRegistration other = MakeReport("a", 1);
+  other.started_at_ms = 2000;
+  reconciler_.Put(other);
+  EXPECT_EQ(CountServing(), 3u);
+}
+
+// Guards against memory that grows with the number of endpoints ever removed.
+TEST_F(RegistrationReconcilerTest, ForgetsEndpointsThatWereRemovedLongAgo) {
+  for (int i = 0; i < 10'000; ++i) {
+    const std::string id = "e" + std::to_string(i);
+    reconciler_.Put(MakeReport(id, 5));
+    reconciler_.Remove(EndpointId(id));
+  }
+  reconciler_.Put(MakeReport("e0", 5));
+  EXPECT_EQ(CountServing(), 1u);
+  reconciler_.Put(MakeReport("e9999", 5));
+  EXPECT_EQ(CountServing(), 1u);
+}
+
 // Guards against a node whose registration expires while it runs, and against a
 // node that does not detect an unresponsive store.
 TEST(NodeRegistrationTest, RenewsItsLeaseAndReportsAnUnresponsiveStore) {
