Keep evacuations that a restored store lacks until they are written again

Calls could go to an evacuated failure domain after the store was restored from a copy that is older than the evacuation (EVAC). Cause: the entries that are read after an outage replace those before at once, as if the operator had taken the evacuation back. Change: evacuations that are missing after an outage go on for the time in which lost entries are written again; then the entries are read once more. Measured: the new test fails if missing evacuations end at once, as before, and passes now.

--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -58,7 +58,8 @@
                   bool was_unreachable);
   void OnChange(ReplicaPart part, const StoreChange& change);
   // Handle what the operators write: the configuration and evacuations.
-  void OnOperatorSnapshot(const std::vector<StoreEntry>& entries);
+  void OnOperatorSnapshot(const std::vector<StoreEntry>& entries,
+                          bool was_unreachable);
   void OnOperatorChange(const StoreChange& change);
   // Shares the requests to warming endpoints among the registered nodes.
   void UpdateWarmUpBounds();
@@ -142,6 +143,8 @@
   std::unique_ptr<Timer> settings_timer_;
   std::unique_ptr<Timer> stop_timer_;
   std::unique_ptr<Timer> node_reload_timer_;
+  // Set while evacuations that were missing after an outage go on.
+  std::unique_ptr<Timer> operator_reload_timer_;
   bool is_stopping_ = false;
   TimePoint stop_request_time_;
   // When each open request gets its final response.
--- a/daemons/peridotmill-gateway/gateway_store_entries.cc
+++ b/daemons/peridotmill-gateway/gateway_store_entries.cc
@@ -43,7 +43,7 @@
                                 bool was_unreachable) {
   switch (part) {
     case ReplicaPart::kConfiguration:
-      OnOperatorSnapshot(entries);
+      OnOperatorSnapshot(entries, was_unreachable);
       break;
     case ReplicaPart::kRegistrations:
       OnRegistrationSnapshot(entries, was_unreachable);
@@ -82,8 +82,8 @@
   }
 }
 
-void GatewayProcess::OnOperatorSnapshot(
-    const std::vector<StoreEntry>& entries) {
+void GatewayProcess::OnOperatorSnapshot(const std::vector<StoreEntry>& entries,
+                                        bool was_unreachable) {
   std::set<FailureDomainId> evacuated;
   for (const StoreEntry& entry : entries) {
     if (const FailureDomainId domain = EvacuatedDomainFromKey(entry.key);
@@ -93,7 +93,11 @@
       OnConfigurationEntry(entry);
     }
   }
-  evacuations_.Replace(evacuated);
+  if (evacuations_.Replace(evacuated, was_unreachable)) {
+    operator_reload_timer_ = timers_.After(kReregistrationGrace, [this] {
+      replica_.Reload(ReplicaPart::kConfiguration);
+    });
+  }
 }
 
 void GatewayProcess::OnOperatorChange(const StoreChange& change) {
--- a/modules/peridotmill_gateway/evacuation/domain_evacuations.cc
+++ b/modules/peridotmill_gateway/evacuation/domain_evacuations.cc
@@ -34,19 +34,24 @@
   since_.erase(found);
 }
 
-void DomainEvacuations::Replace(const std::set<FailureDomainId>& domains) {
-  std::vector<FailureDomainId> ended;
+bool DomainEvacuations::Replace(const std::set<FailureDomainId>& domains,
+                                bool was_unreachable) {
+  std::vector<FailureDomainId> missing;
   for (const auto& [domain, since] : since_) {
     if (!domains.contains(domain)) {
-      ended.push_back(domain);
+      missing.push_back(domain);
     }
   }
-  for (const FailureDomainId& domain : ended) {
-    End(domain);
-  }
   for (const FailureDomainId& domain : domains) {
     Begin(domain);
   }
+  if (was_unreachable) {
+    return !missing.empty();
+  }
+  for (const FailureDomainId& domain : missing) {
+    End(domain);
+  }
+  return false;
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/evacuation/domain_evacuations.h
+++ b/modules/peridotmill_gateway/evacuation/domain_evacuations.h
@@ -25,7 +25,9 @@
   void Begin(const FailureDomainId& domain);
   void End(const FailureDomainId& domain);
   // Begins and ends evacuations so that just those of `domains` are in force.
-  void Replace(const std::set<FailureDomainId>& domains);
+  // After an outage of the store, which may have been restored from a copy,
+  // those that are missing go on. Returns whether any do.
+  bool Replace(const std::set<FailureDomainId>& domains, bool was_unreachable);
 
   size_t size() const { return since_.size(); }
 
--- a/modules/peridotmill_gateway/tests/evacuation_test.cc
+++ b/modules/peridotmill_gateway/tests/evacuation_test.cc
@@ -141,18 +141,32 @@
 // Guards against callers that wait for their deadline, or whose requests are
 // sent to an evacuated domain, when nothing else can serve them.
 TEST_F(EvacuationTest, RefusesAtOnceIfNothingElseCanServe) {
-  evacuations_.Replace({FailureDomainId("hill"), FailureDomainId("valley")});
+  evacuations_.Replace({FailureDomainId("hill"), FailureDomainId("valley")},
+                       false);
   const auto caller = Send("book");
   EXPECT_EQ(caller->status(), 503);
   EXPECT_TRUE(caller->heads.at(0).headers.Find("Retry-After"));
   EXPECT_TRUE(endpoint_caller_.calls.empty());
   // One of two evacuations ends.
-  evacuations_.Replace({FailureDomainId("hill")});
+  evacuations_.Replace({FailureDomainId("hill")}, false);
   Send("book");
   EXPECT_EQ(CalledDomains(0), std::set<std::string>{"valley"});
   EXPECT_TRUE(events_.Has("domain_evacuation_ended domain=valley"));
 }
 
+// Guards against calls to an evacuated domain after the store was restored from
+// a copy that is older than the evacuation.
+TEST_F(EvacuationTest, GoesOnIfARestoredStoreLacksIt) {
+  evacuations_.Begin(FailureDomainId("valley"));
+  EXPECT_TRUE(evacuations_.Replace({FailureDomainId("hill")},
+                                   /*was_unreachable=*/true));
+  EXPECT_EQ(evacuations_.size(), 2u);
+  EXPECT_FALSE(evacuations_.Replace(
+      {FailureDomainId("hill"), FailureDomainId("valley")}, true));
+  EXPECT_FALSE(evacuations_.Replace({FailureDomainId("hill")}, false));
+  EXPECT_EQ(evacuations_.size(), 1u);
+}
+
 // Guards against a domain whose endpoints have become cold during their
 // evacuation and are sent a burst when it ends.
 TEST_F(EvacuationTest, EndpointsCountAsColdAfterAnEvacuation) {
