Move no stream that a stopping node serves, and none to an engine that failed

Around SIGTERM a stream could still be cut whose silent engine was at work (LOST): its replacement failed, or was asked again although it had crashed, while the silent engine was not. Cause: a takeover can fail after the engine was given up, and when no engine was left, all that had been tried were allowed again. Why it works: a stopping node has nothing to gain from another engine, so a begun stream stays where it is; at the end of the stop its engine is still at work on it. Else only endpoints that refused, and the silent one, are asked again. Measured: the new tests fail before and pass now.

--- a/modules/peridotmill_gateway/requests/attempt_history.h
+++ b/modules/peridotmill_gateway/requests/attempt_history.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_GATEWAY_REQUESTS_ATTEMPT_HISTORY_H_
 #define PERIDOTMILL_GATEWAY_REQUESTS_ATTEMPT_HISTORY_H_
 
+#include <algorithm>
 #include <vector>
 
 #include "peridotmill_core/attempts/attempt_outcome.h"
@@ -17,7 +18,9 @@
   void Add(const EndpointId& endpoint, AttemptOutcome outcome) {
     ++attempts_;
     tried_.push_back(endpoint);
-    if (!IsKnownNotRun(outcome)) {
+    if (IsKnownNotRun(outcome)) {
+      refused_.push_back(endpoint);
+    } else {
       ++possible_runs_;
     }
   }
@@ -35,8 +38,16 @@
     return possible_runs_ < route.max_attempts;
   }
 
-  // Lets all endpoints be chosen again.
-  void ForgetTried() { tried_.clear(); }
+  // Lets the endpoints that have refused the request, and `other`, be chosen
+  // again.
+  void AllowAgain(const EndpointId& other) {
+    refused_.push_back(other);
+    std::erase_if(tried_, [this](const EndpointId& endpoint) {
+      return std::find(refused_.begin(), refused_.end(), endpoint) !=
+             refused_.end();
+    });
+    refused_.clear();
+  }
 
   int attempts() const { return attempts_; }
   const std::vector<EndpointId>& tried() const { return tried_; }
@@ -45,6 +56,8 @@
  private:
   int attempts_ = 0;
   std::vector<EndpointId> tried_;
+  // Those that can't have run the request.
+  std::vector<EndpointId> refused_;
   int possible_runs_ = 0;
 };
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -709,7 +709,7 @@
   // Comments do not count as progress: a stalled stream may still send them.
   if (event_splitter_.event_count() > events_before) {
     last_event_at_ = context_.clock.Now();
-    has_abandoned_engine_ = false;
+    abandoned_engine_ = EndpointId();
     if (is_preparing_takeover_) {
       CancelTakeover("engine_resumed");
     }
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -253,9 +253,9 @@
   bool is_awaiting_engine_ = false;
   TimePoint first_event_at_;
   TimePoint last_event_at_;
-  // The silent engine of the stream was given up, and no other one has sent an
-  // event yet.
-  bool has_abandoned_engine_ = false;
+  // The engine of the stream that was given up because it was silent; empty
+  // once another one has sent an event.
+  EndpointId abandoned_engine_;
   std::unique_ptr<Timer> deadline_timer_;
   std::unique_ptr<Timer> progress_timer_;
   // Set while the request waits for a permit.
--- a/modules/peridotmill_gateway/requests/stream_takeover.cc
+++ b/modules/peridotmill_gateway/requests/stream_takeover.cc
@@ -18,6 +18,10 @@
   if (call_ == nullptr || IsPlainResponseStarted() || is_preparing_takeover_) {
     return;
   }
+  if (gateway_->stop_ && IsStreamStarted()) {
+    // The node may exit before another engine has finished the stream.
+    return;
+  }
   // Ending the attempt is final, so whatever its replacement needs is secured
   // first.
   const AttemptHistory next = HistoryAfterAbandonment();
@@ -56,7 +60,9 @@
        {"ms", std::to_string(std::lround(ToMilliseconds(
                   context_.clock.Now() - attempt_started_at_)))}});
   EndAttempt(CallOutcome::kFailure, AttemptOutcome::kOutcomeUnknown);
-  has_abandoned_engine_ = IsStreamStarted();
+  if (IsStreamStarted()) {
+    abandoned_engine_ = endpoint_->registration.id;
+  }
 }
 
 void GatewayRequest::TakeOver() {
@@ -65,8 +71,11 @@
     const bool is_quarantined =
         context_.quarantine != nullptr &&
         context_.quarantine->QuarantineLeft(prompt_parts_);
-    if (is_quarantined || IsUnfinishable() ||
-        !CanTakeOver(HistoryAfterAbandonment())) {
+    if (gateway_->stop_) {
+      CancelTakeover("stopping");
+      return;
+    }
+    if (is_quarantined || !CanTakeOver(HistoryAfterAbandonment())) {
       CancelTakeover(is_quarantined ? "quarantined" : "no_endpoint");
       return;
     }
@@ -89,7 +98,7 @@
 
 bool GatewayRequest::WaitToResume() {
   const TimePoint end = std::min(deadline_, last_event_at_ + CallerTimeout());
-  if (!has_abandoned_engine_ || !attempt_history_.MayRetry(*route_) ||
+  if (abandoned_engine_.empty() || !attempt_history_.MayRetry(*route_) ||
       IsUnfinishable() || context_.clock.Now() + kResumeCheckInterval >= end) {
     return false;
   }
@@ -102,7 +111,7 @@
   resume_timer_.reset();
   if (!HasUntriedEndpoint(attempt_history_)) {
     // Those that refused may have room now, and the silent one may go on.
-    attempt_history_.ForgetTried();
+    attempt_history_.AllowAgain(abandoned_engine_);
   }
   if (HasUntriedEndpoint(attempt_history_) &&
       context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
--- a/modules/peridotmill_gateway/tests/stream_takeover_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_takeover_test.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include "peridotmill_core/attempts/attempt_outcome.h"
+#include "peridotmill_gateway/requests/attempt_history.h"
 #include "peridotmill_gateway/tests/gateway_fixture.h"
 
 namespace peridotmill {
@@ -195,14 +197,37 @@
   EXPECT_FALSE(caller_->is_aborted);
 }
 
-// Guards against a stopping node that gives up an engine although no other one
-// could finish the stream before the node exits.
-TEST_F(StreamTakeoverTest, AStoppingNodeMovesNoStreamThatItCannotFinish) {
-  gateway_.BeginStopping(clock_.Now() + 8000ms, clock_.Now() + 1400ms);
-  timers_.Advance(1300ms);
+// Guards against a stopping node that gives up an engine although it may exit
+// before another one has finished the stream.
+TEST_F(StreamTakeoverTest, AStoppingNodeMovesNoStream) {
+  gateway_.BeginStopping(clock_.Now() + 2600ms, clock_.Now() + 7200ms);
+  timers_.Advance(kSilence);
   EXPECT_TRUE(IsEngineInUse());
   EXPECT_EQ(stage_caller_.calls.size(), 2u);
 }
 
+// Guards against the same if the stop begins while the stages run again.
+TEST_F(StreamTakeoverTest, AStopEndsAPreparedTakeover) {
+  timers_.Advance(kSilence);
+  ASSERT_EQ(stage_caller_.calls.size(), 3u);
+  gateway_.BeginStopping(clock_.Now() + 2600ms, clock_.Now() + 7200ms);
+  ServeStages(2);
+  EXPECT_TRUE(IsEngineInUse());
+  EXPECT_EQ(endpoint_caller_.calls.size(), 1u);
+}
+
+// Guards against a stream that is sent again to an engine which has failed,
+// while its silent one is alive.
+TEST(AttemptHistoryTest, AllowsNoFailedEndpointAgain) {
+  AttemptHistory history;
+  history.Add(EndpointId("silent"), AttemptOutcome::kOutcomeUnknown);
+  history.Add(EndpointId("refusing"), AttemptOutcome::kRefused);
+  history.Add(EndpointId("failed"), AttemptOutcome::kOutcomeUnknown);
+  history.AllowAgain(EndpointId("silent"));
+  EXPECT_EQ(history.tried(), std::vector<EndpointId>{EndpointId("failed")});
+  EXPECT_EQ(history.attempts(), 3);
+  EXPECT_EQ(history.possible_runs(), 2);
+}
+
 }  // namespace
 }  // namespace peridotmill
