Look for another engine during a stop too, if the silent one was given up before

A stream whose silent engine had been given up could be cut as soon as its node was told to stop (LOST). Cause: whether a request is unlikely to finish decides if it is begun; here it also ended what was begun. Measured: the new test fails before and passes now; 324 gateway tests pass.

--- a/modules/peridotmill_gateway/requests/stream_takeover.cc
+++ b/modules/peridotmill_gateway/requests/stream_takeover.cc
@@ -99,7 +99,7 @@
 bool GatewayRequest::WaitToResume() {
   const TimePoint end = std::min(deadline_, last_event_at_ + CallerTimeout());
   if (abandoned_engine_.empty() || !attempt_history_.MayRetry(*route_) ||
-      IsUnfinishable() || context_.clock.Now() + kResumeCheckInterval >= end) {
+      context_.clock.Now() + kResumeCheckInterval >= end) {
     return false;
   }
   resume_timer_ =
--- a/modules/peridotmill_gateway/tests/stream_takeover_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_takeover_test.cc
@@ -165,6 +165,25 @@
   EXPECT_FALSE(caller_->is_aborted);
 }
 
+// Guards against a stopping node that cuts a stream whose silent engine was
+// given up before, without looking for another one.
+TEST_F(StreamTakeoverTest, ARefusedTakeoverIsTriedAgainDuringAStop) {
+  endpoints_.Put(MakeRegistration("e3", "engines", "valley"));
+  timers_.Advance(kSilence);
+  ServeStages(2);
+  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+  gateway_.BeginStopping(clock_.Now() + 500ms, clock_.Now() + 1500ms);
+  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
+  }
+  EndpointCallListener& refusing = endpoint_caller_.listener(1);
+  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
+  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  retry_budget_.set_settings({.ratio = 0.2, .node_allowance = 10});
+  timers_.Advance(200ms);
+  EXPECT_FALSE(caller_->is_aborted);
+  EXPECT_EQ(endpoint_caller_.calls.size(), 3u);
+}
+
 // Guards against a stream that waits for an engine after its caller has given
 // it up.
 TEST_F(StreamTakeoverTest, ARefusedTakeoverIsNotTriedForLong) {
