Watch the store if all sources are in an earlier era

During an upgrade a node could get no changes any more: its sources, nodes of the version before, send no eras, and what they send is older than what the node has. Cause: a source counts as fresh while the store answers it, whatever it can tell. Change: the contact of a source whose configuration is of an earlier era doesn't count; a node without fresh sources watches the store. Measured: the new test fails before (30 s) and passes now.

--- a/modules/peridotmill_gateway/replication/replica_sources.cc
+++ b/modules/peridotmill_gateway/replication/replica_sources.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "peridotmill_gateway/replication/replica_message.h"
+#include "peridotmill_gateway/store/store_position.h"
 
 namespace peridotmill {
 namespace {
@@ -396,7 +397,14 @@
       break;
     }
   }
-  if (freshness.store_contact_age != Duration::max()) {
+  // A source in an earlier era is behind a restored store, or knows no eras; it
+  // can't keep this node up to date, so that its contact doesn't count.
+  constexpr auto kConfigurationIndex =
+      static_cast<size_t>(ReplicaPart::kConfiguration);
+  const bool is_of_earlier_era =
+      StoreEraOf(freshness.revisions[kConfigurationIndex]) <
+      StoreEraOf(own_revisions[kConfigurationIndex]);
+  if (freshness.store_contact_age != Duration::max() && !is_of_earlier_era) {
     const TimePoint store_contact =
         dependencies_.clock.Now() - freshness.store_contact_age;
     subscription.RecordStoreContact(store_contact);
--- a/modules/peridotmill_gateway/tests/peer_network.h
+++ b/modules/peridotmill_gateway/tests/peer_network.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -43,6 +44,10 @@
   size_t received_bytes(const std::string& address) {
     return interfaces_[address].received_bytes;
   }
+  // Replaces all frames that are sent from now on.
+  void set_rewrite(std::function<std::string(std::string_view)> rewrite) {
+    rewrite_ = std::move(rewrite);
+  }
   // Delivers `frame` to the accepting end of every link.
   void SendToAll(const std::string& frame) {
     for (const auto& pair : std::vector(pairs_)) {
@@ -87,7 +92,9 @@
     }
     void Send(std::string_view frame) override {
       const auto deliver = [network = network_, pair = pair_, other = 1 - side_,
-                            bytes = std::string(frame)] {
+                            bytes = network_->rewrite_
+                                        ? network_->rewrite_(frame)
+                                        : std::string(frame)] {
         if (pair->ends[other] != nullptr && !network->HasIsolatedNode(*pair)) {
           network->interfaces_[pair->nodes[other]].received_bytes +=
               bytes.size();
@@ -190,6 +197,7 @@
   std::map<std::string, Interface> interfaces_;
   std::map<std::string, Acceptor> acceptors_;
   std::set<std::string> isolated_nodes_;
+  std::function<std::string(std::string_view)> rewrite_;
   std::vector<std::shared_ptr<Pair>> pairs_;
   std::map<uint64_t, std::unique_ptr<Timer>> deliveries_;
   uint64_t next_delivery_id_ = 0;
--- a/modules/peridotmill_gateway/tests/store_replica_test.cc
+++ b/modules/peridotmill_gateway/tests/store_replica_test.cc
@@ -422,6 +422,41 @@
   }
 }
 
+// Returns the frame as a node sends it that knows no eras.
+std::string WithoutEras(std::string_view frame) {
+  auto message = *DecodeReplicaMessage(frame);
+  const auto strip = [](int64_t& position) {
+    position = StoreRevisionOf(position);
+  };
+  if (auto* const snapshot = std::get_if<SnapshotMessage>(&message)) {
+    strip(snapshot->revision);
+    for (StoreEntry& entry : snapshot->entries) {
+      strip(entry.mod_revision);
+    }
+  } else if (auto* const changes = std::get_if<ChangesMessage>(&message)) {
+    strip(changes->changes.after_revision);
+    strip(changes->changes.revision);
+    for (StoreChange& change : changes->changes.changes) {
+      strip(change.entry.mod_revision);
+    }
+  } else if (auto* const freshness = std::get_if<FreshnessMessage>(&message)) {
+    for (int64_t& revision : freshness->revisions) {
+      strip(revision);
+    }
+  }
+  return EncodeReplicaMessage(message);
+}
+
+// Guards against a node that gets no changes during an upgrade, because all its
+// sources are nodes of an earlier version, which send no eras.
+TEST_F(ReplicaFleetTest, SourcesWithoutErasDelayNoChange) {
+  store_.Restore(store_.MakeCopy());
+  ASSERT_LE(MeasurePropagationTime(), kFaultPropagationLimit);
+  network_.set_rewrite(WithoutEras);
+  timers_.Advance(5s);
+  EXPECT_LE(MeasurePropagationTime(), kFaultPropagationLimit);
+}
+
 // Guards against a starting node that watches the store although other nodes
 // have the data.
 TEST_F(ReplicaFleetTest, ANewNodeLoadsFromItsPeers) {
