--- a/modules/peridotmill_gateway/tests/stream_takeover_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_takeover_test.cc
@@ -31,6 +31,17 @@
       stage_caller_.Answer(i);
     }
   }
+  // Refuses the call with which another engine is to take over.
+  void RefuseTakeover() {
+    ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
+    endpoint_caller_.listener(1).OnResponseHead(
+        FakeEndpointCaller::RefusalHead());
+    endpoint_caller_.listener(1).OnResponseEnd(HttpCallEnd::kComplete);
+  }
+  void SpendRetryBudget() {
+    while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
+    }
+  }
   EndpointCallListener& engine() { return endpoint_caller_.listener(0); }
   bool IsEngineInUse() const { return endpoint_caller_.calls[0]->is_open; }
   void EndStream(EndpointCallListener& engine) {
@@ -130,12 +141,8 @@
   endpoints_.Put(MakeRegistration("e3", "engines", "valley"));
   timers_.Advance(kSilence);
   ServeStages(2);
-  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
-  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
-  }
-  EndpointCallListener& refusing = endpoint_caller_.listener(1);
-  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
-  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  SpendRetryBudget();
+  RefuseTakeover();
   timers_.Advance(300ms);
   ASSERT_FALSE(caller_->is_aborted);
   EXPECT_EQ(endpoint_caller_.calls.size(), 2u);
@@ -152,10 +159,7 @@
 TEST_F(StreamTakeoverTest, ARefusedStreamGoesOnAtItsSilentEngine) {
   timers_.Advance(kSilence);
   ServeStages(2);
-  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
-  EndpointCallListener& refusing = endpoint_caller_.listener(1);
-  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
-  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  RefuseTakeover();
   endpoints_.Remove(endpoint_caller_.calls[1]->call.endpoint.id);
   timers_.Advance(150ms);
   ASSERT_EQ(endpoint_caller_.calls.size(), 3u);
@@ -173,11 +177,8 @@
   ServeStages(2);
   ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
   gateway_.BeginStopping(clock_.Now() + 500ms, clock_.Now() + 1500ms);
-  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
-  }
-  EndpointCallListener& refusing = endpoint_caller_.listener(1);
-  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
-  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  SpendRetryBudget();
+  RefuseTakeover();
   retry_budget_.set_settings({.ratio = 0.2, .node_allowance = 10});
   timers_.Advance(200ms);
   EXPECT_FALSE(caller_->is_aborted);
@@ -189,12 +190,8 @@
 TEST_F(StreamTakeoverTest, ARefusedTakeoverIsNotTriedForLong) {
   timers_.Advance(kSilence);
   ServeStages(2);
-  ASSERT_EQ(endpoint_caller_.calls.size(), 2u);
-  while (retry_budget_.TryTakeRetries(PoolId("engines"), 1, clock_.Now())) {
-  }
-  EndpointCallListener& refusing = endpoint_caller_.listener(1);
-  refusing.OnResponseHead(FakeEndpointCaller::RefusalHead());
-  refusing.OnResponseEnd(HttpCallEnd::kComplete);
+  SpendRetryBudget();
+  RefuseTakeover();
   // Four times the target latency after the last event.
   timers_.Advance(2600ms);
   EXPECT_FALSE(caller_->is_aborted);
