--- a/modules/peridotmill_gateway/store/store_position.h
+++ b/modules/peridotmill_gateway/store/store_position.h
@@ -9,8 +9,8 @@
 // them out again, but its era rises. Positions order all of its states: the
 // era, in the high bits, goes before the revision, as in the transaction ids of
 // ZooKeeper (Junqueira, Reed and Serafini, "Zab", DSN 2011). All store
-// revisions in this code are positions; the position of a store that names no
-// era is its revision.
+// revisions of the gateway are positions; that of a store which names no era is
+// its revision.
 inline constexpr int kStoreRevisionBits = 40;
 inline constexpr int64_t kMaxStoreRevision =
     (int64_t{1} << kStoreRevisionBits) - 1;
