--- a/daemons/peridotmill-gateway/gateway_metrics.cc
+++ b/daemons/peridotmill-gateway/gateway_metrics.cc
@@ -24,11 +24,11 @@
   add("stage_requests_waiting", coordinator_.waiting_request_count());
   add("stage_requests_started", coordinator_.started_request_count());
   add("stage_tasks_reassigned_total", stage_relay_.reassigned_task_count());
-  const PromptQuarantineCounters& quarantine = prompt_quarantine_.counters();
-  add("prompt_crashes_suspected_total", quarantine.suspected_crashes);
-  add("prompt_parts_quarantined_total", quarantine.quarantined_parts);
-  add("prompt_parts_cleared_total", quarantine.cleared_parts);
-  add("prompt_parts_probed_total", quarantine.probes);
+  const CrashQuarantineCounters& quarantine = quarantine_.counters();
+  add("crashes_suspected_total", quarantine.suspected_crashes);
+  add("suspects_quarantined_total", quarantine.quarantined);
+  add("suspects_cleared_total", quarantine.cleared);
+  add("suspects_probed_total", quarantine.probes);
   add("nodes", node_directory_.size());
   add("store_watching", replica_.is_watching() ? 1 : 0);
   add("replica_sources", replica_sources_.source_count());
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -118,7 +118,7 @@
   platform::StageAdapter stage_adapter_;
   PoolRetryBudget retry_budget_;
   PoolRetryBudget coordinator_retry_budget_;
-  PromptQuarantine prompt_quarantine_;
+  CrashQuarantine quarantine_;
   StageCoordinator coordinator_;
   NodeDirectory node_directory_;
   FrameDialer peer_dialer_;
--- a/modules/peridotmill_core/reasons/reason.h
+++ b/modules/peridotmill_core/reasons/reason.h
@@ -38,7 +38,7 @@
   kNotConfigured,
   kShuttingDown,
   kCallerGone,
-  kPromptQuarantined,
+  kRequestQuarantined,
   kConfigurationOutdated,
   // Retries.
   kConnectFailed,
@@ -48,7 +48,7 @@
   kAttemptTimeout,
   kHedge,
   kRetryBudgetExhausted,
-  kPromptSuspected,
+  kRequestSuspected,
   // Drops.
   kAnswerMismatch,
   kAnswerLate,
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -77,10 +77,10 @@
   return EncodeDelay(now - time);
 }
 
-std::vector<uint64_t> HashValues(const std::vector<PromptPartHash>& parts) {
+std::vector<uint64_t> HashValues(const std::vector<SuspectId>& parts) {
   std::vector<uint64_t> values;
   values.reserve(parts.size());
-  for (const PromptPartHash part : parts) {
+  for (const SuspectId part : parts) {
     values.push_back(part.value());
   }
   return values;
@@ -139,8 +139,8 @@
   std::vector<uint32_t> ages;
   std::vector<uint32_t> successes;
   std::vector<uint8_t> positions;
-  for (const SuspectPart& suspect : crash.parts) {
-    parts.push_back(suspect.part.value());
+  for (const Suspect& suspect : crash.suspects) {
+    parts.push_back(suspect.id.value());
     ages.push_back(EncodeAge(suspect.at, now));
     successes.push_back(suspect.successes);
     positions.push_back(static_cast<uint8_t>(suspect.position));
@@ -156,9 +156,9 @@
       age_vector, success_vector, position_vector);
 }
 
-flatbuffers::Offset<stagewire::PromptNews> EncodePromptNews(
+flatbuffers::Offset<stagewire::PromptNews> EncodeCrashNews(
     flatbuffers::FlatBufferBuilder& builder,
-    const PromptNews& news,
+    const CrashNews& news,
     TimePoint now) {
   std::vector<flatbuffers::Offset<stagewire::CrashReport>> crashes;
   for (const SuspectedCrash& crash : news.crashes) {
@@ -166,14 +166,14 @@
   }
   std::vector<uint64_t> cleared_parts;
   std::vector<uint32_t> cleared_ages;
-  for (const ClearedPart& cleared : news.cleared) {
-    cleared_parts.push_back(cleared.part.value());
+  for (const ClearedSuspect& cleared : news.cleared) {
+    cleared_parts.push_back(cleared.id.value());
     cleared_ages.push_back(EncodeAge(cleared.at, now));
   }
   std::vector<flatbuffers::Offset<stagewire::QuarantineReport>> quarantines;
-  for (const PartQuarantine& quarantine : news.quarantines) {
+  for (const QuarantineEntry& quarantine : news.quarantines) {
     quarantines.push_back(stagewire::CreateQuarantineReport(
-        builder, quarantine.part.value(), EncodeAge(quarantine.since, now),
+        builder, quarantine.id.value(), EncodeAge(quarantine.since, now),
         EncodeRelativeTime(quarantine.until, now),
         static_cast<uint8_t>(
             std::min(quarantine.failed_probes, kMaxReportedFailedProbes))));
@@ -197,19 +197,19 @@
                        wire.started_at_ms()};
   const size_t count = std::min<size_t>(
       {wire.parts()->size(), wire.ages_ms()->size(), wire.successes()->size(),
-       wire.positions()->size(), kMaxPartsPerCrash});
+       wire.positions()->size(), kMaxSuspectsPerCrash});
   for (size_t n = 0; n < count; ++n) {
     const auto i = static_cast<flatbuffers::uoffset_t>(n);
-    crash.parts.push_back({.part = PromptPartHash(wire.parts()->Get(i)),
-                           .at = now - DecodeDelay(wire.ages_ms()->Get(i)),
-                           .successes = wire.successes()->Get(i),
-                           .position = wire.positions()->Get(i)});
+    crash.suspects.push_back({.id = SuspectId(wire.parts()->Get(i)),
+                              .at = now - DecodeDelay(wire.ages_ms()->Get(i)),
+                              .successes = wire.successes()->Get(i),
+                              .position = wire.positions()->Get(i)});
   }
   return crash;
 }
 
-PromptNews DecodePromptNews(const stagewire::PromptNews& wire, TimePoint now) {
-  PromptNews news;
+CrashNews DecodeCrashNews(const stagewire::PromptNews& wire, TimePoint now) {
+  CrashNews news;
   if (wire.crashes() != nullptr) {
     for (const stagewire::CrashReport* const report : *wire.crashes()) {
       auto crash = DecodeCrash(*report, now);
@@ -223,18 +223,18 @@
         std::min(wire.cleared_parts()->size(), wire.cleared_ages_ms()->size());
     for (flatbuffers::uoffset_t i = 0; i < count; ++i) {
       news.cleared.push_back(
-          {.part = PromptPartHash(wire.cleared_parts()->Get(i)),
+          {.id = SuspectId(wire.cleared_parts()->Get(i)),
            .at = now - DecodeDelay(wire.cleared_ages_ms()->Get(i))});
     }
   }
   if (wire.quarantines() != nullptr) {
     for (const stagewire::QuarantineReport* const report :
          *wire.quarantines()) {
-      if (news.quarantines.size() >= kMaxQuarantinedParts) {
+      if (news.quarantines.size() >= kMaxQuarantines) {
         break;
       }
       news.quarantines.push_back(
-          {.part = PromptPartHash(report->part()),
+          {.id = SuspectId(report->part()),
            .since = now - DecodeDelay(report->since_age_ms()),
            .until = now + std::min<Duration>(
                               std::chrono::milliseconds(report->left_ms()),
@@ -356,8 +356,8 @@
             .Union());
   }
 
-  flatbuffers::Offset<stagewire::Message> operator()(const PromptNews& news) {
-    const auto wire = EncodePromptNews(builder, news, now);
+  flatbuffers::Offset<stagewire::Message> operator()(const CrashNews& news) {
+    const auto wire = EncodeCrashNews(builder, news, now);
     return stagewire::CreateMessage(
         builder, stagewire::Body::TaskAccepted,
         stagewire::CreateTaskAccepted(builder, 0).Union(), wire);
@@ -482,7 +482,7 @@
     return malformed;
   }
   if (message->prompt_news() != nullptr) {
-    return DecodePromptNews(*message->prompt_news(), now);
+    return DecodeCrashNews(*message->prompt_news(), now);
   }
   switch (message->body_type()) {
     case stagewire::Body::SubmitTask:
--- a/modules/peridotmill_gateway/peers/stage_message.h
+++ b/modules/peridotmill_gateway/peers/stage_message.h
@@ -9,7 +9,7 @@
 
 #include "peridotmill_core/errors/error.h"
 #include "peridotmill_gateway/limits/permit_buckets.h"
-#include "peridotmill_gateway/quarantine/prompt_news.h"
+#include "peridotmill_gateway/quarantine/crash_news.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
 namespace peridotmill {
@@ -43,7 +43,7 @@
                                   CancelTaskMessage,
                                   TaskAcceptedMessage,
                                   TaskEndedMessage,
-                                  PromptNews,
+                                  CrashNews,
                                   PermitRequest,
                                   PermitGrant>;
 
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -79,7 +79,7 @@
 StageRelay::StageRelay(const Dependencies& dependencies)
     : dependencies_(dependencies) {
   if (dependencies_.quarantine != nullptr) {
-    dependencies_.quarantine->set_on_observed([this](const PromptNews& news) {
+    dependencies_.quarantine->set_on_observed([this](const CrashNews& news) {
       for (const auto& [node, link] : links_) {
         link->Send(news, dependencies_.clock.Now());
       }
@@ -157,18 +157,18 @@
   std::unique_ptr<Link>& link = links_[node];
   if (link == nullptr) {
     link = std::make_unique<Link>(this, node, record->peer_address);
-    SendPromptNews(*link);
+    SendCrashNews(*link);
   }
   link->Send(SubmitTaskMessage{id, entry.task}, dependencies_.clock.Now());
   entry.timer = dependencies_.timers.After(
       kAcceptTimeout, [this, node] { DropLink(node, "not accepted in time"); });
 }
 
-void StageRelay::SendPromptNews(Link& link) {
+void StageRelay::SendCrashNews(Link& link) {
   if (dependencies_.quarantine == nullptr) {
     return;
   }
-  const PromptNews news = dependencies_.quarantine->Snapshot();
+  const CrashNews news = dependencies_.quarantine->Snapshot();
   if (!news.empty()) {
     link.Send(news, dependencies_.clock.Now());
   }
@@ -189,7 +189,7 @@
     OnAccepted(*accepted);
   } else if (auto* const ended = std::get_if<TaskEndedMessage>(&*message)) {
     OnEnded(std::move(*ended));
-  } else if (const auto* const news = std::get_if<PromptNews>(&*message);
+  } else if (const auto* const news = std::get_if<CrashNews>(&*message);
              news != nullptr && dependencies_.quarantine != nullptr) {
     dependencies_.quarantine->Apply(*news);
   }
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -11,7 +11,7 @@
 #include "peridotmill_gateway/peers/node_directory.h"
 #include "peridotmill_gateway/peers/peer_link.h"
 #include "peridotmill_gateway/peers/stage_message.h"
-#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/retries/pool_retry_budget.h"
 #include "peridotmill_gateway/stages/stage_task.h"
@@ -44,7 +44,7 @@
     NodeId self;
     NodeRecord self_record;
     // Exchanged with the coordinators; may be null.
-    PromptQuarantine* quarantine = nullptr;
+    CrashQuarantine* quarantine = nullptr;
   };
 
   explicit StageRelay(const Dependencies& dependencies);
@@ -94,7 +94,7 @@
   void Assign(RemoteTaskId id);
   // Sends a new coordinator all that this node knows about parts of prompts
   // that crash endpoints, since the one before may be lost.
-  void SendPromptNews(Link& link);
+  void SendCrashNews(Link& link);
   void OnFrame(const NodeId& node, std::string_view frame);
   void OnAccepted(const TaskAcceptedMessage& message);
   void OnEnded(TaskEndedMessage message);
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -20,7 +20,7 @@
       : service_(service) {
     link_ = make_link(this);
     if (service_->quarantine_ != nullptr) {
-      const PromptNews news = service_->quarantine_->Snapshot();
+      const CrashNews news = service_->quarantine_->Snapshot();
       if (!news.empty()) {
         Send(news);
       }
@@ -78,7 +78,7 @@
     } else if (const auto* const cancel =
                    std::get_if<CancelTaskMessage>(&*message)) {
       tasks_.erase(cancel->id);
-    } else if (const auto* const news = std::get_if<PromptNews>(&*message);
+    } else if (const auto* const news = std::get_if<CrashNews>(&*message);
                news != nullptr && service_->quarantine_ != nullptr) {
       service_->quarantine_->Apply(*news);
     } else if (const auto* const request =
@@ -118,7 +118,7 @@
     const Clock& clock,
     TimerQueue& timers,
     std::function<std::vector<FailureDomainId>()> suspected_domains,
-    PromptQuarantine* quarantine,
+    CrashQuarantine* quarantine,
     PermitBuckets* permits)
     : executor_(executor),
       clock_(clock),
@@ -127,7 +127,7 @@
       quarantine_(quarantine),
       permits_(permits) {
   if (quarantine_ != nullptr) {
-    quarantine_->set_on_news([this](const PromptNews& news) {
+    quarantine_->set_on_news([this](const CrashNews& news) {
       for (const auto& [key, session] : sessions_) {
         session->Send(news);
       }
--- a/modules/peridotmill_gateway/peers/stage_service.h
+++ b/modules/peridotmill_gateway/peers/stage_service.h
@@ -10,7 +10,7 @@
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/limits/permit_buckets.h"
 #include "peridotmill_gateway/peers/peer_link.h"
-#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
 #include "peridotmill_gateway/stages/stage_task.h"
 
 namespace peridotmill {
@@ -30,7 +30,7 @@
                const Clock& clock,
                TimerQueue& timers,
                std::function<std::vector<FailureDomainId>()> suspected_domains,
-               PromptQuarantine* quarantine = nullptr,
+               CrashQuarantine* quarantine = nullptr,
                PermitBuckets* permits = nullptr);
   ~StageService();
   StageService(const StageService&) = delete;
@@ -58,7 +58,7 @@
   const Clock& clock_;
   TimerQueue& timers_;
   std::function<std::vector<FailureDomainId>()> suspected_domains_;
-  PromptQuarantine* quarantine_;
+  CrashQuarantine* quarantine_;
   PermitBuckets* permits_;
   std::map<Session*, std::unique_ptr<Session>> sessions_;
 };
--- a/modules/peridotmill_gateway/peridotmill_gateway.h
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -20,7 +20,7 @@
 #include "peridotmill_gateway/peers/node_registration.h"
 #include "peridotmill_gateway/peers/stage_relay.h"
 #include "peridotmill_gateway/peers/stage_service.h"
-#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/replication/replica_service.h"
 #include "peridotmill_gateway/replication/replica_sources.h"
--- a/modules/peridotmill_gateway/placement/prompt_demand.h
+++ b/modules/peridotmill_gateway/placement/prompt_demand.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "peridotmill_gateway/calls/caller_request.h"
-#include "peridotmill_gateway/quarantine/prompt_part.h"
+#include "peridotmill_gateway/quarantine/suspect_id.h"
 
 namespace peridotmill {
 
@@ -27,7 +27,7 @@
   // All tokens of the prompt, shared or not.
   int64_t tokens = 0;
   // The parts that may be quarantined.
-  std::vector<PromptPartHash> parts = {};
+  std::vector<SuspectId> parts = {};
   // When the first event is late, if that is known.
   std::optional<TimePoint> due = std::nullopt;
 };
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.cc
@@ -7,30 +7,29 @@
 namespace peridotmill {
 namespace {
 
-bool HasPart(const SuspectedCrash& crash, PromptPartHash part) {
-  return std::any_of(
-      crash.parts.begin(), crash.parts.end(),
-      [part](const SuspectPart& suspect) { return suspect.part == part; });
+bool HasSuspect(const SuspectedCrash& crash, SuspectId id) {
+  return std::any_of(crash.suspects.begin(), crash.suspects.end(),
+                     [id](const Suspect& suspect) { return suspect.id == id; });
 }
 
 // Returns when the first node noticed the crash.
 TimePoint CrashedAt(const SuspectedCrash& crash) {
   TimePoint first = TimePoint::max();
-  for (const SuspectPart& suspect : crash.parts) {
+  for (const Suspect& suspect : crash.suspects) {
     first = std::min(first, suspect.at);
   }
   return first;
 }
 
 bool IsExplained(const SuspectedCrash& crash,
-                 const std::function<bool(PromptPartHash)>& explains) {
+                 const std::function<bool(SuspectId)>& explains) {
   return std::any_of(
-      crash.parts.begin(), crash.parts.end(),
-      [&](const SuspectPart& suspect) { return explains(suspect.part); });
+      crash.suspects.begin(), crash.suspects.end(),
+      [&](const Suspect& suspect) { return explains(suspect.id); });
 }
 
-void ForgetSuspect(CrashEvidence& evidence, PromptPartHash part) {
-  const auto found = evidence.crash_counts.find(part);
+void ForgetSuspect(CrashEvidence& evidence, SuspectId id) {
+  const auto found = evidence.crash_counts.find(id);
   if (found != evidence.crash_counts.end() && --found->second == 0) {
     evidence.crash_counts.erase(found);
   }
@@ -40,16 +39,16 @@
 template <typename Predicate>
 void RemoveSuspects(CrashEvidence& evidence, Predicate is_refuted) {
   for (SuspectedCrash& crash : evidence.crashes) {
-    std::erase_if(crash.parts, [&](const SuspectPart& suspect) {
+    std::erase_if(crash.suspects, [&](const Suspect& suspect) {
       if (!is_refuted(suspect)) {
         return false;
       }
-      ForgetSuspect(evidence, suspect.part);
+      ForgetSuspect(evidence, suspect.id);
       return true;
     });
   }
   std::erase_if(evidence.crashes, [](const SuspectedCrash& crash) {
-    return crash.parts.empty();
+    return crash.suspects.empty();
   });
 }
 
@@ -75,70 +74,70 @@
 
 }  // namespace
 
-std::vector<SuspectPart> AddCrash(CrashEvidence& evidence,
-                                  const SuspectedCrash& crash) {
-  std::vector<SuspectPart> added;
+std::vector<Suspect> AddCrash(CrashEvidence& evidence,
+                              const SuspectedCrash& crash) {
+  std::vector<Suspect> added;
   const auto found = std::find_if(
       evidence.crashes.begin(), evidence.crashes.end(), [&](const auto& known) {
         return known.incarnation == crash.incarnation;
       });
-  const size_t known_parts =
-      found == evidence.crashes.end() ? 0 : found->parts.size();
-  for (const SuspectPart& suspect : crash.parts) {
+  const size_t known_suspects =
+      found == evidence.crashes.end() ? 0 : found->suspects.size();
+  for (const Suspect& suspect : crash.suspects) {
     const bool is_known =
-        (found != evidence.crashes.end() && HasPart(*found, suspect.part)) ||
-        std::any_of(added.begin(), added.end(), [&](const SuspectPart& other) {
-          return other.part == suspect.part;
+        (found != evidence.crashes.end() && HasSuspect(*found, suspect.id)) ||
+        std::any_of(added.begin(), added.end(), [&](const Suspect& other) {
+          return other.id == suspect.id;
         });
-    if (!is_known && known_parts + added.size() < kMaxPartsPerCrash &&
-        FindSuccess(evidence, suspect.part).last_at < suspect.at) {
+    if (!is_known && known_suspects + added.size() < kMaxSuspectsPerCrash &&
+        FindSuccess(evidence, suspect.id).last_at < suspect.at) {
       added.push_back(suspect);
     }
   }
   if (added.empty()) {
     return added;
   }
-  for (const SuspectPart& suspect : added) {
-    ++evidence.crash_counts[suspect.part];
+  for (const Suspect& suspect : added) {
+    ++evidence.crash_counts[suspect.id];
   }
   if (found != evidence.crashes.end()) {
-    found->parts.insert(found->parts.end(), added.begin(), added.end());
+    found->suspects.insert(found->suspects.end(), added.begin(), added.end());
     return added;
   }
   evidence.crashes.push_back({crash.incarnation, added});
   if (evidence.crashes.size() > kMaxCrashes) {
-    for (const SuspectPart& suspect : evidence.crashes.front().parts) {
-      ForgetSuspect(evidence, suspect.part);
+    for (const Suspect& suspect : evidence.crashes.front().suspects) {
+      ForgetSuspect(evidence, suspect.id);
     }
     evidence.crashes.pop_front();
   }
   return added;
 }
 
-bool AddSuccess(CrashEvidence& evidence, PromptPartHash part, TimePoint at) {
-  PartSuccess success = FindSuccess(evidence, part);
+bool AddSuccess(CrashEvidence& evidence, SuspectId id, TimePoint at) {
+  SuspectSuccess success = FindSuccess(evidence, id);
   success.last_at = std::max(success.last_at, at);
   ++success.count;
-  evidence.successes[part] = success;
-  if (evidence.successes.size() >= kMaxPartSuccesses / 2) {
+  evidence.successes[id] = success;
+  if (evidence.successes.size() >= kMaxSuccesses / 2) {
     evidence.older_successes = std::exchange(evidence.successes, {});
   }
-  const auto count = evidence.crash_counts.find(part);
+  const auto count = evidence.crash_counts.find(id);
   if (count == evidence.crash_counts.end()) {
     return false;
   }
   const int crashes_before = count->second;
-  RemoveSuspects(evidence, [&](const SuspectPart& suspect) {
-    return suspect.part == part && suspect.at <= at;
+  RemoveSuspects(evidence, [&](const Suspect& suspect) {
+    return suspect.id == id && suspect.at <= at;
   });
-  const auto left = evidence.crash_counts.find(part);
+  const auto left = evidence.crash_counts.find(id);
   return left == evidence.crash_counts.end() || left->second < crashes_before;
 }
 
-PartSuccess FindSuccess(const CrashEvidence& evidence, PromptPartHash part) {
+SuspectSuccess FindSuccess(const CrashEvidence& evidence, SuspectId id) {
   for (const auto* const generation :
        {&evidence.successes, &evidence.older_successes}) {
-    if (const auto found = generation->find(part); found != generation->end()) {
+    if (const auto found = generation->find(id); found != generation->end()) {
       return found->second;
     }
   }
@@ -146,34 +145,34 @@
 }
 
 void ExpireEvidence(CrashEvidence& evidence, TimePoint now) {
-  RemoveSuspects(evidence, [now](const SuspectPart& suspect) {
+  RemoveSuspects(evidence, [now](const Suspect& suspect) {
     return now - suspect.at > kEvidenceLifetime;
   });
 }
 
 int CountIncidents(const CrashEvidence& evidence,
-                   PromptPartHash part,
-                   const std::function<bool(PromptPartHash)>& explains) {
+                   SuspectId id,
+                   const std::function<bool(SuspectId)>& explains) {
   std::vector<TimePoint> crashes;
   for (const SuspectedCrash& crash : evidence.crashes) {
-    if (HasPart(crash, part) && !IsExplained(crash, explains)) {
+    if (HasSuspect(crash, id) && !IsExplained(crash, explains)) {
       crashes.push_back(CrashedAt(crash));
     }
   }
   return CountIncidents(std::move(crashes));
 }
 
-std::optional<PromptPartHash> FindCulprit(
+std::optional<SuspectId> FindCulprit(
     const CrashEvidence& evidence,
     TimePoint reported_until,
-    const std::function<bool(PromptPartHash)>& explains) {
-  std::unordered_map<PromptPartHash, Suspicion> suspicions;
+    const std::function<bool(SuspectId)>& explains) {
+  std::unordered_map<SuspectId, Suspicion> suspicions;
   for (const SuspectedCrash& crash : evidence.crashes) {
     if (CrashedAt(crash) > reported_until || IsExplained(crash, explains)) {
       continue;
     }
-    for (const SuspectPart& suspect : crash.parts) {
-      Suspicion& suspicion = suspicions[suspect.part];
+    for (const Suspect& suspect : crash.suspects) {
+      Suspicion& suspicion = suspicions[suspect.id];
       suspicion.crashes.push_back(suspect.at);
       suspicion.successes = std::max(suspicion.successes, suspect.successes);
       suspicion.position = std::max(suspicion.position, suspect.position);
@@ -182,9 +181,9 @@
   // A part that many answered prompts have is unlikely to be the culprit, even
   // if it coincided with more crashes than the culprit. The hash makes all
   // nodes choose the same one of equal parts.
-  std::optional<PromptPartHash> culprit;
+  std::optional<SuspectId> culprit;
   std::tuple<double, int, uint32_t, uint64_t> best;
-  for (const auto& [part, suspicion] : suspicions) {
+  for (const auto& [id, suspicion] : suspicions) {
     const int incidents = CountIncidents(suspicion.crashes);
     const bool is_established = suspicion.successes >= kEstablishedSuccesses;
     if (incidents <
@@ -193,9 +192,9 @@
     }
     const std::tuple<double, int, uint32_t, uint64_t> rank(
         incidents / (incidents + static_cast<double>(suspicion.successes)),
-        incidents, suspicion.position, part.value());
+        incidents, suspicion.position, id.value());
     if (!culprit || rank > best) {
-      culprit = part;
+      culprit = id;
       best = rank;
     }
   }
@@ -214,11 +213,11 @@
   return first;
 }
 
-TimePoint LastCrashAt(const CrashEvidence& evidence, PromptPartHash part) {
+TimePoint LastCrashAt(const CrashEvidence& evidence, SuspectId id) {
   TimePoint last;
   for (const SuspectedCrash& crash : evidence.crashes) {
-    for (const SuspectPart& suspect : crash.parts) {
-      if (suspect.part == part) {
+    for (const Suspect& suspect : crash.suspects) {
+      if (suspect.id == id) {
         last = std::max(last, suspect.at);
       }
     }
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -11,7 +11,7 @@
 
 #include "peridotmill_core/ids/ids.h"
 #include "peridotmill_core/time/clock.h"
-#include "peridotmill_gateway/quarantine/prompt_part.h"
+#include "peridotmill_gateway/quarantine/suspect_id.h"
 
 namespace peridotmill {
 
@@ -26,8 +26,8 @@
 
 // A part of a request that was at an endpoint without a response when the
 // endpoint seems to have crashed.
-struct SuspectPart {
-  PromptPartHash part;
+struct Suspect {
+  SuspectId id;
   TimePoint at;
   // Answers to prompts with this part that the reporting node had seen before.
   uint32_t successes = 0;
@@ -38,18 +38,18 @@
 // A seeming crash, with the parts of all requests that may have caused it.
 struct SuspectedCrash {
   CrashedProcess incarnation;
-  std::vector<SuspectPart> parts;
+  std::vector<Suspect> suspects;
 };
 
 // Answers to prompts with one part.
-struct PartSuccess {
+struct SuspectSuccess {
   TimePoint last_at;
   uint32_t count = 0;
 };
 
 inline constexpr size_t kMaxCrashes = 128;
-inline constexpr size_t kMaxPartsPerCrash = 64;
-inline constexpr size_t kMaxPartSuccesses = 1024;
+inline constexpr size_t kMaxSuspectsPerCrash = 64;
+inline constexpr size_t kMaxSuccesses = 1024;
 // Time for which a suspicion that no success refutes is kept.
 inline constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
 // Crashes within this time count as one incident: a failed host or failure
@@ -71,23 +71,23 @@
   std::deque<SuspectedCrash> crashes;
   // Number of crashes of which each part is suspected, so that the successes of
   // other parts need no search.
-  std::unordered_map<PromptPartHash, int> crash_counts;
+  std::unordered_map<SuspectId, int> crash_counts;
   // Two generations: when the first is full it replaces the second.
-  std::unordered_map<PromptPartHash, PartSuccess> successes;
-  std::unordered_map<PromptPartHash, PartSuccess> older_successes;
+  std::unordered_map<SuspectId, SuspectSuccess> successes;
+  std::unordered_map<SuspectId, SuspectSuccess> older_successes;
 };
 
 // Adds a crash, or further suspects of a known one. Skips parts that have
 // succeeded since. Returns the parts that are new.
-std::vector<SuspectPart> AddCrash(CrashEvidence& evidence,
-                                  const SuspectedCrash& crash);
+std::vector<Suspect> AddCrash(CrashEvidence& evidence,
+                              const SuspectedCrash& crash);
 
 // Records an answer to a prompt with `part` and removes all suspicions of the
 // part from before. Returns whether there were any.
-bool AddSuccess(CrashEvidence& evidence, PromptPartHash part, TimePoint at);
+bool AddSuccess(CrashEvidence& evidence, SuspectId id, TimePoint at);
 
 // Returns the successes of a part; zeros if none are known.
-PartSuccess FindSuccess(const CrashEvidence& evidence, PromptPartHash part);
+SuspectSuccess FindSuccess(const CrashEvidence& evidence, SuspectId id);
 
 // Drops suspicions that are older than kEvidenceLifetime.
 void ExpireEvidence(CrashEvidence& evidence, TimePoint now);
@@ -95,23 +95,23 @@
 // Returns the number of incidents of which a part is suspected, except crashes
 // that coincided with a part for which `explains` returns true.
 int CountIncidents(const CrashEvidence& evidence,
-                   PromptPartHash part,
-                   const std::function<bool(PromptPartHash)>& explains);
+                   SuspectId id,
+                   const std::function<bool(SuspectId)>& explains);
 
 // Returns the part that is to blame for the crashes until `reported_until`, or
 // nullopt. Crashes with a part for which `explains` returns true are left out,
 // so that parts which merely share prompts with the culprit are not blamed too.
-std::optional<PromptPartHash> FindCulprit(
+std::optional<SuspectId> FindCulprit(
     const CrashEvidence& evidence,
     TimePoint reported_until,
-    const std::function<bool(PromptPartHash)>& explains);
+    const std::function<bool(SuspectId)>& explains);
 
 // Returns the time of the first crash after `reported_until`, if there is one.
 std::optional<TimePoint> FirstCrashAfter(const CrashEvidence& evidence,
                                          TimePoint reported_until);
 
 // Returns the time of the last crash of which the part is suspected.
-TimePoint LastCrashAt(const CrashEvidence& evidence, PromptPartHash part);
+TimePoint LastCrashAt(const CrashEvidence& evidence, SuspectId id);
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_gateway/quarantine/prompt_news.h
+++ b/modules/peridotmill_gateway/quarantine/crash_news.h
@@ -1,24 +1,24 @@
-#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_NEWS_H_
-#define PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_NEWS_H_
+#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_NEWS_H_
+#define PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_NEWS_H_
 
 #include <vector>
 
 #include "peridotmill_gateway/quarantine/crash_evidence.h"
-#include "peridotmill_gateway/quarantine/part_quarantine.h"
+#include "peridotmill_gateway/quarantine/quarantine_entry.h"
 
 namespace peridotmill {
 
 // A part that an endpoint has answered without a crash.
-struct ClearedPart {
-  PromptPartHash part;
+struct ClearedSuspect {
+  SuspectId id;
   TimePoint at;
 };
 
 // What one node tells another about parts that crash endpoints.
-struct PromptNews {
+struct CrashNews {
   std::vector<SuspectedCrash> crashes;
-  std::vector<ClearedPart> cleared;
-  PartQuarantines quarantines;
+  std::vector<ClearedSuspect> cleared;
+  QuarantineEntries quarantines;
 
   bool empty() const {
     return crashes.empty() && cleared.empty() && quarantines.empty();
@@ -27,4 +27,4 @@
 
 }  // namespace peridotmill
 
-#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_NEWS_H_
+#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_NEWS_H_
--- /dev/null
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
@@ -0,0 +1,257 @@
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "peridotmill_core/time/milliseconds.h"
+
+namespace peridotmill {
+namespace {
+
+// Collects the suspects of one crash into one message.
+constexpr Duration kFlushDelay = std::chrono::milliseconds(2);
+constexpr Duration kMinFlushInterval = std::chrono::milliseconds(50);
+
+// Retry-After values below this only cause requests that are refused again.
+constexpr Duration kMinRetryAfter = std::chrono::seconds(1);
+
+template <typename T>
+void Append(std::vector<T>& to, const std::vector<T>& from) {
+  to.insert(to.end(), from.begin(), from.end());
+}
+
+}  // namespace
+
+CrashQuarantine::CrashQuarantine(const Clock& clock,
+                                 TimerQueue& timers,
+                                 EventSink& events)
+    : clock_(clock), timers_(timers), events_(events) {}
+
+CrashQuarantine::~CrashQuarantine() = default;
+
+void CrashQuarantine::RecordCrash(const RequestId& request,
+                                  const CrashedProcess& incarnation,
+                                  const std::vector<SuspectId>& suspects) {
+  if (suspects.empty()) {
+    return;
+  }
+  const TimePoint now = clock_.Now();
+  SuspectedCrash crash{.incarnation = incarnation, .suspects = {}};
+  std::string names;
+  for (size_t i = 0; i < suspects.size(); ++i) {
+    crash.suspects.push_back(
+        {.id = suspects[i],
+         .at = now,
+         .successes = FindSuccess(evidence_, suspects[i]).count,
+         .position = static_cast<uint32_t>(i)});
+    names += (i == 0 ? "" : ",") + ToString(suspects[i]);
+  }
+  ++counters_.suspected_crashes;
+  events_.Write("crash_suspected", {{"request", request.value()},
+                                    {"endpoint", incarnation.endpoint.value()},
+                                    {"suspects", names}});
+  AddSuspects(crash, true);
+  BlameCulprits();
+}
+
+void CrashQuarantine::RecordSuccess(const std::vector<SuspectId>& suspects) {
+  const TimePoint now = clock_.Now();
+  for (const SuspectId id : suspects) {
+    Clear(id, now, true);
+  }
+}
+
+void CrashQuarantine::Apply(const CrashNews& news) {
+  for (const SuspectedCrash& crash : news.crashes) {
+    AddSuspects(crash, false);
+  }
+  for (const QuarantineEntry& reported : news.quarantines) {
+    const TimePoint success = FindSuccess(evidence_, reported.id).last_at;
+    if (success > reported.since) {
+      observed_.cleared.push_back({reported.id, success});
+      ScheduleFlush();
+    } else if (MergeQuarantine(quarantines_, reported)) {
+      received_.quarantines.push_back(reported);
+      newly_quarantined_.push_back(reported.id);
+      ScheduleFlush();
+    }
+  }
+  for (const ClearedSuspect& cleared : news.cleared) {
+    Clear(cleared.id, cleared.at, false);
+  }
+  BlameCulprits();
+}
+
+CrashNews CrashQuarantine::Snapshot() const {
+  CrashNews news;
+  news.crashes.assign(evidence_.crashes.begin(), evidence_.crashes.end());
+  news.quarantines = quarantines_;
+  return news;
+}
+
+std::optional<Duration> CrashQuarantine::QuarantineLeft(
+    const std::vector<SuspectId>& suspects) const {
+  const TimePoint now = clock_.Now();
+  Duration left = Duration::zero();
+  for (const SuspectId id : suspects) {
+    if (const auto* const found = FindQuarantine(quarantines_, id)) {
+      left = std::max(left, found->until - now);
+    }
+  }
+  return left > Duration::zero() ? std::optional(std::max(left, kMinRetryAfter))
+                                 : std::nullopt;
+}
+
+std::optional<Duration> CrashQuarantine::TryRun(
+    const RequestId& request,
+    const std::vector<SuspectId>& suspects) {
+  if (quarantines_.empty()) {
+    return std::nullopt;
+  }
+  const TimePoint now = clock_.Now();
+  ExpireQuarantines(quarantines_, now);
+  Duration left = Duration::zero();
+  std::vector<QuarantineEntry*> probed;
+  for (const SuspectId id : suspects) {
+    if (QuarantineEntry* const found = FindQuarantine(quarantines_, id)) {
+      left = std::max(left, TimeUntilProbe(*found, request, now));
+      probed.push_back(found);
+    }
+  }
+  if (left > Duration::zero()) {
+    return std::max(left, kMinRetryAfter);
+  }
+  for (QuarantineEntry* const quarantine : probed) {
+    if (quarantine->probe == request) {
+      continue;
+    }
+    quarantine->probe = request;
+    quarantine->probe_until = now + kProbeLimit;
+    ++counters_.probes;
+    events_.Write("suspect_probed", {{"request", request.value()},
+                                     {"suspect", ToString(quarantine->id)}});
+  }
+  return std::nullopt;
+}
+
+bool CrashQuarantine::IsRepeatedSuspect(
+    const std::vector<SuspectId>& suspects) const {
+  const auto explains = [this](SuspectId id) { return IsQuarantined(id); };
+  return std::any_of(suspects.begin(), suspects.end(), [&](SuspectId id) {
+    const bool is_established =
+        FindSuccess(evidence_, id).count >= kEstablishedSuccesses;
+    return IsQuarantined(id) ||
+           (!is_established && CountIncidents(evidence_, id, explains) > 1);
+  });
+}
+
+void CrashQuarantine::AddSuspects(const SuspectedCrash& crash,
+                                  bool is_observed) {
+  const std::vector<Suspect> added = AddCrash(evidence_, crash);
+  if (!added.empty()) {
+    (is_observed ? observed_ : received_)
+        .crashes.push_back({crash.incarnation, added});
+    ScheduleFlush();
+  }
+  for (const Suspect& suspect : added) {
+    if (IsQuarantined(suspect.id)) {
+      BeginQuarantine(suspect.id, suspect.at);
+    }
+  }
+  if (is_observed) {
+    return;
+  }
+  // The reporting node may not know of successes that this one has seen.
+  for (const Suspect& suspect : crash.suspects) {
+    const TimePoint success = FindSuccess(evidence_, suspect.id).last_at;
+    if (success >= suspect.at) {
+      observed_.cleared.push_back({suspect.id, success});
+      ScheduleFlush();
+    }
+  }
+}
+
+void CrashQuarantine::Clear(SuspectId id, TimePoint at, bool is_observed) {
+  bool is_changed = AddSuccess(evidence_, id, at);
+  const QuarantineEntry* const found = FindQuarantine(quarantines_, id);
+  if (found != nullptr && found->since < at) {
+    std::erase_if(quarantines_, [id](const QuarantineEntry& entry) {
+      return entry.id == id;
+    });
+    is_changed = true;
+    ++counters_.cleared;
+    events_.Write("suspect_cleared", {{"suspect", ToString(id)}});
+  }
+  if (is_changed) {
+    (is_observed ? observed_ : received_).cleared.push_back({id, at});
+    ScheduleFlush();
+  }
+}
+
+void CrashQuarantine::BlameCulprits() {
+  const TimePoint now = clock_.Now();
+  ExpireEvidence(evidence_, now);
+  ExpireQuarantines(quarantines_, now);
+  const auto explains = [this](SuspectId id) { return IsQuarantined(id); };
+  const TimePoint reported_until = now - kReportTime;
+  for (auto culprit = FindCulprit(evidence_, reported_until, explains); culprit;
+       culprit = FindCulprit(evidence_, reported_until, explains)) {
+    BeginQuarantine(*culprit, LastCrashAt(evidence_, *culprit));
+  }
+  blame_timer_.reset();
+  if (const auto next = FirstCrashAfter(evidence_, reported_until)) {
+    blame_timer_ =
+        timers_.After(*next - reported_until, [this] { BlameCulprits(); });
+  }
+}
+
+void CrashQuarantine::BeginQuarantine(SuspectId id, TimePoint crashed_at) {
+  Quarantine(quarantines_, id, crashed_at);
+  const QuarantineEntry& quarantine = *FindQuarantine(quarantines_, id);
+  ++counters_.quarantined;
+  events_.Write("suspect_quarantined",
+                {{"suspect", ToString(id)},
+                 {"failed_probes", std::to_string(quarantine.failed_probes)},
+                 {"left_ms", std::to_string(static_cast<int64_t>(ToMilliseconds(
+                                 quarantine.until - clock_.Now())))}});
+  newly_quarantined_.push_back(id);
+  ScheduleFlush();
+}
+
+bool CrashQuarantine::IsQuarantined(SuspectId id) const {
+  return FindQuarantine(quarantines_, id) != nullptr;
+}
+
+void CrashQuarantine::ScheduleFlush() {
+  if (flush_timer_ != nullptr) {
+    return;
+  }
+  const Duration since_last = clock_.Now() - flushed_at_;
+  const Duration delay =
+      flushed_at_ == TimePoint()
+          ? kFlushDelay
+          : std::max(kFlushDelay, kMinFlushInterval - since_last);
+  flush_timer_ = timers_.After(delay, [this] { Flush(); });
+}
+
+void CrashQuarantine::Flush() {
+  flush_timer_.reset();
+  flushed_at_ = clock_.Now();
+  CrashNews observed = std::exchange(observed_, {});
+  CrashNews all = std::exchange(received_, {});
+  const auto quarantined = std::exchange(newly_quarantined_, {});
+  if (on_observed_ && !observed.empty()) {
+    on_observed_(observed);
+  }
+  Append(all.crashes, observed.crashes);
+  Append(all.cleared, observed.cleared);
+  if (on_news_ && !all.empty()) {
+    on_news_(all);
+  }
+  if (on_quarantined_ && !quarantined.empty()) {
+    on_quarantined_(quarantined);
+  }
+}
+
+}  // namespace peridotmill
--- a/modules/peridotmill_gateway/quarantine/prompt_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.h
@@ -1,5 +1,5 @@
-#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_QUARANTINE_H_
-#define PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_QUARANTINE_H_
+#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
+#define PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,32 +9,32 @@
 
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/logging/event_sink.h"
-#include "peridotmill_gateway/quarantine/prompt_news.h"
+#include "peridotmill_gateway/quarantine/crash_news.h"
 
 namespace peridotmill {
 
 // Numbers since the process started, for the metrics page.
-struct PromptQuarantineCounters {
+struct CrashQuarantineCounters {
   // Requests of this node that may have crashed their endpoint.
   uint64_t suspected_crashes = 0;
-  uint64_t quarantined_parts = 0;
-  uint64_t cleared_parts = 0;
+  uint64_t quarantined = 0;
+  uint64_t cleared = 0;
   uint64_t probes = 0;
 };
 
 // Finds parts of prompts that crash the engines which process them, and stops
 // requests with such parts. Nodes exchange what they observe through their
 // coordinators, so that all of them come to the same conclusion.
-class PromptQuarantine {
+class CrashQuarantine {
  public:
-  using NewsCallback = std::function<void(const PromptNews& news)>;
-  using PartsCallback =
-      std::function<void(const std::vector<PromptPartHash>& parts)>;
+  using NewsCallback = std::function<void(const CrashNews& news)>;
+  using SuspectsCallback =
+      std::function<void(const std::vector<SuspectId>& suspects)>;
 
-  PromptQuarantine(const Clock& clock, TimerQueue& timers, EventSink& events);
-  ~PromptQuarantine();
-  PromptQuarantine(const PromptQuarantine&) = delete;
-  PromptQuarantine& operator=(const PromptQuarantine&) = delete;
+  CrashQuarantine(const Clock& clock, TimerQueue& timers, EventSink& events);
+  ~CrashQuarantine();
+  CrashQuarantine(const CrashQuarantine&) = delete;
+  CrashQuarantine& operator=(const CrashQuarantine&) = delete;
 
   // `callback` gets what this node itself has observed, for its coordinators.
   void set_on_observed(NewsCallback callback) {
@@ -45,7 +45,7 @@
   void set_on_news(NewsCallback callback) { on_news_ = std::move(callback); }
   // `callback` gets the parts whose quarantine has begun. Never called within
   // another function of this class.
-  void set_on_quarantined(PartsCallback callback) {
+  void set_on_quarantined(SuspectsCallback callback) {
     on_quarantined_ = std::move(callback);
   }
 
@@ -53,37 +53,37 @@
   // `request`.
   void RecordCrash(const RequestId& request,
                    const CrashedProcess& incarnation,
-                   const std::vector<PromptPartHash>& parts);
+                   const std::vector<SuspectId>& suspects);
   // Records that an endpoint has answered a prompt.
-  void RecordSuccess(const std::vector<PromptPartHash>& parts);
+  void RecordSuccess(const std::vector<SuspectId>& suspects);
   // Takes over what another node has reported.
-  void Apply(const PromptNews& news);
+  void Apply(const CrashNews& news);
   // Returns all that this node knows.
-  PromptNews Snapshot() const;
+  CrashNews Snapshot() const;
 
   // Returns the time after which a prompt may be tried again, or nullopt if
   // none of its parts is quarantined or a probe may be due.
   std::optional<Duration> QuarantineLeft(
-      const std::vector<PromptPartHash>& parts) const;
+      const std::vector<SuspectId>& suspects) const;
   // Returns the time after which `request` may be tried again, or nullopt if it
   // may run now; it is then the probe of its parts whose quarantine is over.
   std::optional<Duration> TryRun(const RequestId& request,
-                                 const std::vector<PromptPartHash>& parts);
+                                 const std::vector<SuspectId>& suspects);
   // Returns whether a part has coincided with more than one crash, so that a
   // prompt which may have crashed an endpoint should not be sent to another.
-  bool IsRepeatedSuspect(const std::vector<PromptPartHash>& parts) const;
+  bool IsRepeatedSuspect(const std::vector<SuspectId>& suspects) const;
 
-  const PromptQuarantineCounters& counters() const { return counters_; }
+  const CrashQuarantineCounters& counters() const { return counters_; }
 
  private:
   // Adds the suspects that are new.
   void AddSuspects(const SuspectedCrash& crash, bool is_observed);
-  void Clear(PromptPartHash part, TimePoint at, bool is_observed);
+  void Clear(SuspectId id, TimePoint at, bool is_observed);
   // Quarantines the parts that are to blame for the crashes that all nodes have
   // had the time to report, and schedules itself for later ones.
   void BlameCulprits();
-  void BeginQuarantine(PromptPartHash part, TimePoint crashed_at);
-  bool IsQuarantined(PromptPartHash part) const;
+  void BeginQuarantine(SuspectId id, TimePoint crashed_at);
+  bool IsQuarantined(SuspectId id) const;
   // Passes the collected news on, after a delay that limits the number of
   // messages.
   void ScheduleFlush();
@@ -94,19 +94,19 @@
   EventSink& events_;
   NewsCallback on_observed_;
   NewsCallback on_news_;
-  PartsCallback on_quarantined_;
+  SuspectsCallback on_quarantined_;
   CrashEvidence evidence_;
-  PartQuarantines quarantines_;
+  QuarantineEntries quarantines_;
   // What has not been passed on yet.
-  PromptNews observed_;
-  PromptNews received_;
-  std::vector<PromptPartHash> newly_quarantined_;
+  CrashNews observed_;
+  CrashNews received_;
+  std::vector<SuspectId> newly_quarantined_;
   std::unique_ptr<Timer> flush_timer_;
   TimePoint flushed_at_;
   std::unique_ptr<Timer> blame_timer_;
-  PromptQuarantineCounters counters_;
+  CrashQuarantineCounters counters_;
 };
 
 }  // namespace peridotmill
 
-#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_QUARANTINE_H_
+#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_QUARANTINE_H_
--- a/modules/peridotmill_gateway/quarantine/part_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/quarantine_entry.cc
@@ -1,4 +1,4 @@
-#include "peridotmill_gateway/quarantine/part_quarantine.h"
+#include "peridotmill_gateway/quarantine/quarantine_entry.h"
 
 #include <algorithm>
 
@@ -8,12 +8,12 @@
 // A quarantine lasts this many times longer after each failed probe.
 constexpr int kGrowth = 4;
 
-auto HasPart(PromptPartHash part) {
-  return [part](const PartQuarantine& entry) { return entry.part == part; };
+auto HasSuspect(SuspectId id) {
+  return [id](const QuarantineEntry& entry) { return entry.id == id; };
 }
 
-void Insert(PartQuarantines& quarantines, const PartQuarantine& quarantine) {
-  if (quarantines.size() >= kMaxQuarantinedParts) {
+void Insert(QuarantineEntries& quarantines, const QuarantineEntry& quarantine) {
+  if (quarantines.size() >= kMaxQuarantines) {
     quarantines.erase(quarantines.begin());
   }
   quarantines.push_back(quarantine);
@@ -21,17 +21,16 @@
 
 }  // namespace
 
-PartQuarantine* FindQuarantine(PartQuarantines& quarantines,
-                               PromptPartHash part) {
+QuarantineEntry* FindQuarantine(QuarantineEntries& quarantines, SuspectId id) {
   const auto found =
-      std::find_if(quarantines.begin(), quarantines.end(), HasPart(part));
+      std::find_if(quarantines.begin(), quarantines.end(), HasSuspect(id));
   return found == quarantines.end() ? nullptr : &*found;
 }
 
-const PartQuarantine* FindQuarantine(const PartQuarantines& quarantines,
-                                     PromptPartHash part) {
+const QuarantineEntry* FindQuarantine(const QuarantineEntries& quarantines,
+                                      SuspectId id) {
   const auto found =
-      std::find_if(quarantines.begin(), quarantines.end(), HasPart(part));
+      std::find_if(quarantines.begin(), quarantines.end(), HasSuspect(id));
   return found == quarantines.end() ? nullptr : &*found;
 }
 
@@ -43,12 +42,12 @@
   return std::min(time, kMaxQuarantine);
 }
 
-void Quarantine(PartQuarantines& quarantines,
-                PromptPartHash part,
+void Quarantine(QuarantineEntries& quarantines,
+                SuspectId id,
                 TimePoint crashed_at) {
-  PartQuarantine* const found = FindQuarantine(quarantines, part);
+  QuarantineEntry* const found = FindQuarantine(quarantines, id);
   if (found == nullptr) {
-    Insert(quarantines, {.part = part,
+    Insert(quarantines, {.id = id,
                          .since = crashed_at,
                          .until = crashed_at + QuarantineTime(0)});
     return;
@@ -66,11 +65,11 @@
       std::max(found->until, crashed_at + QuarantineTime(found->failed_probes));
 }
 
-bool MergeQuarantine(PartQuarantines& quarantines,
-                     const PartQuarantine& reported) {
+bool MergeQuarantine(QuarantineEntries& quarantines,
+                     const QuarantineEntry& reported) {
   // Reported times vary by the time that messages take.
   constexpr Duration kTolerance = std::chrono::seconds(1);
-  PartQuarantine* const found = FindQuarantine(quarantines, reported.part);
+  QuarantineEntry* const found = FindQuarantine(quarantines, reported.id);
   if (found == nullptr) {
     Insert(quarantines, reported);
     return true;
@@ -86,13 +85,13 @@
   return is_later;
 }
 
-void ExpireQuarantines(PartQuarantines& quarantines, TimePoint now) {
-  std::erase_if(quarantines, [now](const PartQuarantine& entry) {
+void ExpireQuarantines(QuarantineEntries& quarantines, TimePoint now) {
+  std::erase_if(quarantines, [now](const QuarantineEntry& entry) {
     return now - entry.until > kMaxQuarantine;
   });
 }
 
-Duration TimeUntilProbe(const PartQuarantine& quarantine,
+Duration TimeUntilProbe(const QuarantineEntry& quarantine,
                         const RequestId& request,
                         TimePoint now) {
   if (now < quarantine.until) {
--- a/modules/peridotmill_gateway/quarantine/prompt_part.cc
+++ b/modules/peridotmill_gateway/quarantine/suspect_id.cc
@@ -1,4 +1,4 @@
-#include "peridotmill_gateway/quarantine/prompt_part.h"
+#include "peridotmill_gateway/quarantine/suspect_id.h"
 
 #include <algorithm>
 #include <cinttypes>
@@ -8,9 +8,8 @@
 
 namespace peridotmill {
 
-std::vector<PromptPartHash> HashSharedParts(
-    const GenerationDemand& generation) {
-  std::vector<PromptPartHash> hashes;
+std::vector<SuspectId> HashSharedParts(const GenerationDemand& generation) {
+  std::vector<SuspectId> hashes;
   const auto& parts = generation.parts;
   for (size_t i = 0; i + 1 < parts.size() && i < kMaxTrackedParts; ++i) {
     hashes.emplace_back(Hash64(parts[i].id));
@@ -18,7 +17,7 @@
   return hashes;
 }
 
-std::string ToString(PromptPartHash part) {
+std::string ToString(SuspectId part) {
   char text[17];
   std::snprintf(text, sizeof(text), "%016" PRIx64, part.value());
   return text;
--- a/modules/peridotmill_gateway/quarantine/prompt_part.h
+++ b/modules/peridotmill_gateway/quarantine/suspect_id.h
@@ -1,5 +1,5 @@
-#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_PART_H_
-#define PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_PART_H_
+#ifndef PERIDOTMILL_GATEWAY_QUARANTINE_SUSPECT_ID_H_
+#define PERIDOTMILL_GATEWAY_QUARANTINE_SUSPECT_ID_H_
 
 #include <compare>
 #include <cstddef>
@@ -14,17 +14,15 @@
 
 // Identifies the content of a prompt part, wherever the part stands in a
 // prompt.
-class PromptPartHash {
+class SuspectId {
  public:
-  PromptPartHash() = default;
-  explicit PromptPartHash(uint64_t value) : value_(value) {}
+  SuspectId() = default;
+  explicit SuspectId(uint64_t value) : value_(value) {}
 
   uint64_t value() const { return value_; }
 
-  friend bool operator==(const PromptPartHash&,
-                         const PromptPartHash&) = default;
-  friend auto operator<=>(const PromptPartHash&,
-                          const PromptPartHash&) = default;
+  friend bool operator==(const SuspectId&, const SuspectId&) = default;
+  friend auto operator<=>(const SuspectId&, const SuspectId&) = default;
 
  private:
   uint64_t value_ = 0;
@@ -35,18 +33,18 @@
 
 // Returns the parts of a prompt that other requests may share, in prompt order:
 // all but the last one, which is specific to the request.
-std::vector<PromptPartHash> HashSharedParts(const GenerationDemand& generation);
+std::vector<SuspectId> HashSharedParts(const GenerationDemand& generation);
 
 // Returns the hash as hexadecimal digits for the event log.
-std::string ToString(PromptPartHash part);
+std::string ToString(SuspectId part);
 
 }  // namespace peridotmill
 
 template <>
-struct std::hash<peridotmill::PromptPartHash> {
-  size_t operator()(peridotmill::PromptPartHash part) const noexcept {
+struct std::hash<peridotmill::SuspectId> {
+  size_t operator()(peridotmill::SuspectId part) const noexcept {
     return part.value();
   }
 };
 
-#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_PROMPT_PART_H_
+#endif  // PERIDOTMILL_GATEWAY_QUARANTINE_SUSPECT_ID_H_
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -106,7 +106,7 @@
   }
 }
 
-void Gateway::EndQuarantinedRequests(const std::vector<PromptPartHash>& parts) {
+void Gateway::EndQuarantinedRequests(const std::vector<SuspectId>& parts) {
   // Requests that end are removed from the map.
   std::vector<GatewayRequest*> open_requests;
   open_requests.reserve(requests_.size());
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -17,7 +17,7 @@
 #include "peridotmill_gateway/estimates/completion_times.h"
 #include "peridotmill_gateway/estimates/first_event_times.h"
 #include "peridotmill_gateway/logging/event_sink.h"
-#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/retries/pool_retry_budget.h"
 #include "peridotmill_gateway/stages/stage_task.h"
@@ -38,7 +38,7 @@
   EventSink& events;
   FailureDomainId failure_domain;
   // May be null.
-  PromptQuarantine* quarantine = nullptr;
+  CrashQuarantine* quarantine = nullptr;
   // Returns whether this node knows that there is a newer configuration. May be
   // empty.
   std::function<bool()> is_configuration_outdated;
@@ -120,7 +120,7 @@
             int status,
             Reason reason);
   // Ends the requests that wait with one of these parts in their prompts.
-  void EndQuarantinedRequests(const std::vector<PromptPartHash>& parts);
+  void EndQuarantinedRequests(const std::vector<SuspectId>& parts);
   // Returns one of the route's pools, drawn at random by weight.
   PoolId ChoosePool(const RouteDefinition& route);
   std::vector<GatewayRequest*> OpenRequests() const;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -165,7 +165,7 @@
                                           [this] { OnDeadlineExpired(); });
   if (context_.quarantine != nullptr) {
     if (const auto left = context_.quarantine->QuarantineLeft(prompt_parts_)) {
-      Fail(Reason::kPromptQuarantined, *left);
+      Fail(Reason::kRequestQuarantined, *left);
       return;
     }
   }
@@ -392,7 +392,7 @@
   const bool ends_takeover = is_preparing_takeover_ && call_ != nullptr &&
                              result.outcome != StageItemOutcome::kDone;
   if (result.outcome == StageItemOutcome::kQuarantined && !ends_takeover) {
-    Fail(Reason::kPromptQuarantined, result.retry_after);
+    Fail(Reason::kRequestQuarantined, result.retry_after);
     return;
   }
   if (std::exchange(is_awaiting_engine_, false)) {
@@ -848,7 +848,7 @@
   }
   if (is_crash_suspect_ &&
       context_.quarantine->IsRepeatedSuspect(prompt_parts_)) {
-    gateway_->reasons_.Add(Reason::kPromptSuspected);
+    gateway_->reasons_.Add(Reason::kRequestSuspected);
     return false;
   }
   if (!context_.retry_budget.TryTakeRetries(pool_, 1, context_.clock.Now())) {
@@ -925,13 +925,12 @@
   const auto retry_after =
       context_.quarantine->TryRun(request_.id, prompt_parts_);
   if (retry_after) {
-    Fail(Reason::kPromptQuarantined, *retry_after);
+    Fail(Reason::kRequestQuarantined, *retry_after);
   }
   return retry_after.has_value();
 }
 
-void GatewayRequest::OnPartsQuarantined(
-    const std::vector<PromptPartHash>& parts) {
+void GatewayRequest::OnPartsQuarantined(const std::vector<SuspectId>& parts) {
   const bool is_affected =
       std::find_first_of(prompt_parts_.begin(), prompt_parts_.end(),
                          parts.begin(), parts.end()) != prompt_parts_.end();
@@ -949,7 +948,7 @@
     }
     EndAttempt(CallOutcome::kCancelled, AttemptOutcome::kOutcomeUnknown);
   }
-  Fail(Reason::kPromptQuarantined, *left);
+  Fail(Reason::kRequestQuarantined, *left);
 }
 
 void GatewayRequest::RecordPromptProgress(uint64_t events_before) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -48,7 +48,7 @@
 
   // Ends the request if its prompt has one of these parts, unless an engine
   // has begun to answer it.
-  void OnPartsQuarantined(const std::vector<PromptPartHash>& parts);
+  void OnPartsQuarantined(const std::vector<SuspectId>& parts);
 
  private:
   // EndpointCallListener
@@ -238,7 +238,7 @@
   bool has_response_head_ = false;
   uint64_t events_before_attempt_ = 0;
   // Parts of the prompt that may be quarantined.
-  std::vector<PromptPartHash> prompt_parts_;
+  std::vector<SuspectId> prompt_parts_;
   // The request may have crashed an endpoint.
   bool is_crash_suspect_ = false;
   std::string response_body_;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.h
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.h
@@ -15,7 +15,7 @@
 #include "peridotmill_gateway/configuration/active_configuration.h"
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/placement/prompt_placement.h"
-#include "peridotmill_gateway/quarantine/prompt_quarantine.h"
+#include "peridotmill_gateway/quarantine/crash_quarantine.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/retries/pool_retry_budget.h"
 #include "peridotmill_gateway/stages/batch_queue.h"
@@ -37,7 +37,7 @@
     PoolRetryBudget& retry_budget;
     EventSink& events;
     // May be null.
-    PromptQuarantine* quarantine = nullptr;
+    CrashQuarantine* quarantine = nullptr;
   };
 
   StageCoordinator(const Dependencies& dependencies, uint64_t seed);
--- a/modules/peridotmill_gateway/tests/crash_evidence_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_evidence_test.cc
@@ -4,20 +4,20 @@
 
 #include <string>
 
-#include "peridotmill_gateway/quarantine/part_quarantine.h"
+#include "peridotmill_gateway/quarantine/quarantine_entry.h"
 
 namespace peridotmill {
 namespace {
 
 using namespace std::chrono_literals;
 
-const PromptPartHash kCommon(1);
-const PromptPartHash kDeadly(2);
-const PromptPartHash kOther(3);
+const SuspectId kCommon(1);
+const SuspectId kDeadly(2);
+const SuspectId kOther(3);
 constexpr TimePoint kStart = TimePoint(1h);
 constexpr TimePoint kEnd = TimePoint(2h);
 
-bool Nothing(PromptPartHash) {
+bool Nothing(SuspectId) {
   return false;
 }
 
@@ -25,15 +25,16 @@
 // answers before.
 SuspectedCrash MakeCrash(const std::string& id,
                          TimePoint at,
-                         const std::vector<PromptPartHash>& parts,
+                         const std::vector<SuspectId>& parts,
                          const std::vector<uint32_t>& successes = {}) {
   SuspectedCrash crash;
   crash.incarnation = {EndpointId(id), 1};
   for (size_t i = 0; i < parts.size(); ++i) {
-    crash.parts.push_back({.part = parts[i],
-                           .at = at,
-                           .successes = i < successes.size() ? successes[i] : 0,
-                           .position = static_cast<uint32_t>(i)});
+    crash.suspects.push_back(
+        {.id = parts[i],
+         .at = at,
+         .successes = i < successes.size() ? successes[i] : 0,
+         .position = static_cast<uint32_t>(i)});
   }
   return crash;
 }
@@ -61,8 +62,8 @@
   // The common part was at one more engine that failed.
   AddCrash(evidence, MakeCrash("e9", kStart + 2s, {kCommon}, {40}));
   ASSERT_EQ(FindCulprit(evidence, kEnd, Nothing), kDeadly);
-  EXPECT_FALSE(FindCulprit(
-      evidence, kEnd, [](PromptPartHash part) { return part == kDeadly; }));
+  EXPECT_FALSE(FindCulprit(evidence, kEnd,
+                           [](SuspectId part) { return part == kDeadly; }));
 }
 
 // Guards against blaming a prompt for the failure of a host or failure domain.
@@ -133,19 +134,19 @@
   CrashEvidence evidence;
   uint64_t next_part = 100;
   for (int i = 0; i < 1000; ++i) {
-    std::vector<PromptPartHash> parts;
+    std::vector<SuspectId> parts;
     for (int j = 0; j < 100; ++j) {
       parts.emplace_back(++next_part);
-      AddSuccess(evidence, PromptPartHash(++next_part), kStart);
+      AddSuccess(evidence, SuspectId(++next_part), kStart);
     }
     AddCrash(evidence,
              MakeCrash("e" + std::to_string(i), kStart + i * 1s, parts));
   }
   EXPECT_EQ(evidence.crashes.size(), kMaxCrashes);
-  EXPECT_EQ(evidence.crashes.back().parts.size(), kMaxPartsPerCrash);
+  EXPECT_EQ(evidence.crashes.back().suspects.size(), kMaxSuspectsPerCrash);
   EXPECT_LE(evidence.successes.size() + evidence.older_successes.size(),
-            kMaxPartSuccesses);
-  EXPECT_EQ(evidence.crash_counts.size(), kMaxCrashes * kMaxPartsPerCrash);
+            kMaxSuccesses);
+  EXPECT_EQ(evidence.crash_counts.size(), kMaxCrashes * kMaxSuspectsPerCrash);
   ExpireEvidence(evidence, kStart + 1h);
   EXPECT_TRUE(evidence.crashes.empty());
   EXPECT_TRUE(evidence.crash_counts.empty());
@@ -153,13 +154,13 @@
 
 // Guards against probes that come as often after the tenth crash as after the
 // first.
-TEST(PartQuarantineTest, EachFailedProbeLengthensTheTime) {
-  PartQuarantines quarantines;
+TEST(QuarantineEntryTest, EachFailedProbeLengthensTheTime) {
+  QuarantineEntries quarantines;
   TimePoint crash = kStart;
   Duration expected = kFirstQuarantine;
   for (int i = 0; i < 12; ++i) {
     Quarantine(quarantines, kDeadly, crash);
-    const PartQuarantine& entry = *FindQuarantine(quarantines, kDeadly);
+    const QuarantineEntry& entry = *FindQuarantine(quarantines, kDeadly);
     EXPECT_EQ(entry.until - crash, expected);
     // A request that was sent before the quarantine began is no probe.
     Quarantine(quarantines, kDeadly, crash + 1s);
@@ -173,10 +174,10 @@
 
 // Guards against several probes at a time, and against waiting without limit
 // for a probe whose caller has gone.
-TEST(PartQuarantineTest, OneRequestAtATimeIsTheProbe) {
-  PartQuarantines quarantines;
+TEST(QuarantineEntryTest, OneRequestAtATimeIsTheProbe) {
+  QuarantineEntries quarantines;
   Quarantine(quarantines, kDeadly, kStart);
-  PartQuarantine& entry = *FindQuarantine(quarantines, kDeadly);
+  QuarantineEntry& entry = *FindQuarantine(quarantines, kDeadly);
   const TimePoint end = kStart + kFirstQuarantine;
   EXPECT_EQ(TimeUntilProbe(entry, RequestId("a"), end - 4s), 4s);
   EXPECT_EQ(TimeUntilProbe(entry, RequestId("a"), end), 0s);
--- a/modules/peridotmill_gateway/tests/prompt_quarantine_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
@@ -10,8 +10,8 @@
 
 using namespace std::chrono_literals;
 
-const PromptPartHash kCommon(1);
-const PromptPartHash kDeadly(2);
+const SuspectId kCommon(1);
+const SuspectId kDeadly(2);
 
 std::string AddressOf(size_t node) {
   return "10.0.0." + std::to_string(node) + ":7";
@@ -57,8 +57,7 @@
   }
 
   // Asks the coordinator for an engine, as each request does.
-  void Submit(const std::string& request,
-              const std::vector<PromptPartHash>& parts) {
+  void Submit(const std::string& request, const std::vector<SuspectId>& parts) {
     StageTask task;
     task.request = RequestId(request);
     task.pool = PoolId("engines");
@@ -72,7 +71,7 @@
   void OnStageTaskEnd(size_t, StageTaskResult result) override {
     outcomes.push_back(result.outcome);
   }
-  bool IsRefused(PromptPartHash part) const {
+  bool IsRefused(SuspectId part) const {
     return quarantine.QuarantineLeft({part}).has_value();
   }
 
@@ -81,7 +80,7 @@
   EndpointRegistry endpoints;
   PoolRetryBudget budget{{.ratio = 1, .node_allowance = 100}};
   NodeDirectory nodes;
-  PromptQuarantine quarantine;
+  CrashQuarantine quarantine;
   StageCoordinator coordinator;
   StageService service;
   PeerNetwork::Dialer dialer;
@@ -90,11 +89,11 @@
   std::vector<StageItemOutcome> outcomes;
 };
 
-class PromptQuarantineFleetTest : public GatewayFixture {
+class CrashQuarantineFleetTest : public GatewayFixture {
  protected:
   static constexpr size_t kNodes = 12;
 
-  PromptQuarantineFleetTest() : network_(timers_, clock_) {
+  CrashQuarantineFleetTest() : network_(timers_, clock_) {
     std::vector<StoreEntry> records;
     for (size_t i = 0; i < kNodes; ++i) {
       StoreEntry entry;
@@ -133,7 +132,7 @@
   }
   // Returns the index of a node that does not coordinate.
   size_t Other(size_t n) const { return (coordinator_index_ + 1 + n) % kNodes; }
-  size_t RefusingNodes(PromptPartHash part) const {
+  size_t RefusingNodes(SuspectId part) const {
     size_t count = 0;
     for (const auto& node : nodes_) {
       count += node->IsRefused(part) ? 1 : 0;
@@ -149,7 +148,7 @@
 };
 
 // Guards against a fleet in which no node sees enough crashes to act.
-TEST_F(PromptQuarantineFleetTest, NodesThatSeeOneCrashEachStopThePart) {
+TEST_F(CrashQuarantineFleetTest, NodesThatSeeOneCrashEachStopThePart) {
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
     // An answer at a fourth node clears the common part at all nodes.
@@ -161,7 +160,7 @@
 }
 
 // Guards against evidence that is lost with the coordinator that collected it.
-TEST_F(PromptQuarantineFleetTest, ALostCoordinatorLosesNoEvidence) {
+TEST_F(CrashQuarantineFleetTest, ALostCoordinatorLosesNoEvidence) {
   Crash(Other(0));
   Crash(Other(1));
   network_.Isolate(AddressOf(coordinator_index_));
@@ -174,7 +173,7 @@
 }
 
 // Guards against a node that learns nothing after a partition.
-TEST_F(PromptQuarantineFleetTest, ANodeLearnsAfterAPartition) {
+TEST_F(CrashQuarantineFleetTest, ANodeLearnsAfterAPartition) {
   const size_t cut_off = Other(4);
   network_.Isolate(AddressOf(cut_off));
   for (size_t i = 0; i < 3; ++i) {
@@ -191,7 +190,7 @@
 }
 
 // Guards against a probe by each node when a quarantine ends.
-TEST_F(PromptQuarantineFleetTest, OneNodeProbesForTheFleet) {
+TEST_F(CrashQuarantineFleetTest, OneNodeProbesForTheFleet) {
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
   }
@@ -210,44 +209,44 @@
 }
 
 // Guards against reports that are lost or changed by encoding and decoding.
-TEST(PromptNewsTest, PreservesAllFields) {
+TEST(CrashNewsTest, PreservesAllFields) {
   const TimePoint now = TimePoint(1h);
-  PromptNews news;
+  CrashNews news;
   news.crashes.push_back(
       {{EndpointId("e"), 77}, {{kDeadly, now - 40ms, 12, 3}}});
   news.cleared.push_back({kCommon, now - 60ms});
-  news.quarantines.push_back({.part = kDeadly,
+  news.quarantines.push_back({.id = kDeadly,
                               .since = now - 3s,
                               .until = now + 17s,
                               .failed_probes = 1});
   const auto message =
       DecodeStageMessage(EncodeStageMessage(news, now), now + 1h);
   ASSERT_TRUE(message);
-  const auto& decoded = std::get<PromptNews>(*message);
+  const auto& decoded = std::get<CrashNews>(*message);
   ASSERT_EQ(decoded.crashes.size(), 1u);
   EXPECT_EQ(decoded.crashes[0].incarnation, news.crashes[0].incarnation);
-  ASSERT_EQ(decoded.crashes[0].parts.size(), 1u);
-  EXPECT_EQ(decoded.crashes[0].parts[0].part, kDeadly);
-  EXPECT_EQ(decoded.crashes[0].parts[0].at, now + 1h - 40ms);
-  EXPECT_EQ(decoded.crashes[0].parts[0].successes, 12u);
-  EXPECT_EQ(decoded.crashes[0].parts[0].position, 3u);
+  ASSERT_EQ(decoded.crashes[0].suspects.size(), 1u);
+  EXPECT_EQ(decoded.crashes[0].suspects[0].id, kDeadly);
+  EXPECT_EQ(decoded.crashes[0].suspects[0].at, now + 1h - 40ms);
+  EXPECT_EQ(decoded.crashes[0].suspects[0].successes, 12u);
+  EXPECT_EQ(decoded.crashes[0].suspects[0].position, 3u);
   ASSERT_EQ(decoded.cleared.size(), 1u);
-  EXPECT_EQ(decoded.cleared[0].part, kCommon);
+  EXPECT_EQ(decoded.cleared[0].id, kCommon);
   EXPECT_EQ(decoded.cleared[0].at, now + 1h - 60ms);
   ASSERT_EQ(decoded.quarantines.size(), 1u);
-  EXPECT_EQ(decoded.quarantines[0].part, kDeadly);
+  EXPECT_EQ(decoded.quarantines[0].id, kDeadly);
   EXPECT_EQ(decoded.quarantines[0].since, now + 1h - 3s);
   EXPECT_EQ(decoded.quarantines[0].until, now + 1h + 17s);
   EXPECT_EQ(decoded.quarantines[0].failed_probes, 1);
 }
 
 // Guards against crashes and out-of-bounds reads on damaged reports.
-TEST(PromptNewsTest, RejectsDamagedReports) {
+TEST(CrashNewsTest, RejectsDamagedReports) {
   Random random(12);
   const TimePoint now = TimePoint(1h);
-  PromptNews news;
+  CrashNews news;
   news.crashes.push_back({{EndpointId("e"), 77}, {{kDeadly, now, 12, 3}}});
-  news.quarantines.push_back({.part = kDeadly, .since = now, .until = now});
+  news.quarantines.push_back({.id = kDeadly, .since = now, .until = now});
   const std::string valid_frame = EncodeStageMessage(news, now);
   for (int i = 0; i < 20'000; ++i) {
     std::string damaged = valid_frame;
--- a/modules/peridotmill_gateway/tests/prompt_quarantine_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
@@ -8,7 +8,7 @@
 using namespace std::chrono_literals;
 
 // A node whose engines crash on prompts with the part "deadly".
-class PromptQuarantineTest : public GatewayFixture {
+class CrashQuarantineTest : public GatewayFixture {
  protected:
   // Sends a request whose prompt has these parts and one of its own.
   std::shared_ptr<FakeCallerChannel> SendPrompt(
@@ -82,7 +82,7 @@
   void ReportCrashAt(const EndpointRegistration& engine) {
     GenerationDemand demand;
     demand.parts = {{"deadly", 1}, {"own", 1}};
-    PromptNews news;
+    CrashNews news;
     news.crashes.push_back(
         {{engine.id, engine.started_at_ms},
          {{HashSharedParts(demand)[0], clock_.Now(), 0, 1}}});
@@ -90,40 +90,40 @@
   }
   bool IsRefusal(const FakeCallerChannel& channel) {
     return channel.status() == 503 &&
-           channel.body.find("prompt_quarantined") != std::string::npos;
+           channel.body.find("request_quarantined") != std::string::npos;
   }
 
   int64_t started_at_ms_ = 0;
 };
 
 // Guards against requests of one kind that crash one engine after the other.
-TEST_F(PromptQuarantineTest, RefusesAPromptPartThatCrashesEngines) {
+TEST_F(CrashQuarantineTest, RefusesAPromptPartThatCrashesEngines) {
   CrashEngines(3);
   const size_t calls = endpoint_caller_.calls.size();
   const auto refused = SendPrompt("chat", {"common", "deadly"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls);
   ASSERT_TRUE(IsRefusal(*refused));
   EXPECT_TRUE(refused->heads[0].headers.Find("Retry-After"));
-  EXPECT_EQ(gateway_.reasons().Get(Reason::kPromptQuarantined), 1u);
+  EXPECT_EQ(gateway_.reasons().Get(Reason::kRequestQuarantined), 1u);
   SendPrompt("chat", {"common"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
 }
 
 // Guards against refusing sound prompts when engines are lost for another
 // reason.
-TEST_F(PromptQuarantineTest, ServesPromptsAfterCrashesWithoutACommonPart) {
+TEST_F(CrashQuarantineTest, ServesPromptsAfterCrashesWithoutACommonPart) {
   for (int i = 0; i < 5; ++i) {
     SendPrompt("chat", {"common", "subject" + std::to_string(i)});
     CrashEngine();
     SendPrompt("chat", {"common"});
     Answer();
   }
-  EXPECT_FALSE(events_.Has("prompt_part_quarantined"));
+  EXPECT_FALSE(events_.Has("suspect_quarantined"));
 }
 
 // Guards against refusing a sound prompt when the report that names the culprit
 // of the third crash arrives after the node's own.
-TEST_F(PromptQuarantineTest, WaitsForTheReportsOfOtherNodes) {
+TEST_F(CrashQuarantineTest, WaitsForTheReportsOfOtherNodes) {
   for (int i = 0; i < 2; ++i) {
     SendPrompt("chat", {"subject"});
     ReportCrashAt(endpoint_caller_.calls.back()->call.endpoint);
@@ -143,7 +143,7 @@
 
 // Guards against retries and resumed streams that carry a request from one
 // crashed engine to the next.
-TEST_F(PromptQuarantineTest, DoesNotRetryAPromptAfterASecondCrash) {
+TEST_F(CrashQuarantineTest, DoesNotRetryAPromptAfterASecondCrash) {
   for (const int events : {0, 1}) {
     SCOPED_TRACE(events);
     const std::string engine = "other" + std::to_string(events);
@@ -158,12 +158,12 @@
     EXPECT_EQ(endpoint_caller_.calls.size(), calls + 3);
     EXPECT_TRUE(second->status() == 502 || second->is_aborted);
   }
-  EXPECT_EQ(gateway_.reasons().Get(Reason::kPromptSuspected), 2u);
+  EXPECT_EQ(gateway_.reasons().Get(Reason::kRequestSuspected), 2u);
 }
 
 // Guards against the loss of requests that were at engines which failed
 // together, as the engines of one host do.
-TEST_F(PromptQuarantineTest, RetriesRequestsAfterEnginesFailedTogether) {
+TEST_F(CrashQuarantineTest, RetriesRequestsAfterEnginesFailedTogether) {
   const auto engine = [this](size_t call) {
     return endpoint_caller_.calls[call]->call.endpoint.id;
   };
@@ -176,12 +176,12 @@
     endpoint_caller_.listener(call).OnResponseEnd(HttpCallEnd::kNoResponse);
   }
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 2);
-  EXPECT_EQ(gateway_.reasons().Get(Reason::kPromptSuspected), 0u);
+  EXPECT_EQ(gateway_.reasons().Get(Reason::kRequestSuspected), 0u);
 }
 
 // Guards against the loss of streams whose engine crashed under another
 // request.
-TEST_F(PromptQuarantineTest, ResumesASoundStreamAfterCrashes) {
+TEST_F(CrashQuarantineTest, ResumesASoundStreamAfterCrashes) {
   CrashEngines(2);
   SendPrompt("resume", {"common"});
   const size_t calls = endpoint_caller_.calls.size();
@@ -191,7 +191,7 @@
 
 // Guards against waiting requests that reach engines after their part was
 // quarantined.
-TEST_F(PromptQuarantineTest, EndsWaitingRequestsAtOnce) {
+TEST_F(CrashQuarantineTest, EndsWaitingRequestsAtOnce) {
   const auto waiting = SendPrompt("staged", {"deadly"});
   const auto sent = SendPrompt("chat", {"deadly"});
   const auto sound = SendPrompt("staged", {"common"});
@@ -207,12 +207,12 @@
 
 // Guards against requests that lose their attempt, and never end, because of a
 // quarantine that is already over when the node hears of it.
-TEST_F(PromptQuarantineTest, KeepsAttemptsWhenTheReportedQuarantineIsOver) {
+TEST_F(CrashQuarantineTest, KeepsAttemptsWhenTheReportedQuarantineIsOver) {
   const auto sent = SendPrompt("chat", {"deadly"});
   GenerationDemand demand;
   demand.parts = {{"deadly", 1}, {"own", 1}};
-  PromptNews news;
-  news.quarantines.push_back({.part = HashSharedParts(demand)[0],
+  CrashNews news;
+  news.quarantines.push_back({.id = HashSharedParts(demand)[0],
                               .since = clock_.Now() - 12s,
                               .until = clock_.Now() - 2s});
   quarantine_.Apply(news);
@@ -224,7 +224,7 @@
 
 // Guards against a part that stays refused although engines no longer crash on
 // it, and against more than one request that finds out.
-TEST_F(PromptQuarantineTest, AProbeClearsAHarmlessPart) {
+TEST_F(CrashQuarantineTest, AProbeClearsAHarmlessPart) {
   CrashEngines(3);
   timers_.Advance(9s);
   EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "deadly"})));
@@ -235,13 +235,13 @@
   EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "deadly"})));
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
   Answer();
-  EXPECT_TRUE(events_.Has("prompt_part_cleared"));
+  EXPECT_TRUE(events_.Has("suspect_cleared"));
   SendPrompt("chat", {"common", "deadly"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 2);
 }
 
 // Guards against probes at a constant rate, each of which crashes an engine.
-TEST_F(PromptQuarantineTest, AFailedProbeLengthensTheQuarantine) {
+TEST_F(CrashQuarantineTest, AFailedProbeLengthensTheQuarantine) {
   CrashEngines(3);
   timers_.Advance(10s);
   SendPrompt("resume", {"common", "deadly"});
@@ -257,7 +257,7 @@
 
 // Guards against a coordinator that starts the stages of a prompt although it
 // knows that the engine would crash.
-TEST_F(PromptQuarantineTest, TheCoordinatorRefusesAQuarantinedPart) {
+TEST_F(CrashQuarantineTest, TheCoordinatorRefusesAQuarantinedPart) {
   class Listener final : public StageTaskListener {
    public:
     void OnStageTaskEnd(size_t, StageTaskResult result) override {
--- a/modules/peridotmill_gateway/tests/gateway_fixture.h
+++ b/modules/peridotmill_gateway/tests/gateway_fixture.h
@@ -132,7 +132,7 @@
   RecordingEvents events_;
   EndpointRegistry endpoints_;
   PoolRetryBudget retry_budget_;
-  PromptQuarantine quarantine_;
+  CrashQuarantine quarantine_;
   StageCoordinator coordinator_;
   Gateway gateway_;
   int sent_request_count_ = 0;
