Quarantine whole requests that crash endpoints

Callers saw 502 on sound requests, since a request without a prompt, or with a prompt whose shared parts are sound, was sent to one endpoint after the other: evidence knew shared parts of prompts only. A request is now a suspect too, identified by team, host, method, target and body. A crash under an attempt that began after the crash before is an incident of its own, since a retry that crashes a second endpoint within 50 ms is no failed host. A crash under a blamed request still speaks against the parts of its prompt, so that a part which crashes endpoints under several requests is found as before.

Two fixtures sent the same request under all ids; their requests now differ, as callers' do.

--- a/modules/peridotmill_core/hashing/hashing.cc
+++ b/modules/peridotmill_core/hashing/hashing.cc
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <xxhash.h>
 
+#include <array>
 #include <cinttypes>
 #include <cstdio>
 #include <memory>
@@ -30,6 +31,28 @@
   return text.get();
 }
 
+uint64_t SecureHash64(std::initializer_list<std::string_view> fields) {
+  const std::unique_ptr<GChecksum, decltype(&g_checksum_free)> checksum(
+      g_checksum_new(G_CHECKSUM_SHA256), &g_checksum_free);
+  const auto update = [&checksum](const void* data, size_t size) {
+    g_checksum_update(checksum.get(), static_cast<const guchar*>(data),
+                      static_cast<gssize>(size));
+  };
+  for (const std::string_view field : fields) {
+    const std::string length = std::to_string(field.size()) + ":";
+    update(length.data(), length.size());
+    update(field.data(), field.size());
+  }
+  std::array<guint8, 32> digest{};
+  gsize size = digest.size();
+  g_checksum_get_digest(checksum.get(), digest.data(), &size);
+  uint64_t hash = 0;
+  for (size_t i = 0; i < sizeof(hash); ++i) {
+    hash = hash << 8 | digest[i];
+  }
+  return hash;
+}
+
 uint64_t RendezvousScore(std::string_view key, std::string_view member) {
   return Hash64(member, Hash64(key));
 }
--- a/modules/peridotmill_core/hashing/hashing.h
+++ b/modules/peridotmill_core/hashing/hashing.h
@@ -2,6 +2,7 @@
 #define PERIDOTMILL_CORE_HASHING_HASHING_H_
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -19,6 +20,10 @@
 // bearer tokens.
 std::string Sha256Hex(std::string_view data);
 
+// Returns the first 64 bits of a SHA-256 over `fields`, each preceded by its
+// length.
+uint64_t SecureHash64(std::initializer_list<std::string_view> fields);
+
 // Returns the score of `member` for `key` under rendezvous hashing. The member
 // with the highest score owns the key.
 // @see Thaler and Ravishankar, "Using name-based mappings to increase hit
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -1165,7 +1165,8 @@
     VT_PARTS = 8,
     VT_AGES_MS = 10,
     VT_SUCCESSES = 12,
-    VT_POSITIONS = 14
+    VT_POSITIONS = 14,
+    VT_ATTEMPT_MS = 16
   };
   const flatbuffers::String *endpoint() const {
     return GetPointer<const flatbuffers::String *>(VT_ENDPOINT);
@@ -1185,6 +1186,9 @@
   const flatbuffers::Vector<uint8_t> *positions() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_POSITIONS);
   }
+  const flatbuffers::Vector<uint32_t> *attempt_ms() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ATTEMPT_MS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENDPOINT) &&
@@ -1198,6 +1202,8 @@
            verifier.VerifyVector(successes()) &&
            VerifyOffset(verifier, VT_POSITIONS) &&
            verifier.VerifyVector(positions()) &&
+           VerifyOffset(verifier, VT_ATTEMPT_MS) &&
+           verifier.VerifyVector(attempt_ms()) &&
            verifier.EndTable();
   }
 };
@@ -1224,6 +1230,9 @@
   void add_positions(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> positions) {
     fbb_.AddOffset(CrashReport::VT_POSITIONS, positions);
   }
+  void add_attempt_ms(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> attempt_ms) {
+    fbb_.AddOffset(CrashReport::VT_ATTEMPT_MS, attempt_ms);
+  }
   explicit CrashReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1242,9 +1251,11 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> ages_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint32_t>> successes = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> positions = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> positions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> attempt_ms = 0) {
   CrashReportBuilder builder_(_fbb);
   builder_.add_started_at_ms(started_at_ms);
+  builder_.add_attempt_ms(attempt_ms);
   builder_.add_positions(positions);
   builder_.add_successes(successes);
   builder_.add_ages_ms(ages_ms);
@@ -1260,12 +1271,14 @@
     const std::vector<uint64_t> *parts = nullptr,
     const std::vector<uint32_t> *ages_ms = nullptr,
     const std::vector<uint32_t> *successes = nullptr,
-    const std::vector<uint8_t> *positions = nullptr) {
+    const std::vector<uint8_t> *positions = nullptr,
+    const std::vector<uint32_t> *attempt_ms = nullptr) {
   auto endpoint__ = endpoint ? _fbb.CreateString(endpoint) : 0;
   auto parts__ = parts ? _fbb.CreateVector<uint64_t>(*parts) : 0;
   auto ages_ms__ = ages_ms ? _fbb.CreateVector<uint32_t>(*ages_ms) : 0;
   auto successes__ = successes ? _fbb.CreateVector<uint32_t>(*successes) : 0;
   auto positions__ = positions ? _fbb.CreateVector<uint8_t>(*positions) : 0;
+  auto attempt_ms__ = attempt_ms ? _fbb.CreateVector<uint32_t>(*attempt_ms) : 0;
   return peridotmill::stagewire::CreateCrashReport(
       _fbb,
       endpoint__,
@@ -1273,7 +1286,8 @@
       parts__,
       ages_ms__,
       successes__,
-      positions__);
+      positions__,
+      attempt_ms__);
 }
 
 struct QuarantineReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -99,7 +99,7 @@
   const auto pool = builder.CreateString(prompt.pool.value());
   const auto hash_vector = builder.CreateVector(hashes);
   const auto token_vector = builder.CreateVector(tokens);
-  const auto part_vector = builder.CreateVector(HashValues(prompt.parts));
+  const auto part_vector = builder.CreateVector(HashValues(prompt.suspects));
   return stagewire::CreatePrompt(
       builder, pool, hash_vector, token_vector, prompt.tokens, part_vector,
       prompt.due ? EncodeRelativeTime(*prompt.due, now) : 0);
@@ -119,9 +119,9 @@
   }
   if (wire.part_hashes() != nullptr) {
     const auto count =
-        std::min<size_t>(wire.part_hashes()->size(), kMaxTrackedParts);
+        std::min<size_t>(wire.part_hashes()->size(), kMaxTrackedParts + 1);
     for (size_t i = 0; i < count; ++i) {
-      prompt.parts.emplace_back(
+      prompt.suspects.emplace_back(
           wire.part_hashes()->Get(static_cast<flatbuffers::uoffset_t>(i)));
     }
   }
@@ -139,11 +139,13 @@
   std::vector<uint32_t> ages;
   std::vector<uint32_t> successes;
   std::vector<uint8_t> positions;
+  std::vector<uint32_t> attempt_times;
   for (const Suspect& suspect : crash.suspects) {
     parts.push_back(suspect.id.value());
     ages.push_back(EncodeAge(suspect.at, now));
     successes.push_back(suspect.successes);
     positions.push_back(static_cast<uint8_t>(suspect.position));
+    attempt_times.push_back(EncodeAge(suspect.attempt_started_at, suspect.at));
   }
   const auto endpoint =
       builder.CreateString(crash.incarnation.endpoint.value());
@@ -151,9 +153,10 @@
   const auto age_vector = builder.CreateVector(ages);
   const auto success_vector = builder.CreateVector(successes);
   const auto position_vector = builder.CreateVector(positions);
+  const auto attempt_vector = builder.CreateVector(attempt_times);
   return stagewire::CreateCrashReport(
       builder, endpoint, crash.incarnation.started_at_ms, part_vector,
-      age_vector, success_vector, position_vector);
+      age_vector, success_vector, position_vector, attempt_vector);
 }
 
 flatbuffers::Offset<stagewire::PromptNews> EncodeCrashNews(
@@ -200,10 +203,15 @@
        wire.positions()->size(), kMaxSuspectsPerCrash});
   for (size_t n = 0; n < count; ++n) {
     const auto i = static_cast<flatbuffers::uoffset_t>(n);
-    crash.suspects.push_back({.id = SuspectId(wire.parts()->Get(i)),
-                              .at = now - DecodeDelay(wire.ages_ms()->Get(i)),
-                              .successes = wire.successes()->Get(i),
-                              .position = wire.positions()->Get(i)});
+    Suspect suspect = {.id = SuspectId(wire.parts()->Get(i)),
+                       .at = now - DecodeDelay(wire.ages_ms()->Get(i)),
+                       .successes = wire.successes()->Get(i),
+                       .position = wire.positions()->Get(i)};
+    if (wire.attempt_ms() != nullptr && i < wire.attempt_ms()->size()) {
+      suspect.attempt_started_at =
+          suspect.at - DecodeDelay(wire.attempt_ms()->Get(i));
+    }
+    crash.suspects.push_back(suspect);
   }
   return crash;
 }
--- a/modules/peridotmill_gateway/placement/prompt_demand.h
+++ b/modules/peridotmill_gateway/placement/prompt_demand.h
@@ -26,8 +26,8 @@
   std::vector<SharedPrefix> shared;
   // All tokens of the prompt, shared or not.
   int64_t tokens = 0;
-  // The parts that may be quarantined.
-  std::vector<SuspectId> parts = {};
+  // What may be quarantined of the request.
+  std::vector<SuspectId> suspects = {};
   // When the first event is late, if that is known.
   std::optional<TimePoint> due = std::nullopt;
 };
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.cc
@@ -7,6 +7,9 @@
 namespace peridotmill {
 namespace {
 
+// Times that other nodes have reported as ages vary by this much.
+constexpr Duration kReportedTimeTolerance = std::chrono::milliseconds(2);
+
 bool HasSuspect(const SuspectedCrash& crash, SuspectId id) {
   return std::any_of(crash.suspects.begin(), crash.suspects.end(),
                      [id](const Suspect& suspect) { return suspect.id == id; });
@@ -21,11 +24,20 @@
   return first;
 }
 
-bool IsExplained(const SuspectedCrash& crash,
-                 const std::function<bool(SuspectId)>& explains) {
-  return std::any_of(
-      crash.suspects.begin(), crash.suspects.end(),
-      [&](const Suspect& suspect) { return explains(suspect.id); });
+// What a blamed suspect leaves of a crash for the others.
+enum class Explanation : uint8_t { kNone, kRequest, kPart };
+
+Explanation Explain(const SuspectedCrash& crash,
+                    const std::function<bool(SuspectId)>& explains) {
+  Explanation explanation = Explanation::kNone;
+  for (const Suspect& suspect : crash.suspects) {
+    if (explains(suspect.id)) {
+      explanation =
+          std::max(explanation, IsRequest(suspect) ? Explanation::kRequest
+                                                   : Explanation::kPart);
+    }
+  }
+  return explanation;
 }
 
 void ForgetSuspect(CrashEvidence& evidence, SuspectId id) {
@@ -52,21 +64,48 @@
   });
 }
 
-// What is known against one part.
+// A crash under an attempt.
+struct AttemptCrash {
+  TimePoint at;
+  TimePoint attempt_started_at;
+};
+
+// What is known against one suspect.
 struct Suspicion {
-  std::vector<TimePoint> crashes;
+  std::vector<AttemptCrash> crashes;
+  bool has_unexplained_crash = false;
   uint32_t successes = 0;
   uint32_t position = 0;
 };
 
-int CountIncidents(std::vector<TimePoint> crashes) {
-  std::sort(crashes.begin(), crashes.end());
+void AddToSuspicion(Suspicion& suspicion,
+                    const Suspect& suspect,
+                    TimePoint crashed_at,
+                    Explanation explanation) {
+  if (explanation == Explanation::kPart ||
+      (explanation == Explanation::kRequest && IsRequest(suspect))) {
+    return;
+  }
+  suspicion.crashes.push_back({crashed_at, suspect.attempt_started_at});
+  suspicion.has_unexplained_crash |= explanation == Explanation::kNone;
+  suspicion.successes = std::max(suspicion.successes, suspect.successes);
+  suspicion.position = std::max(suspicion.position, suspect.position);
+}
+
+int CountIncidents(Suspicion suspicion) {
+  if (!suspicion.has_unexplained_crash) {
+    return 0;
+  }
+  std::sort(
+      suspicion.crashes.begin(), suspicion.crashes.end(),
+      [](const AttemptCrash& a, const AttemptCrash& b) { return a.at < b.at; });
   int incidents = 0;
   TimePoint begin;
-  for (const TimePoint crash : crashes) {
-    if (incidents == 0 || crash - begin > kIncidentSpan) {
+  for (const AttemptCrash& crash : suspicion.crashes) {
+    if (incidents == 0 || crash.at - begin > kIncidentSpan ||
+        crash.attempt_started_at >= begin - kReportedTimeTolerance) {
       ++incidents;
-      begin = crash;
+      begin = crash.at;
     }
   }
   return incidents;
@@ -150,16 +189,27 @@
   });
 }
 
+bool IsSuspected(const CrashEvidence& evidence,
+                 RequestFingerprint fingerprint) {
+  const auto first =
+      evidence.crash_counts.lower_bound(LowestIdWith(fingerprint));
+  return first != evidence.crash_counts.end() &&
+         FingerprintOf(first->first) == fingerprint;
+}
+
 int CountIncidents(const CrashEvidence& evidence,
                    SuspectId id,
                    const std::function<bool(SuspectId)>& explains) {
-  std::vector<TimePoint> crashes;
+  Suspicion suspicion;
   for (const SuspectedCrash& crash : evidence.crashes) {
-    if (HasSuspect(crash, id) && !IsExplained(crash, explains)) {
-      crashes.push_back(CrashedAt(crash));
+    for (const Suspect& suspect : crash.suspects) {
+      if (suspect.id == id) {
+        AddToSuspicion(suspicion, suspect, CrashedAt(crash),
+                       Explain(crash, explains));
+      }
     }
   }
-  return CountIncidents(std::move(crashes));
+  return CountIncidents(std::move(suspicion));
 }
 
 std::optional<SuspectId> FindCulprit(
@@ -168,23 +218,25 @@
     const std::function<bool(SuspectId)>& explains) {
   std::unordered_map<SuspectId, Suspicion> suspicions;
   for (const SuspectedCrash& crash : evidence.crashes) {
-    if (CrashedAt(crash) > reported_until || IsExplained(crash, explains)) {
+    if (CrashedAt(crash) > reported_until) {
       continue;
     }
+    const Explanation explanation = Explain(crash, explains);
     for (const Suspect& suspect : crash.suspects) {
-      Suspicion& suspicion = suspicions[suspect.id];
-      suspicion.crashes.push_back(suspect.at);
-      suspicion.successes = std::max(suspicion.successes, suspect.successes);
-      suspicion.position = std::max(suspicion.position, suspect.position);
+      if (!explains(suspect.id)) {
+        AddToSuspicion(suspicions[suspect.id], suspect, suspect.at,
+                       explanation);
+      }
     }
   }
   // A part that many answered prompts have is unlikely to be the culprit, even
-  // if it coincided with more crashes than the culprit. The hash makes all
-  // nodes choose the same one of equal parts.
+  // if it coincided with more crashes than the culprit. A request goes before
+  // the parts of its prompt, and the id makes all nodes choose the same one of
+  // equal suspects.
   std::optional<SuspectId> culprit;
   std::tuple<double, int, uint32_t, uint64_t> best;
   for (const auto& [id, suspicion] : suspicions) {
-    const int incidents = CountIncidents(suspicion.crashes);
+    const int incidents = CountIncidents(suspicion);
     const bool is_established = suspicion.successes >= kEstablishedSuccesses;
     if (incidents <
         (is_established ? kIncidentsToBlameEstablished : kIncidentsToBlame)) {
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -24,17 +25,26 @@
                          const CrashedProcess&) = default;
 };
 
-// A part of a request that was at an endpoint without a response when the
-// endpoint seems to have crashed.
+// Position of a whole request among the suspects of one crash.
+inline constexpr uint32_t kRequestPosition = 255;
+
+// A request that was at an endpoint without a response when the endpoint seems
+// to have crashed, or a part of its prompt.
 struct Suspect {
   SuspectId id;
   TimePoint at;
   // Answers to prompts with this part that the reporting node had seen before.
   uint32_t successes = 0;
-  // Index of the part in its prompt.
+  // Index of the part in its prompt, or kRequestPosition.
   uint32_t position = 0;
+  // When the attempt that broke off had begun; the epoch if it is not known.
+  TimePoint attempt_started_at;
 };
 
+inline bool IsRequest(const Suspect& suspect) {
+  return suspect.position == kRequestPosition;
+}
+
 // A seeming crash, with the parts of all requests that may have caused it.
 struct SuspectedCrash {
   CrashedProcess incarnation;
@@ -53,7 +63,8 @@
 // Time for which a suspicion that no success refutes is kept.
 inline constexpr Duration kEvidenceLifetime = std::chrono::minutes(10);
 // Crashes within this time count as one incident: a failed host or failure
-// domain takes several endpoints at once, whatever they were processing.
+// domain takes several endpoints at once, whatever they were processing. An
+// attempt that began after the first of them is an incident of its own.
 inline constexpr Duration kIncidentSpan = std::chrono::milliseconds(50);
 // Incidents without a success in between after which a part is blamed, and the
 // same for a part with kEstablishedSuccesses before: such a part is more likely
@@ -69,9 +80,9 @@
 // this node knows. All sizes are bounded; the oldest entries are dropped first.
 struct CrashEvidence {
   std::deque<SuspectedCrash> crashes;
-  // Number of crashes of which each part is suspected, so that the successes of
-  // other parts need no search.
-  std::unordered_map<SuspectId, int> crash_counts;
+  // Number of crashes of which each id is suspected, so that the successes of
+  // others need no search.
+  std::map<SuspectId, int> crash_counts;
   // Two generations: when the first is full it replaces the second.
   std::unordered_map<SuspectId, SuspectSuccess> successes;
   std::unordered_map<SuspectId, SuspectSuccess> older_successes;
@@ -92,15 +103,21 @@
 // Drops suspicions that are older than kEvidenceLifetime.
 void ExpireEvidence(CrashEvidence& evidence, TimePoint now);
 
-// Returns the number of incidents of which a part is suspected, except crashes
-// that coincided with a part for which `explains` returns true.
+// Returns whether a request with this fingerprint is suspected of a crash.
+bool IsSuspected(const CrashEvidence& evidence, RequestFingerprint fingerprint);
+
+// Returns the number of incidents that speak against a suspect while those for
+// which `explains` returns true are already blamed: none if all of its crashes
+// coincided with them, and none that coincided with a blamed part. A crash
+// under a blamed request still speaks against the parts of its prompt, since
+// one of them may be what makes several requests crash endpoints.
 int CountIncidents(const CrashEvidence& evidence,
                    SuspectId id,
                    const std::function<bool(SuspectId)>& explains);
 
-// Returns the part that is to blame for the crashes until `reported_until`, or
-// nullopt. Crashes with a part for which `explains` returns true are left out,
-// so that parts which merely share prompts with the culprit are not blamed too.
+// Returns the part or the request that is to blame for the crashes until
+// `reported_until`, or nullopt. Counts incidents as CountIncidents does, so
+// that suspects which merely coincided with a blamed one are not blamed too.
 std::optional<SuspectId> FindCulprit(
     const CrashEvidence& evidence,
     TimePoint reported_until,
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
@@ -32,25 +32,30 @@
 
 void CrashQuarantine::RecordCrash(const RequestId& request,
                                   const CrashedProcess& incarnation,
-                                  const std::vector<SuspectId>& suspects) {
-  if (suspects.empty()) {
-    return;
-  }
+                                  TimePoint attempt_started_at,
+                                  SuspectId id,
+                                  const std::vector<SuspectId>& parts) {
   const TimePoint now = clock_.Now();
   SuspectedCrash crash{.incarnation = incarnation, .suspects = {}};
-  std::string names;
-  for (size_t i = 0; i < suspects.size(); ++i) {
+  crash.suspects.push_back({.id = id,
+                            .at = now,
+                            .position = kRequestPosition,
+                            .attempt_started_at = attempt_started_at});
+  std::string part_names;
+  for (size_t i = 0; i < parts.size(); ++i) {
     crash.suspects.push_back(
-        {.id = suspects[i],
+        {.id = parts[i],
          .at = now,
-         .successes = FindSuccess(evidence_, suspects[i]).count,
-         .position = static_cast<uint32_t>(i)});
-    names += (i == 0 ? "" : ",") + ToString(suspects[i]);
+         .successes = FindSuccess(evidence_, parts[i]).count,
+         .position = static_cast<uint32_t>(i),
+         .attempt_started_at = attempt_started_at});
+    part_names += (i == 0 ? "" : ",") + ToString(parts[i]);
   }
   ++counters_.suspected_crashes;
   events_.Write("crash_suspected", {{"request", request.value()},
                                     {"endpoint", incarnation.endpoint.value()},
-                                    {"suspects", names}});
+                                    {"suspect", ToString(id)},
+                                    {"parts", part_names}});
   AddSuspects(crash, true);
   BlameCulprits();
 }
@@ -90,6 +95,14 @@
   return news;
 }
 
+bool CrashQuarantine::MayConcern(RequestFingerprint fingerprint) const {
+  return IsSuspected(evidence_, fingerprint) ||
+         std::any_of(quarantines_.begin(), quarantines_.end(),
+                     [fingerprint](const QuarantineEntry& entry) {
+                       return FingerprintOf(entry.id) == fingerprint;
+                     });
+}
+
 std::optional<Duration> CrashQuarantine::QuarantineLeft(
     const std::vector<SuspectId>& suspects) const {
   const TimePoint now = clock_.Now();
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.h
@@ -22,8 +22,8 @@
   uint64_t probes = 0;
 };
 
-// Finds parts of prompts that crash the engines which process them, and stops
-// requests with such parts. Nodes exchange what they observe through their
+// Finds requests, and parts of prompts, that crash the endpoints which process
+// them, and stops them. Nodes exchange what they observe through their
 // coordinators, so that all of them come to the same conclusion.
 class CrashQuarantine {
  public:
@@ -43,34 +43,40 @@
   // `callback` gets all that is new, also from other nodes, for the nodes which
   // this one coordinates.
   void set_on_news(NewsCallback callback) { on_news_ = std::move(callback); }
-  // `callback` gets the parts whose quarantine has begun. Never called within
-  // another function of this class.
+  // `callback` gets the suspects whose quarantine has begun. Never called
+  // within another function of this class.
   void set_on_quarantined(SuspectsCallback callback) {
     on_quarantined_ = std::move(callback);
   }
 
-  // Records that an endpoint seems to have crashed while it processed
-  // `request`.
+  // Records that an endpoint seems to have crashed under an attempt of a
+  // request. `id` identifies the whole request, and `parts` the shared parts of
+  // its prompt.
   void RecordCrash(const RequestId& request,
                    const CrashedProcess& incarnation,
-                   const std::vector<SuspectId>& suspects);
-  // Records that an endpoint has answered a prompt.
+                   TimePoint attempt_started_at,
+                   SuspectId id,
+                   const std::vector<SuspectId>& parts);
+  // Records that an endpoint has answered a request with these suspects.
   void RecordSuccess(const std::vector<SuspectId>& suspects);
   // Takes over what another node has reported.
   void Apply(const CrashNews& news);
   // Returns all that this node knows.
   CrashNews Snapshot() const;
 
-  // Returns the time after which a prompt may be tried again, or nullopt if
-  // none of its parts is quarantined or a probe may be due.
+  // Returns whether a request with this fingerprint is suspected or
+  // quarantined, so that it has to be identified.
+  bool MayConcern(RequestFingerprint fingerprint) const;
+  // Returns the time after which a request may be tried again, or nullopt if
+  // none of its suspects is quarantined or a probe may be due.
   std::optional<Duration> QuarantineLeft(
       const std::vector<SuspectId>& suspects) const;
   // Returns the time after which `request` may be tried again, or nullopt if it
-  // may run now; it is then the probe of its parts whose quarantine is over.
+  // may run now; it is then the probe of its suspects whose quarantine is over.
   std::optional<Duration> TryRun(const RequestId& request,
                                  const std::vector<SuspectId>& suspects);
-  // Returns whether a part has coincided with more than one crash, so that a
-  // prompt which may have crashed an endpoint should not be sent to another.
+  // Returns whether a suspect has coincided with more than one crash, so that a
+  // request which may have crashed an endpoint should not be sent to another.
   bool IsRepeatedSuspect(const std::vector<SuspectId>& suspects) const;
 
   const CrashQuarantineCounters& counters() const { return counters_; }
@@ -79,8 +85,8 @@
   // Adds the suspects that are new.
   void AddSuspects(const SuspectedCrash& crash, bool is_observed);
   void Clear(SuspectId id, TimePoint at, bool is_observed);
-  // Quarantines the parts that are to blame for the crashes that all nodes have
-  // had the time to report, and schedules itself for later ones.
+  // Quarantines the suspects that are to blame for the crashes that all nodes
+  // have had the time to report, and schedules itself for later ones.
   void BlameCulprits();
   void BeginQuarantine(SuspectId id, TimePoint crashed_at);
   bool IsQuarantined(SuspectId id) const;
--- a/modules/peridotmill_gateway/quarantine/quarantine_entry.cc
+++ b/modules/peridotmill_gateway/quarantine/quarantine_entry.cc
@@ -14,7 +14,12 @@
 
 void Insert(QuarantineEntries& quarantines, const QuarantineEntry& quarantine) {
   if (quarantines.size() >= kMaxQuarantines) {
-    quarantines.erase(quarantines.begin());
+    // The one that ends first is the most likely one to be over.
+    quarantines.erase(std::min_element(
+        quarantines.begin(), quarantines.end(),
+        [](const QuarantineEntry& a, const QuarantineEntry& b) {
+          return a.until < b.until;
+        }));
   }
   quarantines.push_back(quarantine);
 }
--- a/modules/peridotmill_gateway/quarantine/quarantine_entry.h
+++ b/modules/peridotmill_gateway/quarantine/quarantine_entry.h
@@ -11,7 +11,7 @@
 
 inline constexpr Duration kFirstQuarantine = std::chrono::seconds(10);
 inline constexpr Duration kMaxQuarantine = std::chrono::minutes(10);
-inline constexpr size_t kMaxQuarantines = 64;
+inline constexpr size_t kMaxQuarantines = 256;
 // Time in which a probe has to clear its part or crash its endpoint before
 // another probe is allowed.
 inline constexpr Duration kProbeLimit = std::chrono::seconds(10);
--- a/modules/peridotmill_gateway/quarantine/suspect_id.h
+++ b/modules/peridotmill_gateway/quarantine/suspect_id.h
@@ -12,8 +12,8 @@
 
 namespace peridotmill {
 
-// Identifies the content of a prompt part, wherever the part stands in a
-// prompt.
+// Identifies what may crash endpoints: a part that prompts share, wherever it
+// stands in them, or a whole request that comes again under new ids.
 class SuspectId {
  public:
   SuspectId() = default;
@@ -35,15 +35,32 @@
 // all but the last one, which is specific to the request.
 std::vector<SuspectId> HashSharedParts(const GenerationDemand& generation);
 
-// Returns the hash as hexadecimal digits for the event log.
-std::string ToString(SuspectId part);
+// A cheap hash that is the same for repetitions of a request.
+using RequestFingerprint = uint16_t;
+
+// Returns the fingerprint of a request. Doesn't read its body.
+RequestFingerprint ComputeFingerprint(const TeamId& team,
+                                      const CallerRequest& request);
+
+// Identifies a whole request by its team, host, method, target and body. Costs
+// a SHA-256 of the body, so that no caller can make a request that is taken for
+// another one's. The highest bits are the fingerprint.
+SuspectId IdentifyRequest(const TeamId& team, const CallerRequest& request);
+
+// Returns the lowest id of a request with this fingerprint, and the fingerprint
+// of a request's id.
+SuspectId LowestIdWith(RequestFingerprint fingerprint);
+RequestFingerprint FingerprintOf(SuspectId request);
+
+// Returns the id as hexadecimal digits.
+std::string ToString(SuspectId id);
 
 }  // namespace peridotmill
 
 template <>
 struct std::hash<peridotmill::SuspectId> {
-  size_t operator()(peridotmill::SuspectId part) const noexcept {
-    return part.value();
+  size_t operator()(peridotmill::SuspectId id) const noexcept {
+    return id.value();
   }
 };
 
--- a/modules/peridotmill_gateway/requests/gateway.cc
+++ b/modules/peridotmill_gateway/requests/gateway.cc
@@ -23,7 +23,7 @@
     : context_(context), random_(seed) {
   if (context_.quarantine != nullptr) {
     context_.quarantine->set_on_quarantined(
-        [this](const auto& parts) { EndQuarantinedRequests(parts); });
+        [this](const auto& suspects) { EndQuarantinedRequests(suspects); });
   }
 }
 
@@ -106,7 +106,8 @@
   }
 }
 
-void Gateway::EndQuarantinedRequests(const std::vector<SuspectId>& parts) {
+void Gateway::EndQuarantinedRequests(
+    const std::vector<SuspectId>& quarantined) {
   // Requests that end are removed from the map.
   std::vector<GatewayRequest*> open_requests;
   open_requests.reserve(requests_.size());
@@ -114,7 +115,7 @@
     open_requests.push_back(key);
   }
   for (GatewayRequest* const request : open_requests) {
-    request->OnPartsQuarantined(parts);
+    request->OnQuarantined(quarantined);
   }
 }
 
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -119,8 +119,8 @@
             ResponseWriter& channel,
             int status,
             Reason reason);
-  // Ends the requests that wait with one of these parts in their prompts.
-  void EndQuarantinedRequests(const std::vector<SuspectId>& parts);
+  // Ends the requests that wait and are among these suspects or contain one.
+  void EndQuarantinedRequests(const std::vector<SuspectId>& quarantined);
   // Returns one of the route's pools, drawn at random by weight.
   PoolId ChoosePool(const RouteDefinition& route);
   std::vector<GatewayRequest*> OpenRequests() const;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -78,9 +78,9 @@
 // the load balancer had removed the node.
 constexpr double kCompletionQuantile = 0.9;
 constexpr double kStrictCompletionQuantile = 0.99;
-// A stream with this many events shows that the engine does not crash on its
-// prompt. The first event may still leave an engine that crashes.
-constexpr uint64_t kEventsThatClearPrompt = 2;
+// A stream with this many events shows that the engine does not crash on the
+// request. The first event may still leave an engine that crashes.
+constexpr uint64_t kEventsThatClearRequest = 2;
 
 // Returns whether callers take a response with this status as a promise that
 // their request has not run and never will.
@@ -117,8 +117,12 @@
   if (route_->is_resumable && request_.resume_after_event) {
     event_splitter_.set_last_event_id(*request_.resume_after_event);
   }
-  if (request_.generation && context_.quarantine != nullptr) {
-    prompt_parts_ = HashSharedParts(*request_.generation);
+  if (context_.quarantine != nullptr) {
+    fingerprint_ = ComputeFingerprint(team_, request_);
+    if (request_.generation) {
+      prompt_parts_ = HashSharedParts(*request_.generation);
+      suspects_ = prompt_parts_;
+    }
   }
 }
 
@@ -164,7 +168,7 @@
   deadline_timer_ = context_.timers.After(deadline_ - accepted_at_,
                                           [this] { OnDeadlineExpired(); });
   if (context_.quarantine != nullptr) {
-    if (const auto left = context_.quarantine->QuarantineLeft(prompt_parts_)) {
+    if (const auto left = context_.quarantine->QuarantineLeft(Suspects())) {
       Fail(Reason::kRequestQuarantined, *left);
       return;
     }
@@ -269,11 +273,11 @@
   placement_task_ = context_.stage_worker.Submit(std::move(task), this);
 }
 
-PromptDemand GatewayRequest::MakePromptDemand() const {
+PromptDemand GatewayRequest::MakePromptDemand() {
   return {.pool = pool_,
           .shared = ComputeSharedPrefixes(*request_.generation),
           .tokens = request_.generation->prompt_tokens,
-          .parts = prompt_parts_,
+          .suspects = Suspects(),
           .due = accepted_at_ + route_->target_latency};
 }
 
@@ -328,7 +332,7 @@
          later_stages * kReservedStageTime;
 }
 
-StageTask GatewayRequest::MakeStageTask(size_t stage) const {
+StageTask GatewayRequest::MakeStageTask(size_t stage) {
   const StageDefinition& definition = route_->stages[stage];
   StageTask task;
   task.request = request_.id;
@@ -683,7 +687,7 @@
 void GatewayRequest::ForwardStreamBytes(std::string_view bytes) {
   const uint64_t events_before = event_splitter_.event_count();
   const std::string complete_events = event_splitter_.Add(bytes);
-  RecordPromptProgress(events_before);
+  RecordProgress(events_before);
   CountBufferedBytes();
   if (event_splitter_.bytes_since_event() > BufferLimit(kMaxEventBytes)) {
     HandleFailedAttempt(AttemptOutcome::kOutcomeUnknown, Reason::kStreamBroken);
@@ -730,7 +734,7 @@
 
 void GatewayRequest::OnResponseEnd(HttpCallEnd end) {
   progress_timer_.reset();
-  RecordPromptOutcome(end);
+  RecordAttemptEnd(end);
   if (end == HttpCallEnd::kNotSent) {
     HandleFailedAttempt(AttemptOutcome::kNotSent, Reason::kConnectFailed);
     return;
@@ -846,8 +850,7 @@
   if (outcome == AttemptOutcome::kNotSent) {
     return true;
   }
-  if (is_crash_suspect_ &&
-      context_.quarantine->IsRepeatedSuspect(prompt_parts_)) {
+  if (is_crash_suspect_ && context_.quarantine->IsRepeatedSuspect(Suspects())) {
     gateway_->reasons_.Add(Reason::kRequestSuspected);
     return false;
   }
@@ -918,26 +921,43 @@
                           gateway_->random_.Unit());
 }
 
+const std::vector<SuspectId>& GatewayRequest::Suspects() {
+  if (!id_ && context_.quarantine != nullptr &&
+      context_.quarantine->MayConcern(fingerprint_)) {
+    Identify();
+  }
+  return suspects_;
+}
+
+SuspectId GatewayRequest::Identify() {
+  if (!id_) {
+    id_ = IdentifyRequest(team_, request_);
+    suspects_.push_back(*id_);
+  }
+  return *id_;
+}
+
 bool GatewayRequest::FailIfQuarantined() {
-  if (prompt_parts_.empty()) {
+  if (context_.quarantine == nullptr) {
     return false;
   }
-  const auto retry_after =
-      context_.quarantine->TryRun(request_.id, prompt_parts_);
+  const auto retry_after = context_.quarantine->TryRun(request_.id, Suspects());
   if (retry_after) {
     Fail(Reason::kRequestQuarantined, *retry_after);
   }
   return retry_after.has_value();
 }
 
-void GatewayRequest::OnPartsQuarantined(const std::vector<SuspectId>& parts) {
-  const bool is_affected =
-      std::find_first_of(prompt_parts_.begin(), prompt_parts_.end(),
-                         parts.begin(), parts.end()) != prompt_parts_.end();
-  if (is_ended_ || !is_affected) {
+void GatewayRequest::OnQuarantined(const std::vector<SuspectId>& quarantined) {
+  if (is_ended_) {
+    return;
+  }
+  const std::vector<SuspectId>& own = Suspects();
+  if (std::find_first_of(own.begin(), own.end(), quarantined.begin(),
+                         quarantined.end()) == own.end()) {
     return;
   }
-  const auto left = context_.quarantine->QuarantineLeft(prompt_parts_);
+  const auto left = context_.quarantine->QuarantineLeft(own);
   if (!left) {
     // Another node has reported a quarantine that is over.
     return;
@@ -951,16 +971,16 @@
   Fail(Reason::kRequestQuarantined, *left);
 }
 
-void GatewayRequest::RecordPromptProgress(uint64_t events_before) {
+void GatewayRequest::RecordProgress(uint64_t events_before) {
   const uint64_t before = events_before - events_before_attempt_;
-  if (!prompt_parts_.empty() && before < kEventsThatClearPrompt &&
-      AttemptEventCount() >= kEventsThatClearPrompt) {
-    context_.quarantine->RecordSuccess(prompt_parts_);
+  if (context_.quarantine != nullptr && before < kEventsThatClearRequest &&
+      AttemptEventCount() >= kEventsThatClearRequest) {
+    context_.quarantine->RecordSuccess(Suspects());
   }
 }
 
-void GatewayRequest::RecordPromptOutcome(HttpCallEnd end) {
-  if (prompt_parts_.empty() || end == HttpCallEnd::kNotSent) {
+void GatewayRequest::RecordAttemptEnd(HttpCallEnd end) {
+  if (context_.quarantine == nullptr || end == HttpCallEnd::kNotSent) {
     return;
   }
   // A response that ends with its connection looks complete after a crash too.
@@ -970,16 +990,16 @@
   if (end == HttpCallEnd::kComplete && !is_cut_stream) {
     if (response_head_.status < kFirstNonSuccess &&
         response_head_.is_authentic) {
-      context_.quarantine->RecordSuccess(prompt_parts_);
+      context_.quarantine->RecordSuccess(Suspects());
     }
     return;
   }
-  if (AttemptEventCount() < kEventsThatClearPrompt) {
+  if (AttemptEventCount() < kEventsThatClearRequest) {
     is_crash_suspect_ = true;
     context_.quarantine->RecordCrash(
         request_.id,
         {endpoint_->registration.id, endpoint_->registration.started_at_ms},
-        prompt_parts_);
+        attempt_started_at_, Identify(), prompt_parts_);
   }
 }
 
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -46,9 +46,9 @@
   // that is still open when the process exits.
   void LogUnfinished() const;
 
-  // Ends the request if its prompt has one of these parts, unless an engine
-  // has begun to answer it.
-  void OnPartsQuarantined(const std::vector<SuspectId>& parts);
+  // Ends the request if it is one of these suspects or its prompt has one of
+  // them, unless an endpoint has begun to answer it.
+  void OnQuarantined(const std::vector<SuspectId>& quarantined);
 
  private:
   // EndpointCallListener
@@ -65,7 +65,7 @@
   // Starts the first attempt of a request that has no stages to run. Asks the
   // coordinator for an engine first if the request is a generation stream.
   void StartWithoutStages();
-  PromptDemand MakePromptDemand() const;
+  PromptDemand MakePromptDemand();
 
   // Stages.
   bool HasStages() const { return !route_->stages.empty(); }
@@ -82,7 +82,7 @@
   bool IsLateForStop() const;
   // Returns how long the caller waits for the first event.
   Duration CallerTimeout() const;
-  StageTask MakeStageTask(size_t stage) const;
+  StageTask MakeStageTask(size_t stage);
   void SubmitReadyStages();
   // Runs all stages again after some of their results were lost. Returns false
   // if the number of reruns or the retry budget does not allow it.
@@ -174,17 +174,22 @@
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
 
-  // Prompt quarantine.
-  // Refuses the request if a part of its prompt is quarantined, and returns
+  // Quarantine.
+  // Returns the parts of the prompt, and the id of the whole request if it may
+  // be suspected.
+  const std::vector<SuspectId>& Suspects();
+  // Returns the id of the whole request.
+  SuspectId Identify();
+  // Refuses the request if one of its suspects is quarantined, and returns
   // whether it did.
   bool FailIfQuarantined();
   // Returns the number of events that the current attempt has sent.
   uint64_t AttemptEventCount() const {
     return event_splitter_.event_count() - events_before_attempt_;
   }
-  // Tells the quarantine whether the endpoint survived the prompt.
-  void RecordPromptOutcome(HttpCallEnd end);
-  void RecordPromptProgress(uint64_t events_before);
+  // Tells the quarantine whether the endpoint survived the request.
+  void RecordAttemptEnd(HttpCallEnd end);
+  void RecordProgress(uint64_t events_before);
 
   // Ending the request.
   // Sends an error response, or aborts the response if its head has been sent.
@@ -237,8 +242,13 @@
   EndpointResponseHead response_head_;
   bool has_response_head_ = false;
   uint64_t events_before_attempt_ = 0;
-  // Parts of the prompt that may be quarantined.
+  RequestFingerprint fingerprint_ = 0;
+  // Shared parts of the prompt.
   std::vector<SuspectId> prompt_parts_;
+  // Set once the whole request has been identified.
+  std::optional<SuspectId> id_;
+  // The parts, and the whole request once it has been identified.
+  std::vector<SuspectId> suspects_;
   // The request may have crashed an endpoint.
   bool is_crash_suspect_ = false;
   std::string response_body_;
--- a/modules/peridotmill_gateway/requests/stream_takeover.cc
+++ b/modules/peridotmill_gateway/requests/stream_takeover.cc
@@ -68,9 +68,8 @@
 void GatewayRequest::TakeOver() {
   is_preparing_takeover_ = false;
   if (call_ != nullptr) {
-    const bool is_quarantined =
-        context_.quarantine != nullptr &&
-        context_.quarantine->QuarantineLeft(prompt_parts_);
+    const bool is_quarantined = context_.quarantine != nullptr &&
+                                context_.quarantine->QuarantineLeft(Suspects());
     if (gateway_->stop_) {
       CancelTakeover("stopping");
       return;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -158,7 +158,7 @@
   }
   if (entry.task.prompt && dependencies_.quarantine != nullptr) {
     const auto retry_after = dependencies_.quarantine->TryRun(
-        entry.task.request, entry.task.prompt->parts);
+        entry.task.request, entry.task.prompt->suspects);
     if (retry_after) {
       entry.end_timer =
           dependencies_.timers.After(Duration::zero(), [this, id, retry_after] {
--- a/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
@@ -65,7 +65,7 @@
     task.due = clock.Now() + 1s;
     task.deadline = clock.Now() + 5s;
     task.prompt = PromptDemand{
-        .pool = PoolId("engines"), .shared = {{7, 1}}, .parts = parts};
+        .pool = PoolId("engines"), .shared = {{7, 1}}, .suspects = parts};
     handles.push_back(relay.Submit(std::move(task), this));
   }
   void OnStageTaskEnd(size_t, StageTaskResult result) override {
@@ -127,7 +127,7 @@
   void Crash(size_t node) {
     nodes_[node]->quarantine.RecordCrash(
         RequestId("c"), {EndpointId("e" + std::to_string(++crash_count_)), 1},
-        {kCommon, kDeadly});
+        clock_.Now(), SuspectId(1000 + crash_count_), {kCommon, kDeadly});
     timers_.Advance(300ms);
   }
   // Returns the index of a node that does not coordinate.
--- a/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
@@ -18,6 +18,8 @@
     request.id = RequestId("q" + std::to_string(++sent_request_count_));
     request.host = "host";
     request.path = "/" + route + "/x";
+    request.message.target = request.path;
+    request.message.body = MessageBody("own" + request.id.value());
     request.key = "key-1";
     request.deadline = 8s;
     request.generation = GenerationDemand();
@@ -278,7 +280,7 @@
   task.prompt = PromptDemand{.pool = PoolId("engines"),
                              .shared = ComputeSharedPrefixes(demand),
                              .tokens = 2,
-                             .parts = HashSharedParts(demand)};
+                             .suspects = HashSharedParts(demand)};
   Listener listener;
   const auto handle = coordinator_.Submit(task, &listener);
   timers_.Advance(5ms);
--- a/modules/peridotmill_gateway/tests/gateway_fixture.h
+++ b/modules/peridotmill_gateway/tests/gateway_fixture.h
@@ -112,6 +112,8 @@
     request.id = RequestId("q" + std::to_string(++sent_request_count_));
     request.host = "host";
     request.path = "/" + route + "/x";
+    // No two requests are the same.
+    request.message.target = request.path + "?" + request.id.value();
     request.key = key;
     request.deadline = std::chrono::seconds(8);
     if (route == "staged") {
--- a/modules/peridotmill_gateway/tests/repeated_request_test.cc
+++ b/modules/peridotmill_gateway/tests/repeated_request_test.cc
@@ -61,21 +61,20 @@
     endpoint_caller_.listener(last).OnResponseEnd(HttpCallEnd::kComplete);
     timers_.Advance(5ms);
   }
-  // Sends the request until `count` endpoints have crashed under it.
+  // Sends the request, again and again, until `count` endpoints have crashed
+  // under it one after the other.
   void CrashEndpoints(const std::string& route,
                       const std::string& body,
-                      size_t count) {
-    const size_t end = endpoint_caller_.calls.size() + count;
-    while (endpoint_caller_.calls.size() < end) {
-      const size_t calls = endpoint_caller_.calls.size();
-      SendBody(route, body);
-      ASSERT_GT(endpoint_caller_.calls.size(), calls);
-      CrashLast();
-    }
-    while (!endpoint_caller_.calls.empty() &&
-           endpoint_caller_.calls.back()->is_open) {
-      CrashLast();
+                      int count) {
+    for (int i = 0; i < count; ++i) {
+      if (endpoint_caller_.calls.empty() ||
+          !endpoint_caller_.calls.back()->is_open) {
+        SendBody(route, body);
+      }
+      ASSERT_TRUE(endpoint_caller_.calls.back()->is_open);
+      CrashLast(20ms);
     }
+    timers_.Advance(1s);
   }
   static bool IsRefusal(const FakeCallerChannel& channel) {
     return channel.status() == 503 &&
