Keep quarantines and count probes in the store

A quarantine is now a record in the store. Processes read the records when they start. Coordinators no longer probe: the node of the request does, before its stages.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -126,7 +126,8 @@
       retry_budget_(settings.repeats),
       coordinator_retry_budget_(
           CoordinatorRetryBudgetSettings(settings.repeats)),
-      quarantine_(clock, timers_, log),
+      quarantine_records_({clock, store_, store_retry_queue_, log}),
+      quarantine_(clock, timers_, log, &quarantine_records_),
       coordinator_({clock, timers_, stage_adapter_, endpoint_registry_,
                     coordinator_retry_budget_, log, &quarantine_},
                    ComponentSeed(settings, kCoordinatorSeed)),
@@ -257,6 +258,8 @@
 
 int GatewayProcess::Run() {
   replica_.ReadNodes();
+  quarantine_records_.Load(
+      [this](SuspectId id, int probes) { quarantine_.Restore(id, probes); });
   node_registration_.Start();
   settings_timer_ =
       timers_.After(kSettingsCheckInterval, [this] { CheckSettingsFile(); });
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -118,6 +118,7 @@
   platform::StageAdapter stage_adapter_;
   PoolRetryBudget retry_budget_;
   PoolRetryBudget coordinator_retry_budget_;
+  QuarantineRecords quarantine_records_;
   CrashQuarantine quarantine_;
   StageCoordinator coordinator_;
   NodeDirectory node_directory_;
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -1296,7 +1296,7 @@
     VT_PART = 4,
     VT_SINCE_AGE_MS = 6,
     VT_LEFT_MS = 8,
-    VT_FAILED_PROBES = 10
+    VT_PROBES = 10
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -1307,15 +1307,15 @@
   int32_t left_ms() const {
     return GetField<int32_t>(VT_LEFT_MS, 0);
   }
-  uint8_t failed_probes() const {
-    return GetField<uint8_t>(VT_FAILED_PROBES, 0);
+  uint8_t probes() const {
+    return GetField<uint8_t>(VT_PROBES, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
            VerifyField<uint32_t>(verifier, VT_SINCE_AGE_MS, 4) &&
            VerifyField<int32_t>(verifier, VT_LEFT_MS, 4) &&
-           VerifyField<uint8_t>(verifier, VT_FAILED_PROBES, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PROBES, 1) &&
            verifier.EndTable();
   }
 };
@@ -1333,8 +1333,8 @@
   void add_left_ms(int32_t left_ms) {
     fbb_.AddElement<int32_t>(QuarantineReport::VT_LEFT_MS, left_ms, 0);
   }
-  void add_failed_probes(uint8_t failed_probes) {
-    fbb_.AddElement<uint8_t>(QuarantineReport::VT_FAILED_PROBES, failed_probes, 0);
+  void add_probes(uint8_t probes) {
+    fbb_.AddElement<uint8_t>(QuarantineReport::VT_PROBES, probes, 0);
   }
   explicit QuarantineReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -1352,12 +1352,12 @@
     uint64_t part = 0,
     uint32_t since_age_ms = 0,
     int32_t left_ms = 0,
-    uint8_t failed_probes = 0) {
+    uint8_t probes = 0) {
   QuarantineReportBuilder builder_(_fbb);
   builder_.add_part(part);
   builder_.add_left_ms(left_ms);
   builder_.add_since_age_ms(since_age_ms);
-  builder_.add_failed_probes(failed_probes);
+  builder_.add_probes(probes);
   return builder_.Finish();
 }
 
--- a/modules/peridotmill_gateway/peers/stage_message.cc
+++ b/modules/peridotmill_gateway/peers/stage_message.cc
@@ -13,8 +13,6 @@
 using StringVector =
     flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
 
-constexpr int kMaxReportedFailedProbes = 255;
-
 std::string StringOrEmpty(const flatbuffers::String* text) {
   return text == nullptr ? std::string() : text->str();
 }
@@ -178,8 +176,7 @@
     quarantines.push_back(stagewire::CreateQuarantineReport(
         builder, quarantine.id.value(), EncodeAge(quarantine.since, now),
         EncodeRelativeTime(quarantine.until, now),
-        static_cast<uint8_t>(
-            std::min(quarantine.failed_probes, kMaxReportedFailedProbes))));
+        static_cast<uint8_t>(std::min(quarantine.probes, kMaxProbes))));
   }
   const auto crash_vector = builder.CreateVector(crashes);
   const auto part_vector = builder.CreateVector(cleared_parts);
@@ -247,7 +244,7 @@
            .until = now + std::min<Duration>(
                               std::chrono::milliseconds(report->left_ms()),
                               kMaxQuarantine),
-           .failed_probes = report->failed_probes()});
+           .probes = std::min<int>(report->probes(), kMaxProbes)});
     }
   }
   return news;
--- a/modules/peridotmill_gateway/peridotmill_gateway.h
+++ b/modules/peridotmill_gateway/peridotmill_gateway.h
@@ -21,6 +21,7 @@
 #include "peridotmill_gateway/peers/stage_relay.h"
 #include "peridotmill_gateway/peers/stage_service.h"
 #include "peridotmill_gateway/quarantine/crash_quarantine.h"
+#include "peridotmill_gateway/quarantine/quarantine_records.h"
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/replication/replica_service.h"
 #include "peridotmill_gateway/replication/replica_sources.h"
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -39,6 +39,8 @@
   uint32_t position = 0;
   // When the attempt that broke off had begun; the epoch if it is not known.
   TimePoint attempt_started_at;
+  // This node has observed the crash itself.
+  bool is_observed = false;
 };
 
 inline bool IsRequest(const Suspect& suspect) {
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
@@ -25,8 +25,9 @@
 
 CrashQuarantine::CrashQuarantine(const Clock& clock,
                                  TimerQueue& timers,
-                                 EventSink& events)
-    : clock_(clock), timers_(timers), events_(events) {}
+                                 EventSink& events,
+                                 QuarantineStore* store)
+    : clock_(clock), timers_(timers), events_(events), store_(store) {}
 
 CrashQuarantine::~CrashQuarantine() = default;
 
@@ -40,7 +41,8 @@
   crash.suspects.push_back({.id = id,
                             .at = now,
                             .position = kRequestPosition,
-                            .attempt_started_at = attempt_started_at});
+                            .attempt_started_at = attempt_started_at,
+                            .is_observed = true});
   std::string part_names;
   for (size_t i = 0; i < parts.size(); ++i) {
     crash.suspects.push_back(
@@ -48,7 +50,8 @@
          .at = now,
          .successes = FindSuccess(evidence_, parts[i]).count,
          .position = static_cast<uint32_t>(i),
-         .attempt_started_at = attempt_started_at});
+         .attempt_started_at = attempt_started_at,
+         .is_observed = true});
     part_names += (i == 0 ? "" : ",") + ToString(parts[i]);
   }
   ++counters_.suspected_crashes;
@@ -76,7 +79,7 @@
     if (success > reported.since) {
       observed_.cleared.push_back({reported.id, success});
       ScheduleFlush();
-    } else if (MergeQuarantine(quarantines_, reported)) {
+    } else if (MergeQuarantine(quarantines_, reported, clock_.Now())) {
       received_.quarantines.push_back(reported);
       newly_quarantined_.push_back(reported.id);
       ScheduleFlush();
@@ -116,36 +119,134 @@
                                  : std::nullopt;
 }
 
-std::optional<Duration> CrashQuarantine::TryRun(
+bool CrashQuarantine::IsAnyQuarantined(
+    const std::vector<SuspectId>& suspects) const {
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [this](SuspectId id) { return IsQuarantined(id); });
+}
+
+QuarantineVerdict CrashQuarantine::TryRun(
     const RequestId& request,
     const std::vector<SuspectId>& suspects) {
   if (quarantines_.empty()) {
-    return std::nullopt;
+    return {};
   }
   const TimePoint now = clock_.Now();
   ExpireQuarantines(quarantines_, now);
   Duration left = Duration::zero();
-  std::vector<QuarantineEntry*> probed;
+  bool is_waiting = false;
+  std::vector<QuarantineEntry*> unprobed;
   for (const SuspectId id : suspects) {
-    if (QuarantineEntry* const found = FindQuarantine(quarantines_, id)) {
-      left = std::max(left, TimeUntilProbe(*found, request, now));
-      probed.push_back(found);
+    QuarantineEntry* const found = FindQuarantine(quarantines_, id);
+    if (found == nullptr) {
+      continue;
+    }
+    const bool is_over = now >= found->until;
+    if (is_over && found->probe == request) {
+      continue;
+    }
+    if (found->applicant == request) {
+      is_waiting = true;
+    } else if (is_over && found->is_probe_unused && now < found->probe_until) {
+      found->probe = request;
+      found->is_probe_unused = false;
+    } else if (const Duration wait = TimeUntilProbe(*found, now);
+               wait > Duration::zero() || !found->applicant.empty()) {
+      left = std::max({left, wait, kMinRetryAfter});
+    } else {
+      unprobed.push_back(found);
     }
   }
   if (left > Duration::zero()) {
-    return std::max(left, kMinRetryAfter);
+    return {QuarantineVerdict::Kind::kRefuse, left};
   }
-  for (QuarantineEntry* const quarantine : probed) {
-    if (quarantine->probe == request) {
-      continue;
+  for (QuarantineEntry* const quarantine : unprobed) {
+    ApplyForProbe(*quarantine, request);
+    is_waiting |= !quarantine->applicant.empty();
+  }
+  return {is_waiting ? QuarantineVerdict::Kind::kAwaitProbe
+                     : QuarantineVerdict::Kind::kRun};
+}
+
+void CrashQuarantine::ApplyForProbe(QuarantineEntry& quarantine,
+                                    const RequestId& request) {
+  if (store_ == nullptr) {
+    ++quarantine.probes;
+    BeginProbe(quarantine, request);
+    return;
+  }
+  quarantine.applicant = request;
+  quarantine.is_probe_unused = false;
+  store_->TakeProbe(quarantine.id, quarantine.probes,
+                    [this, id = quarantine.id, request](ProbeGrant grant) {
+                      OnProbeDecided(id, request, grant);
+                    });
+}
+
+void CrashQuarantine::OnProbeDecided(SuspectId id,
+                                     const RequestId& request,
+                                     ProbeGrant grant) {
+  QuarantineEntry* const quarantine = FindQuarantine(quarantines_, id);
+  if (quarantine == nullptr) {
+    return;
+  }
+  quarantine->applicant = RequestId();
+  const bool has_new_probe = grant.probes > quarantine->probes;
+  quarantine->probes = std::max(quarantine->probes, grant.probes);
+  if (grant.is_granted) {
+    const bool has_ended = quarantine->is_probe_unused;
+    BeginProbe(*quarantine, request);
+    if (has_ended) {
+      ReturnProbes(request);
     }
-    quarantine->probe = request;
-    quarantine->probe_until = now + kProbeLimit;
-    ++counters_.probes;
-    events_.Write("suspect_probed", {{"request", request.value()},
-                                     {"suspect", ToString(quarantine->id)}});
+    return;
   }
-  return std::nullopt;
+  quarantine->probe_until =
+      clock_.Now() + (has_new_probe ? kProbeLimit : kMinRetryAfter);
+  events_.Write("probe_denied", {{"request", request.value()},
+                                 {"suspect", ToString(id)},
+                                 {"probes", std::to_string(grant.probes)}});
+}
+
+void CrashQuarantine::BeginProbe(QuarantineEntry& quarantine,
+                                 const RequestId& request) {
+  quarantine.probe = request;
+  quarantine.probe_until = clock_.Now() + kProbeLimit;
+  quarantine.is_probe_unused = false;
+  ++counters_.probes;
+  events_.Write("suspect_probed",
+                {{"request", request.value()},
+                 {"suspect", ToString(quarantine.id)},
+                 {"probes", std::to_string(quarantine.probes)}});
+  observed_.quarantines.push_back(quarantine);
+  ScheduleFlush();
+}
+
+void CrashQuarantine::ReturnProbes(const RequestId& request) {
+  for (QuarantineEntry& quarantine : quarantines_) {
+    if (quarantine.probe == request) {
+      quarantine.probe = RequestId();
+      quarantine.is_probe_unused = true;
+    } else if (quarantine.applicant == request) {
+      quarantine.is_probe_unused = true;
+    }
+  }
+}
+
+void CrashQuarantine::Restore(SuspectId id, int probes) {
+  const TimePoint now = clock_.Now();
+  if (IsQuarantined(id) || FindSuccess(evidence_, id).last_at != TimePoint()) {
+    return;
+  }
+  Quarantine(quarantines_, id, now);
+  QuarantineEntry& quarantine = *FindQuarantine(quarantines_, id);
+  quarantine.probes = probes;
+  // How long ago its last crash was is not known.
+  quarantine.until = now + QuarantineTime(probes);
+  events_.Write("quarantine_restored", {{"suspect", ToString(id)},
+                                        {"probes", std::to_string(probes)}});
+  newly_quarantined_.push_back(id);
+  ScheduleFlush();
 }
 
 bool CrashQuarantine::IsRepeatedSuspect(
@@ -193,6 +294,9 @@
       return entry.id == id;
     });
     is_changed = true;
+    if (is_observed && store_ != nullptr) {
+      store_->Remove(id);
+    }
     ++counters_.cleared;
     events_.Write("suspect_cleared", {{"suspect", ToString(id)}});
   }
@@ -225,11 +329,25 @@
   ++counters_.quarantined;
   events_.Write("suspect_quarantined",
                 {{"suspect", ToString(id)},
-                 {"failed_probes", std::to_string(quarantine.failed_probes)},
+                 {"probes", std::to_string(quarantine.probes)},
                  {"left_ms", std::to_string(static_cast<int64_t>(ToMilliseconds(
                                  quarantine.until - clock_.Now())))}});
   newly_quarantined_.push_back(id);
   ScheduleFlush();
+  if (store_ != nullptr && HasObservedCrash(id)) {
+    store_->Write(id, quarantine.probes);
+  }
+}
+
+bool CrashQuarantine::HasObservedCrash(SuspectId id) const {
+  return std::any_of(evidence_.crashes.begin(), evidence_.crashes.end(),
+                     [id](const SuspectedCrash& crash) {
+                       return std::any_of(
+                           crash.suspects.begin(), crash.suspects.end(),
+                           [id](const Suspect& suspect) {
+                             return suspect.id == id && suspect.is_observed;
+                           });
+                     });
 }
 
 bool CrashQuarantine::IsQuarantined(SuspectId id) const {
@@ -258,6 +376,7 @@
     on_observed_(observed);
   }
   Append(all.crashes, observed.crashes);
+  Append(all.quarantines, observed.quarantines);
   Append(all.cleared, observed.cleared);
   if (on_news_ && !all.empty()) {
     on_news_(all);
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.h
@@ -10,6 +10,7 @@
 #include "peridotmill_core/timers/timer_queue.h"
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/quarantine/crash_news.h"
+#include "peridotmill_gateway/quarantine/quarantine_store.h"
 
 namespace peridotmill {
 
@@ -22,6 +23,19 @@
   uint64_t probes = 0;
 };
 
+// Whether a request may run.
+struct QuarantineVerdict {
+  enum class Kind : uint8_t {
+    kRun,
+    kRefuse,
+    // Ask again in a few milliseconds: the request has applied for a probe.
+    kAwaitProbe,
+  };
+  Kind kind = Kind::kRun;
+  // Time after which a refused request may be tried again.
+  Duration retry_after = Duration::zero();
+};
+
 // Finds requests, and parts of prompts, that crash the endpoints which process
 // them, and stops them. Nodes exchange what they observe through their
 // coordinators, so that all of them come to the same conclusion.
@@ -31,7 +45,12 @@
   using SuspectsCallback =
       std::function<void(const std::vector<SuspectId>& suspects)>;
 
-  CrashQuarantine(const Clock& clock, TimerQueue& timers, EventSink& events);
+  // Without `store`, which may be null, each node counts its own probes and
+  // forgets its quarantines when its process ends.
+  CrashQuarantine(const Clock& clock,
+                  TimerQueue& timers,
+                  EventSink& events,
+                  QuarantineStore* store = nullptr);
   ~CrashQuarantine();
   CrashQuarantine(const CrashQuarantine&) = delete;
   CrashQuarantine& operator=(const CrashQuarantine&) = delete;
@@ -71,10 +90,17 @@
   // none of its suspects is quarantined or a probe may be due.
   std::optional<Duration> QuarantineLeft(
       const std::vector<SuspectId>& suspects) const;
-  // Returns the time after which `request` may be tried again, or nullopt if it
-  // may run now; it is then the probe of its suspects whose quarantine is over.
-  std::optional<Duration> TryRun(const RequestId& request,
-                                 const std::vector<SuspectId>& suspects);
+  // Returns whether any of these suspects is quarantined, or may be probed.
+  bool IsAnyQuarantined(const std::vector<SuspectId>& suspects) const;
+  // Returns whether `request` may run now. If a quarantine is over, it applies
+  // for a probe, and may run once the store has counted that.
+  QuarantineVerdict TryRun(const RequestId& request,
+                           const std::vector<SuspectId>& suspects);
+  // Lets another request of this node take the probes that `request` has or has
+  // applied for, since it ended before it was sent to an endpoint.
+  void ReturnProbes(const RequestId& request);
+  // Takes over a quarantine that was recorded before this process started.
+  void Restore(SuspectId id, int probes);
   // Returns whether a suspect has coincided with more than one crash, so that a
   // request which may have crashed an endpoint should not be sent to another.
   bool IsRepeatedSuspect(const std::vector<SuspectId>& suspects) const;
@@ -90,6 +116,11 @@
   void BlameCulprits();
   void BeginQuarantine(SuspectId id, TimePoint crashed_at);
   bool IsQuarantined(SuspectId id) const;
+  // Returns whether this node has observed a crash of which `id` is suspected.
+  bool HasObservedCrash(SuspectId id) const;
+  void ApplyForProbe(QuarantineEntry& quarantine, const RequestId& request);
+  void OnProbeDecided(SuspectId id, const RequestId& request, ProbeGrant grant);
+  void BeginProbe(QuarantineEntry& quarantine, const RequestId& request);
   // Passes the collected news on, after a delay that limits the number of
   // messages.
   void ScheduleFlush();
@@ -98,6 +129,7 @@
   const Clock& clock_;
   TimerQueue& timers_;
   EventSink& events_;
+  QuarantineStore* store_;
   NewsCallback on_observed_;
   NewsCallback on_news_;
   SuspectsCallback on_quarantined_;
--- a/modules/peridotmill_gateway/quarantine/quarantine_entry.cc
+++ b/modules/peridotmill_gateway/quarantine/quarantine_entry.cc
@@ -39,9 +39,9 @@
   return found == quarantines.end() ? nullptr : &*found;
 }
 
-Duration QuarantineTime(int failed_probes) {
+Duration QuarantineTime(int probes) {
   Duration time = kFirstQuarantine;
-  for (int i = 0; i < failed_probes && time < kMaxQuarantine; ++i) {
+  for (int i = 0; i < probes && time < kMaxQuarantine; ++i) {
     time *= kGrowth;
   }
   return std::min(time, kMaxQuarantine);
@@ -61,17 +61,18 @@
     return;
   }
   if (crashed_at > found->until) {
-    ++found->failed_probes;
     found->probe = RequestId();
     found->probe_until = TimePoint();
+    found->is_probe_unused = false;
   }
   found->since = crashed_at;
   found->until =
-      std::max(found->until, crashed_at + QuarantineTime(found->failed_probes));
+      std::max(found->until, crashed_at + QuarantineTime(found->probes));
 }
 
 bool MergeQuarantine(QuarantineEntries& quarantines,
-                     const QuarantineEntry& reported) {
+                     const QuarantineEntry& reported,
+                     TimePoint now) {
   // Reported times vary by the time that messages take.
   constexpr Duration kTolerance = std::chrono::seconds(1);
   QuarantineEntry* const found = FindQuarantine(quarantines, reported.id);
@@ -79,13 +80,16 @@
     Insert(quarantines, reported);
     return true;
   }
-  const bool is_later = reported.until > found->until + kTolerance ||
-                        reported.failed_probes > found->failed_probes;
+  const bool has_new_probe = reported.probes > found->probes;
+  const bool is_later =
+      reported.until > found->until + kTolerance || has_new_probe;
   if (is_later) {
     found->since = std::max(found->since, reported.since);
     found->until = std::max(found->until, reported.until);
-    found->failed_probes =
-        std::max(found->failed_probes, reported.failed_probes);
+  }
+  if (has_new_probe) {
+    found->probes = reported.probes;
+    found->probe_until = std::max(found->probe_until, now + kProbeLimit);
   }
   return is_later;
 }
@@ -96,16 +100,12 @@
   });
 }
 
-Duration TimeUntilProbe(const QuarantineEntry& quarantine,
-                        const RequestId& request,
-                        TimePoint now) {
-  if (now < quarantine.until) {
-    return quarantine.until - now;
-  }
-  if (now < quarantine.probe_until && quarantine.probe != request) {
-    return quarantine.probe_until - now;
+Duration TimeUntilProbe(const QuarantineEntry& quarantine, TimePoint now) {
+  TimePoint allowed = std::max(quarantine.until, quarantine.probe_until);
+  if (quarantine.probes >= kMaxProbes) {
+    allowed = std::max(allowed, quarantine.until + kMaxQuarantine);
   }
-  return Duration::zero();
+  return std::max(allowed - now, Duration::zero());
 }
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/quarantine/quarantine_entry.h
+++ b/modules/peridotmill_gateway/quarantine/quarantine_entry.h
@@ -12,37 +12,49 @@
 inline constexpr Duration kFirstQuarantine = std::chrono::seconds(10);
 inline constexpr Duration kMaxQuarantine = std::chrono::minutes(10);
 inline constexpr size_t kMaxQuarantines = 256;
-// Time in which a probe has to clear its part or crash its endpoint before
+// Time in which a probe has to clear its suspect or crash its endpoint before
 // another probe is allowed.
 inline constexpr Duration kProbeLimit = std::chrono::seconds(10);
 
-// A part whose requests are refused. When the quarantine is over, one request
-// at a time is let through as a probe until the part has been cleared.
+// Probes of all nodes together after which a suspect is refused until it is
+// forgotten.
+inline constexpr int kMaxProbes = 3;
+
+// A suspect whose requests are refused. When the quarantine is over, one
+// request at a time is let through as a probe until the suspect has been
+// cleared.
 struct QuarantineEntry {
   SuspectId id;
-  // Time of the last crash that is blamed on the part.
+  // Time of the last crash that is blamed on the suspect.
   TimePoint since;
   TimePoint until;
-  // Number of probes that have crashed their endpoints.
-  int failed_probes = 0;
-  // The probe that this node has let through, and until when it is waited for.
+  // Number of probes that all nodes have made.
+  int probes = 0;
+  // The probe that this node has let through; empty if another node may have
+  // let one through.
   RequestId probe;
+  // Until when no other probe is allowed.
   TimePoint probe_until;
+  // The probe of this node ended before it was sent to an endpoint, so that
+  // another request may take its place.
+  bool is_probe_unused = false;
+  // The request for which this node asks for a probe; empty if there is none.
+  RequestId applicant;
 };
 
-// The quarantined parts, oldest first.
+// The quarantined suspects.
 using QuarantineEntries = std::vector<QuarantineEntry>;
 
-// Returns the quarantine of a part, or null.
+// Returns the quarantine of a suspect, or null.
 QuarantineEntry* FindQuarantine(QuarantineEntries& quarantines, SuspectId id);
 const QuarantineEntry* FindQuarantine(const QuarantineEntries& quarantines,
                                       SuspectId id);
 
-// Returns how long a part is quarantined after its last crash.
-Duration QuarantineTime(int failed_probes);
+// Returns how long a suspect is quarantined after its last crash, if there were
+// `probes` probes.
+Duration QuarantineTime(int probes);
 
-// Starts a quarantine, or extends one after another crash. A crash after the
-// end of the quarantine, that is of a probe, makes the next one longer.
+// Starts a quarantine, or extends one after another crash.
 void Quarantine(QuarantineEntries& quarantines,
                 SuspectId id,
                 TimePoint crashed_at);
@@ -50,17 +62,15 @@
 // Inserts a quarantine that another node has reported, or takes over what is
 // later in it. Returns whether anything changed.
 bool MergeQuarantine(QuarantineEntries& quarantines,
-                     const QuarantineEntry& reported);
+                     const QuarantineEntry& reported,
+                     TimePoint now);
 
-// Drops quarantines that have been over for kMaxQuarantine, since no request
-// with the part has come.
+// Drops quarantines that have been over for kMaxQuarantine.
 void ExpireQuarantines(QuarantineEntries& quarantines, TimePoint now);
 
-// Returns the time until a request may be a probe: the rest of the quarantine,
-// or of the wait for another probe. Zero if it may be one now.
-Duration TimeUntilProbe(const QuarantineEntry& quarantine,
-                        const RequestId& request,
-                        TimePoint now);
+// Returns the time until a request may apply for a probe: the rest of the
+// quarantine, or of the wait for another probe. Zero if it may do so now.
+Duration TimeUntilProbe(const QuarantineEntry& quarantine, TimePoint now);
 
 }  // namespace peridotmill
 
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -72,6 +72,8 @@
 // another node grants within milliseconds if there is one.
 constexpr Duration kMaxPermitWait = std::chrono::milliseconds(300);
 constexpr Duration kPermitCheckInterval = std::chrono::milliseconds(20);
+// The store counts a probe within milliseconds.
+constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(10);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
 // another node serves: most if it may not be sent again, or if it came after
@@ -167,15 +169,16 @@
   }
   deadline_timer_ = context_.timers.After(deadline_ - accepted_at_,
                                           [this] { OnDeadlineExpired(); });
-  if (context_.quarantine != nullptr) {
-    if (const auto left = context_.quarantine->QuarantineLeft(Suspects())) {
-      Fail(Reason::kRequestQuarantined, *left);
-      return;
-    }
-  }
   if (gateway_->stop_) {
     LimitDeadline(gateway_->stop_->end);
   }
+  Begin();
+}
+
+void GatewayRequest::Begin() {
+  if (!MayPassQuarantine(&GatewayRequest::Begin)) {
+    return;
+  }
   context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
   context_.endpoints.RecordDemand(pool_, accepted_at_);
   if (AreAllStagesDone(stage_progress_)) {
@@ -484,7 +487,7 @@
 
 void GatewayRequest::StartAttempt() {
   permit_timer_.reset();
-  if (FailIfQuarantined()) {
+  if (!MayPassQuarantine(&GatewayRequest::StartAttempt)) {
     return;
   }
   if (are_results_released_) {
@@ -937,15 +940,25 @@
   return *id_;
 }
 
-bool GatewayRequest::FailIfQuarantined() {
+bool GatewayRequest::MayPassQuarantine(void (GatewayRequest::*next)()) {
+  quarantine_timer_.reset();
   if (context_.quarantine == nullptr) {
-    return false;
+    return true;
   }
-  const auto retry_after = context_.quarantine->TryRun(request_.id, Suspects());
-  if (retry_after) {
-    Fail(Reason::kRequestQuarantined, *retry_after);
+  const QuarantineVerdict verdict =
+      context_.quarantine->TryRun(request_.id, Suspects());
+  switch (verdict.kind) {
+    case QuarantineVerdict::Kind::kRun:
+      return true;
+    case QuarantineVerdict::Kind::kRefuse:
+      Fail(Reason::kRequestQuarantined, verdict.retry_after);
+      return false;
+    case QuarantineVerdict::Kind::kAwaitProbe:
+      quarantine_timer_ = context_.timers.After(
+          kProbeCheckInterval, [this, next] { (this->*next)(); });
+      return false;
   }
-  return retry_after.has_value();
+  return true;
 }
 
 void GatewayRequest::OnQuarantined(const std::vector<SuspectId>& quarantined) {
@@ -1053,6 +1066,8 @@
     waits_for = "permit";
   } else if (resume_timer_ != nullptr) {
     waits_for = "another engine";
+  } else if (quarantine_timer_ != nullptr) {
+    waits_for = "probe";
   } else if (is_awaiting_engine_) {
     waits_for = "engine choice";
   } else {
@@ -1082,11 +1097,16 @@
     return;
   }
   is_ended_ = true;
+  if (context_.quarantine != nullptr && call_ == nullptr &&
+      attempt_history_.IsKnownNotRunYet()) {
+    context_.quarantine->ReturnProbes(request_.id);
+  }
   CountBufferedBytes();
   deadline_timer_.reset();
   progress_timer_.reset();
   permit_timer_.reset();
   resume_timer_.reset();
+  quarantine_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
   placement_task_.reset();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -62,6 +62,8 @@
   void OnDeadlineExpired();
   void OnProgressTimeout();
 
+  // Starts the stages or the first attempt, unless the request is quarantined.
+  void Begin();
   // Starts the first attempt of a request that has no stages to run. Asks the
   // coordinator for an engine first if the request is a generation stream.
   void StartWithoutStages();
@@ -180,9 +182,9 @@
   const std::vector<SuspectId>& Suspects();
   // Returns the id of the whole request.
   SuspectId Identify();
-  // Refuses the request if one of its suspects is quarantined, and returns
-  // whether it did.
-  bool FailIfQuarantined();
+  // Returns whether the request may go on. Otherwise it has been refused, or
+  // `next` is called again while it waits for the decision about a probe.
+  bool MayPassQuarantine(void (GatewayRequest::*next)());
   // Returns the number of events that the current attempt has sent.
   uint64_t AttemptEventCount() const {
     return event_splitter_.event_count() - events_before_attempt_;
@@ -270,6 +272,8 @@
   std::unique_ptr<Timer> progress_timer_;
   // Set while the request waits for a permit.
   std::unique_ptr<Timer> permit_timer_;
+  // Set while the request waits for the decision about a probe.
+  std::unique_ptr<Timer> quarantine_timer_;
   // Set while a stream waits for an engine that goes on with it.
   std::unique_ptr<Timer> resume_timer_;
   // Until when the request may wait for a permit; set when it begins to.
--- a/modules/peridotmill_gateway/requests/stream_takeover.cc
+++ b/modules/peridotmill_gateway/requests/stream_takeover.cc
@@ -68,8 +68,9 @@
 void GatewayRequest::TakeOver() {
   is_preparing_takeover_ = false;
   if (call_ != nullptr) {
-    const bool is_quarantined = context_.quarantine != nullptr &&
-                                context_.quarantine->QuarantineLeft(Suspects());
+    const bool is_quarantined =
+        context_.quarantine != nullptr &&
+        context_.quarantine->IsAnyQuarantined(Suspects());
     if (gateway_->stop_) {
       CancelTakeover("stopping");
       return;
--- a/modules/peridotmill_gateway/stages/stage_coordinator.cc
+++ b/modules/peridotmill_gateway/stages/stage_coordinator.cc
@@ -157,8 +157,8 @@
     return std::make_unique<Handle>(this, id);
   }
   if (entry.task.prompt && dependencies_.quarantine != nullptr) {
-    const auto retry_after = dependencies_.quarantine->TryRun(
-        entry.task.request, entry.task.prompt->suspects);
+    const auto retry_after =
+        dependencies_.quarantine->QuarantineLeft(entry.task.prompt->suspects);
     if (retry_after) {
       entry.end_timer =
           dependencies_.timers.After(Duration::zero(), [this, id, retry_after] {
--- a/modules/peridotmill_gateway/store/store_channel.h
+++ b/modules/peridotmill_gateway/store/store_channel.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,17 @@
   int64_t store_era = 0;
 };
 
+// Response to CompareAndPut.
+struct StoreWrite {
+  // kConflict: the key has another revision, or the lease has expired.
+  StoreCallStatus status = StoreCallStatus::kUnknown;
+  // Position of the write.
+  int64_t revision = 0;
+  bool is_lease_expired = false;
+  // After a conflict: the key's present entry, if it exists.
+  std::optional<StoreEntry> current;
+};
+
 // A call in flight. Destroying the handle cancels the callback.
 class StoreCallHandle {
  public:
@@ -92,6 +104,15 @@
   virtual std::unique_ptr<StoreCallHandle> Put(
       const StorePut& put,
       std::function<void(StoreCallStatus)> callback) = 0;
+  // Writes `put` if the last change of its key has this position; 0 stands for
+  // a key that does not exist.
+  virtual std::unique_ptr<StoreCallHandle> CompareAndPut(
+      const StorePut& put,
+      int64_t expected_revision,
+      std::function<void(StoreWrite)> callback) = 0;
+  virtual std::unique_ptr<StoreCallHandle> Remove(
+      const std::string& key,
+      std::function<void(StoreCallStatus)> callback) = 0;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/fake_store_channel.h
+++ b/modules/peridotmill_gateway/tests/fake_store_channel.h
@@ -62,6 +62,22 @@
     return std::make_unique<StoreCallHandle>();
   }
 
+  std::unique_ptr<StoreCallHandle> CompareAndPut(
+      const StorePut& put,
+      int64_t expected_revision,
+      std::function<void(StoreWrite)> callback) override {
+    puts.push_back(put);
+    expected_revisions.push_back(expected_revision);
+    on_write = std::move(callback);
+    return std::make_unique<StoreCallHandle>();
+  }
+  std::unique_ptr<StoreCallHandle> Remove(
+      const std::string& key,
+      std::function<void(StoreCallStatus)>) override {
+    removed_keys.push_back(key);
+    return std::make_unique<StoreCallHandle>();
+  }
+
   void AnswerRead(std::vector<std::string> keys,
                   int64_t revision,
                   bool has_more = false) {
@@ -87,11 +103,14 @@
   int64_t watched_after_revision = 0;
   std::string last_after_key;
   std::vector<StorePut> puts;
+  std::vector<int64_t> expected_revisions;
+  std::vector<std::string> removed_keys;
   std::function<void(StorePage)> on_page;
   std::function<void(StoreChanges)> on_changes;
   std::function<void(StoreLease)> on_lease;
   std::function<void(StoreLease)> on_renew;
   std::function<void(StoreCallStatus)> on_put;
+  std::function<void(StoreWrite)> on_write;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/tests/memory_store.h
+++ b/modules/peridotmill_gateway/tests/memory_store.h
@@ -241,6 +241,35 @@
       return StoreCallStatus::kOk;
     });
   }
+  std::unique_ptr<StoreCallHandle> CompareAndPut(
+      const StorePut& put,
+      int64_t expected_revision,
+      std::function<void(StoreWrite)> callback) override {
+    return RespondLater<StoreWrite>(std::move(callback), [this, put,
+                                                          expected_revision] {
+      const auto found = store_.entries_.find(put.key);
+      const bool exists = found != store_.entries_.end();
+      StoreWrite write;
+      if (StoreRevisionOf(exists ? found->second.mod_revision : 0) !=
+          StoreRevisionOf(expected_revision)) {
+        write.status = StoreCallStatus::kConflict;
+        write.current = exists ? std::optional(found->second) : std::nullopt;
+        return write;
+      }
+      store_.Write(put.key, put.value);
+      write.status = StoreCallStatus::kOk;
+      write.revision = store_.revision_;
+      return write;
+    });
+  }
+  std::unique_ptr<StoreCallHandle> Remove(
+      const std::string& key,
+      std::function<void(StoreCallStatus)> callback) override {
+    return RespondLater<StoreCallStatus>(std::move(callback), [this, key] {
+      store_.Remove(key);
+      return StoreCallStatus::kOk;
+    });
+  }
 
  private:
   class PendingResponse final : public StoreCallHandle {
