Exchange news about crashes between all nodes

Reports of crashes went only over links that tasks had opened: nodes that serve no streams were in touch with nobody, and what the nodes of one coordinator knew did not reach those of another over links that were open before. Each node now keeps a link to the coordinator of one fixed group of the configuration, and a coordinator passes on to its own coordinators what the nodes it coordinates have told it.

Three fleet tests; with the news link left out all three fail, and with coordinators that pass nothing on the third one does.

--- a/daemons/peridotmill-gateway/gateway_store_entries.cc
+++ b/daemons/peridotmill-gateway/gateway_store_entries.cc
@@ -168,6 +168,7 @@
               {"routes", std::to_string(route_count)}});
   if (is_adopted) {
     coordinator_.SetConfiguration(gateway_.configuration());
+    stage_relay_.JoinNewsGroup(gateway_.configuration()->NewsGroup());
     UpdateWarmUpBounds();
     caller_server_->set_limits(limits);
     // Decoding a large document leaves much freed memory in the heap.
--- a/modules/peridotmill_gateway/configuration/active_configuration.cc
+++ b/modules/peridotmill_gateway/configuration/active_configuration.cc
@@ -56,6 +56,16 @@
   return group == stage_pool_groups_.end() ? pool : group->second;
 }
 
+PoolId ActiveConfiguration::NewsGroup() const {
+  if (stage_pool_groups_.empty()) {
+    return PoolId();
+  }
+  return std::min_element(
+             stage_pool_groups_.begin(), stage_pool_groups_.end(),
+             [](const auto& a, const auto& b) { return a.second < b.second; })
+      ->second;
+}
+
 const RouteDefinition* ActiveConfiguration::FindRoute(
     std::string_view host,
     std::string_view path) const {
--- a/modules/peridotmill_gateway/configuration/active_configuration.h
+++ b/modules/peridotmill_gateway/configuration/active_configuration.h
@@ -30,6 +30,9 @@
   // of one route are in the same group, as are those of routes that have a
   // stage pool in common.
   const PoolId& StagePoolGroup(const PoolId& pool) const;
+  // Returns the group whose coordinator passes on what concerns all nodes, the
+  // same for all of them: the first group of stages, or an empty id.
+  PoolId NewsGroup() const;
 
   const GatewayConfig& config() const { return config_; }
 
--- a/modules/peridotmill_gateway/peers/stage_relay.cc
+++ b/modules/peridotmill_gateway/peers/stage_relay.cc
@@ -13,6 +13,8 @@
 // they run five times slower.
 constexpr Duration kAcceptTimeout = std::chrono::milliseconds(250);
 constexpr Duration kTimeoutCheckInterval = std::chrono::milliseconds(200);
+// A lost link is replaced well within the time in which news has to arrive.
+constexpr Duration kNewsLinkCheckInterval = std::chrono::milliseconds(500);
 // Time for which a node that did not respond gets no further task. The time is
 // doubled with each further failure, at most three times, which is about the
 // duration of a partition.
@@ -154,14 +156,37 @@
     return;
   }
   const NodeId node = entry.coordinator;
+  LinkTo(node, record->peer_address)
+      .Send(SubmitTaskMessage{id, entry.task}, dependencies_.clock.Now());
+  entry.timer = dependencies_.timers.After(
+      kAcceptTimeout, [this, node] { DropLink(node, "not accepted in time"); });
+}
+
+void StageRelay::JoinNewsGroup(PoolId group) {
+  news_group_ = std::move(group);
+  if (news_link_timer_ == nullptr) {
+    KeepNewsLink();
+  }
+}
+
+void StageRelay::KeepNewsLink() {
+  news_link_timer_ = dependencies_.timers.After(kNewsLinkCheckInterval,
+                                                [this] { KeepNewsLink(); });
+  const NodeId node = ChooseCoordinator(*news_group_);
+  const NodeRecord* const record = dependencies_.nodes.Find(node);
+  if (node != dependencies_.self && record != nullptr) {
+    LinkTo(node, record->peer_address);
+  }
+}
+
+StageRelay::Link& StageRelay::LinkTo(const NodeId& node,
+                                     const std::string& address) {
   std::unique_ptr<Link>& link = links_[node];
   if (link == nullptr) {
-    link = std::make_unique<Link>(this, node, record->peer_address);
+    link = std::make_unique<Link>(this, node, address);
     SendCrashNews(*link);
   }
-  link->Send(SubmitTaskMessage{id, entry.task}, dependencies_.clock.Now());
-  entry.timer = dependencies_.timers.After(
-      kAcceptTimeout, [this, node] { DropLink(node, "not accepted in time"); });
+  return *link;
 }
 
 void StageRelay::SendCrashNews(Link& link) {
@@ -191,7 +216,7 @@
     OnEnded(std::move(*ended));
   } else if (const auto* const news = std::get_if<CrashNews>(&*message);
              news != nullptr && dependencies_.quarantine != nullptr) {
-    dependencies_.quarantine->Apply(*news);
+    dependencies_.quarantine->Apply(*news, NewsSource::kCoordinator);
   }
 }
 
--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -53,6 +54,10 @@
   std::unique_ptr<StageTaskHandle> Submit(StageTask task,
                                           StageTaskListener* listener) override;
 
+  // Keeps a link to the coordinator of the configuration's news group from now
+  // on, so that nodes without tasks exchange news about crashes too.
+  void JoinNewsGroup(PoolId group);
+
   // Restarts the timeout of all coordinators after this process was paused,
   // because frames that arrived during the pause have not been read yet.
   void NotePause();
@@ -90,6 +95,11 @@
   // Returns whether `node` is in another failure domain that does not respond,
   // so that a task sent to it would time out.
   bool IsInSuspectedDomain(const NodeId& node, TimePoint now) const;
+  // Opens the link to the coordinator of the news group, and checks again
+  // later whether it is still there.
+  void KeepNewsLink();
+  // Returns the link to a node, opened if necessary.
+  Link& LinkTo(const NodeId& node, const std::string& address);
   // Sends the task to a coordinator, or starts it on this node.
   void Assign(RemoteTaskId id);
   // Sends a new coordinator all that this node knows about parts of prompts
@@ -113,6 +123,8 @@
   std::map<NodeId, Backoff> backoffs_;
   RemoteTaskId next_id_ = 1;
   uint64_t reassigned_task_count_ = 0;
+  std::optional<PoolId> news_group_;
+  std::unique_ptr<Timer> news_link_timer_;
 };
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/peers/stage_service.cc
+++ b/modules/peridotmill_gateway/peers/stage_service.cc
@@ -80,7 +80,7 @@
       tasks_.erase(cancel->id);
     } else if (const auto* const news = std::get_if<CrashNews>(&*message);
                news != nullptr && service_->quarantine_ != nullptr) {
-      service_->quarantine_->Apply(*news);
+      service_->quarantine_->Apply(*news, NewsSource::kCoordinatedNode);
     } else if (const auto* const request =
                    std::get_if<PermitRequest>(&*message);
                request != nullptr && service_->permits_ != nullptr) {
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
@@ -59,20 +59,20 @@
                                     {"endpoint", incarnation.endpoint.value()},
                                     {"suspect", ToString(id)},
                                     {"parts", part_names}});
-  AddSuspects(crash, true);
+  AddSuspects(crash, NewsSource::kOwn);
   BlameCulprits();
 }
 
 void CrashQuarantine::RecordSuccess(const std::vector<SuspectId>& suspects) {
   const TimePoint now = clock_.Now();
   for (const SuspectId id : suspects) {
-    Clear(id, now, true);
+    Clear(id, now, NewsSource::kOwn);
   }
 }
 
-void CrashQuarantine::Apply(const CrashNews& news) {
+void CrashQuarantine::Apply(const CrashNews& news, NewsSource source) {
   for (const SuspectedCrash& crash : news.crashes) {
-    AddSuspects(crash, false);
+    AddSuspects(crash, source);
   }
   for (const QuarantineEntry& reported : news.quarantines) {
     const TimePoint success = FindSuccess(evidence_, reported.id).last_at;
@@ -80,13 +80,13 @@
       observed_.cleared.push_back({reported.id, success});
       ScheduleFlush();
     } else if (MergeQuarantine(quarantines_, reported, clock_.Now())) {
-      received_.quarantines.push_back(reported);
+      Outgoing(source).quarantines.push_back(reported);
       newly_quarantined_.push_back(reported.id);
       ScheduleFlush();
     }
   }
   for (const ClearedSuspect& cleared : news.cleared) {
-    Clear(cleared.id, cleared.at, false);
+    Clear(cleared.id, cleared.at, source);
   }
   BlameCulprits();
 }
@@ -261,11 +261,10 @@
 }
 
 void CrashQuarantine::AddSuspects(const SuspectedCrash& crash,
-                                  bool is_observed) {
+                                  NewsSource source) {
   const std::vector<Suspect> added = AddCrash(evidence_, crash);
   if (!added.empty()) {
-    (is_observed ? observed_ : received_)
-        .crashes.push_back({crash.incarnation, added});
+    Outgoing(source).crashes.push_back({crash.incarnation, added});
     ScheduleFlush();
   }
   for (const Suspect& suspect : added) {
@@ -273,7 +272,7 @@
       BeginQuarantine(suspect.id, suspect.at);
     }
   }
-  if (is_observed) {
+  if (source == NewsSource::kOwn) {
     return;
   }
   // The reporting node may not know of successes that this one has seen.
@@ -286,7 +285,7 @@
   }
 }
 
-void CrashQuarantine::Clear(SuspectId id, TimePoint at, bool is_observed) {
+void CrashQuarantine::Clear(SuspectId id, TimePoint at, NewsSource source) {
   bool is_changed = AddSuccess(evidence_, id, at);
   const QuarantineEntry* const found = FindQuarantine(quarantines_, id);
   if (found != nullptr && found->since < at) {
@@ -294,14 +293,14 @@
       return entry.id == id;
     });
     is_changed = true;
-    if (is_observed && store_ != nullptr) {
+    if (source == NewsSource::kOwn && store_ != nullptr) {
       store_->Remove(id);
     }
     ++counters_.cleared;
     events_.Write("suspect_cleared", {{"suspect", ToString(id)}});
   }
   if (is_changed) {
-    (is_observed ? observed_ : received_).cleared.push_back({id, at});
+    Outgoing(source).cleared.push_back({id, at});
     ScheduleFlush();
   }
 }
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.h
@@ -23,6 +23,10 @@
   uint64_t probes = 0;
 };
 
+// Where a node has its news from. What a coordinator says is not sent back to
+// coordinators.
+enum class NewsSource : uint8_t { kOwn, kCoordinatedNode, kCoordinator };
+
 // Whether a request may run.
 struct QuarantineVerdict {
   enum class Kind : uint8_t {
@@ -55,7 +59,8 @@
   CrashQuarantine(const CrashQuarantine&) = delete;
   CrashQuarantine& operator=(const CrashQuarantine&) = delete;
 
-  // `callback` gets what this node itself has observed, for its coordinators.
+  // `callback` gets what this node has observed, or has been told by the nodes
+  // which it coordinates, for its own coordinators.
   void set_on_observed(NewsCallback callback) {
     on_observed_ = std::move(callback);
   }
@@ -79,7 +84,7 @@
   // Records that an endpoint has answered a request with these suspects.
   void RecordSuccess(const std::vector<SuspectId>& suspects);
   // Takes over what another node has reported.
-  void Apply(const CrashNews& news);
+  void Apply(const CrashNews& news, NewsSource source);
   // Returns all that this node knows.
   CrashNews Snapshot() const;
 
@@ -109,8 +114,12 @@
 
  private:
   // Adds the suspects that are new.
-  void AddSuspects(const SuspectedCrash& crash, bool is_observed);
-  void Clear(SuspectId id, TimePoint at, bool is_observed);
+  void AddSuspects(const SuspectedCrash& crash, NewsSource source);
+  void Clear(SuspectId id, TimePoint at, NewsSource source);
+  // Returns what is to be passed on of news from `source`.
+  CrashNews& Outgoing(NewsSource source) {
+    return source == NewsSource::kCoordinator ? received_ : observed_;
+  }
   // Quarantines the suspects that are to blame for the crashes that all nodes
   // have had the time to report, and schedules itself for later ones.
   void BlameCulprits();
--- a/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
@@ -94,6 +94,13 @@
   static constexpr size_t kNodes = 12;
 
   CrashQuarantineFleetTest() : network_(timers_, clock_) {
+    StartAgain();
+    SubmitAtAll();
+  }
+
+  // Replaces all nodes by ones that know nothing and have no links.
+  void StartAgain() {
+    nodes_.clear();
     std::vector<StoreEntry> records;
     for (size_t i = 0; i < kNodes; ++i) {
       StoreEntry entry;
@@ -113,7 +120,6 @@
         coordinator_index_ = i;
       }
     }
-    SubmitAtAll();
   }
 
   // Each node submits a sound request, which connects it to the coordinator.
@@ -125,8 +131,9 @@
   }
   // An engine crashes under a request of one node.
   void Crash(size_t node) {
+    ++crash_count_;
     nodes_[node]->quarantine.RecordCrash(
-        RequestId("c"), {EndpointId("e" + std::to_string(++crash_count_)), 1},
+        RequestId("c"), {EndpointId("e" + std::to_string(crash_count_)), 1},
         clock_.Now(), SuspectId(1000 + crash_count_), {kCommon, kDeadly});
     timers_.Advance(300ms);
   }
@@ -189,6 +196,52 @@
   EXPECT_TRUE(nodes_[cut_off]->IsRefused(kDeadly));
 }
 
+// Guards against nodes that serve no streams, and see one crash each.
+TEST_F(CrashQuarantineFleetTest, NodesWithoutTasksHearOfOneAnother) {
+  StartAgain();
+  for (const auto& node : nodes_) {
+    node->relay.JoinNewsGroup(PoolId("scan"));
+  }
+  timers_.Advance(1s);
+  for (size_t i = 0; i < 3; ++i) {
+    Crash(Other(i));
+  }
+  EXPECT_EQ(RefusingNodes(kDeadly), kNodes);
+}
+
+// Guards against a lost coordinator that nodes without tasks do not replace.
+TEST_F(CrashQuarantineFleetTest, NodesWithoutTasksReplaceALostCoordinator) {
+  StartAgain();
+  for (const auto& node : nodes_) {
+    node->relay.JoinNewsGroup(PoolId("scan"));
+  }
+  timers_.Advance(1s);
+  network_.Isolate(AddressOf(coordinator_index_));
+  network_.BreakLinks(AddressOf(coordinator_index_));
+  timers_.Advance(1s);
+  for (size_t i = 0; i < 3; ++i) {
+    Crash(Other(i));
+  }
+  EXPECT_EQ(RefusingNodes(kDeadly), kNodes - 1);
+}
+
+// Guards against evidence that stays with the nodes of one coordinator while
+// another part of the nodes has another one.
+TEST_F(CrashQuarantineFleetTest, EvidenceOfTwoCoordinatorsComesTogether) {
+  StartAgain();
+  const auto order = nodes_[0]->nodes.CoordinatorOrder(
+      PoolId("rank"), NodeId("n0"), RecordOf(0));
+  for (size_t i = 0; i < kNodes; ++i) {
+    const bool is_second_part = i % 2 == 1 && IdOf(i) != order[0];
+    nodes_[i]->relay.JoinNewsGroup(PoolId(is_second_part ? "rank" : "scan"));
+  }
+  timers_.Advance(1s);
+  for (size_t i = 0; i < 3; ++i) {
+    Crash(Other(i));
+  }
+  EXPECT_EQ(RefusingNodes(kDeadly), kNodes);
+}
+
 // Guards against reports that are lost or changed by encoding and decoding.
 TEST(CrashNewsTest, PreservesAllFields) {
   const TimePoint now = TimePoint(1h);
--- a/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
@@ -88,7 +88,7 @@
     news.crashes.push_back(
         {{engine.id, engine.started_at_ms},
          {{HashSharedParts(demand)[0], clock_.Now(), 0, 1}}});
-    quarantine_.Apply(news);
+    quarantine_.Apply(news, NewsSource::kCoordinator);
   }
   bool IsRefusal(const FakeCallerChannel& channel) {
     return channel.status() == 503 &&
@@ -217,7 +217,7 @@
   news.quarantines.push_back({.id = HashSharedParts(demand)[0],
                               .since = clock_.Now() - 12s,
                               .until = clock_.Now() - 2s});
-  quarantine_.Apply(news);
+  quarantine_.Apply(news, NewsSource::kCoordinator);
   timers_.Advance(300ms);
   EXPECT_TRUE(endpoint_caller_.calls[0]->is_open);
   Answer();
--- a/modules/peridotmill_gateway/tests/peer_network.h
+++ b/modules/peridotmill_gateway/tests/peer_network.h
@@ -35,6 +35,19 @@
   }
   void Isolate(const std::string& address) { isolated_nodes_.insert(address); }
   void Reconnect(const std::string& address) { isolated_nodes_.erase(address); }
+  // Ends all links of a node, as the end of its process does.
+  void BreakLinks(const std::string& address) {
+    for (const auto& pair : std::vector(pairs_)) {
+      if (pair->nodes[0] != address && pair->nodes[1] != address) {
+        continue;
+      }
+      for (PeerLinkListener*& end : pair->ends) {
+        if (auto* const listener = std::exchange(end, nullptr)) {
+          listener->OnLinkLost();
+        }
+      }
+    }
+  }
   // Limits what a node sends and what it receives, over all its links. Frames
   // of nodes without a limit take no time to send.
   void SetBandwidth(const std::string& address, double bytes_per_second) {
