Show that streams are joined from two software versions

Callers got streams whose first part came from one software version and whose rest came from another one: neither the version of a registration nor the Resumes header was read. Decodes both and logs them with each attempt, so that the log tells the hypotheses of the incident apart; routing is unchanged.

--- a/modules/peridotmill_gateway/calls/caller_request.h
+++ b/modules/peridotmill_gateway/calls/caller_request.h
@@ -46,6 +46,9 @@
   std::string stage_input_key;
   // Id of the event after which the caller resumes a stream.
   std::optional<std::string> resume_after_event;
+  // The attempt of the caller that brought the first event of that stream;
+  // empty if the caller names none.
+  RequestId resumed_request;
   // Method, target, body and the headers that are forwarded to the endpoint.
   HttpRequest message;
 };
--- a/modules/peridotmill_gateway/registry/endpoint_registration.h
+++ b/modules/peridotmill_gateway/registry/endpoint_registration.h
@@ -17,6 +17,8 @@
   // "ip:port"; may be reused by another endpoint after this one has ended.
   std::string address;
   FailureDomainId failure_domain;
+  // Version of the endpoint's software; empty if it names none.
+  std::string software_version;
   // Requests that the endpoint processes concurrently.
   int slots = 1;
   // Whether the endpoint finishes its current work and accepts no new work.
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -555,6 +555,9 @@
       "attempt",
       {{"request", request_.id.value()},
        {"endpoint", endpoint_->registration.id.value()},
+       {"version", endpoint_->registration.software_version},
+       {"resumes", request_.resumed_request.value()},
+       {"after_event", call.resume_after_event.value_or("")},
        {"load", std::to_string(EstimateLoad(*endpoint_, now))},
        {"report_age_ms", endpoint_->reported_at == TimePoint()
                              ? "none"
