Let streams go on only at the software version that began them

Callers got streams joined from two software versions: a gateway that resumed a stream inside one answer, or took one up for a caller, chose among all engines of the pool. A stream is now bound to the version of its first event. A stream that a caller takes up is looked up by Resumes: among the streams of this process, by the one version that has served for a minute, and in the records that all processes keep in the store while several versions serve. If none of these tells the version, the request is refused as not run, with reasons of its own.

--- a/daemons/peridotmill-gateway/gateway_process.cc
+++ b/daemons/peridotmill-gateway/gateway_process.cc
@@ -56,6 +56,13 @@
   return Hash64(settings.node.value(), component);
 }
 
+// Returns a name that no earlier process of the node has had.
+std::string MakeProcessName(const GatewaySettings& settings,
+                            const Clock& clock) {
+  return settings.node.value() + "/" +
+         std::to_string(clock.Now().time_since_epoch().count());
+}
+
 NodeRecord MakeNodeRecord(const GatewaySettings& settings) {
   return {.peer_address = settings.peer_address,
           .failure_domain = settings.failure_domain,
@@ -153,9 +160,14 @@
           {.on_store_response = [this] { replica_sources_.OnStoreResponded(); },
            .on_store_contact_lost = [this] { OnStoreUnresponsive(); },
            .is_watching = [this] { return replica_.is_watching(); }}),
+      stream_versions_({clock, timers_, store_, endpoint_registry_, log,
+                        MakeProcessName(settings, clock),
+                        [this] { return AreRegistrationsCurrent(); },
+                        [this] { return node_directory_.size(); }}),
       gateway_({clock, timers_, endpoint_adapter_, stage_adapter_, stage_relay_,
                 endpoint_registry_, retry_budget_, log, settings.failure_domain,
-                &quarantine_, [this] { return IsConfigurationOutdated(); },
+                &quarantine_, &stream_versions_,
+                [this] { return IsConfigurationOutdated(); },
                 BufferedResponseLimit(settings.memory_bytes)},
                ComponentSeed(settings, kGatewaySeed)),
       evacuations_(endpoint_registry_, clock, log),
--- a/daemons/peridotmill-gateway/gateway_process.h
+++ b/daemons/peridotmill-gateway/gateway_process.h
@@ -64,6 +64,8 @@
   // Shares the requests to warming endpoints among the registered nodes.
   void UpdateWarmUpBounds();
   void RecordWarmUp(const EndpointRegistration& registration);
+  // Returns whether the endpoints' registrations are those in the store now.
+  bool AreRegistrationsCurrent() const;
   // Returns whether there is a newer configuration that is not in force yet.
   bool IsConfigurationOutdated() const;
   void OnConfigurationEntry(const StoreEntry& entry);
@@ -128,6 +130,7 @@
   StageService stage_service_;
   PermitClient permit_client_;
   NodeRegistration node_registration_;
+  StreamVersions stream_versions_;
   Gateway gateway_;
   DomainEvacuations evacuations_;
   NodeCount node_count_;
--- a/daemons/peridotmill-gateway/gateway_store_entries.cc
+++ b/daemons/peridotmill-gateway/gateway_store_entries.cc
@@ -18,6 +18,8 @@
 // Nodes whose registrations expired during an outage of the store register
 // again within this time after it.
 constexpr Duration kNodeReregistrationTime = std::chrono::seconds(3);
+// Nodes hear at least every two seconds that the store responds.
+constexpr Duration kMaxRegistrationAge = std::chrono::milliseconds(2500);
 // Interval at which the number of nodes is read again until it is known.
 constexpr Duration kNodeCountCheckInterval = std::chrono::milliseconds(500);
 
@@ -168,6 +170,7 @@
               {"routes", std::to_string(route_count)}});
   if (is_adopted) {
     coordinator_.SetConfiguration(gateway_.configuration());
+    stream_versions_.SetConfiguration(*gateway_.configuration());
     stage_relay_.JoinNewsGroup(gateway_.configuration()->NewsGroup());
     UpdateWarmUpBounds();
     caller_server_->set_limits(limits);
@@ -215,6 +218,12 @@
                        clock_.Now());
 }
 
+bool GatewayProcess::AreRegistrationsCurrent() const {
+  const auto contact = replica_.last_store_contact();
+  return replica_.is_loaded(ReplicaPart::kRegistrations) && contact &&
+         clock_.Now() - *contact < kMaxRegistrationAge;
+}
+
 bool GatewayProcess::IsConfigurationOutdated() const {
   const bool is_decoding = configuration_timer_ != nullptr;
   return is_decoding || replica_sources_.IsConfigurationOutdated();
--- a/modules/peridotmill_core/reasons/reason.h
+++ b/modules/peridotmill_core/reasons/reason.h
@@ -40,6 +40,8 @@
   kCallerGone,
   kRequestQuarantined,
   kConfigurationOutdated,
+  kStreamVersionUnknown,
+  kStreamVersionGone,
   // Retries.
   kConnectFailed,
   kEndpointRefused,
--- a/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
+++ b/modules/peridotmill_gateway/peers/schema/stage_peer_generated.h
@@ -43,6 +43,9 @@
 struct PermitGrant;
 struct PermitGrantBuilder;
 
+struct StreamRecord;
+struct StreamRecordBuilder;
+
 struct CrashReport;
 struct CrashReportBuilder;
 
@@ -1157,6 +1160,101 @@
       retry_after_ms);
 }
 
+struct StreamRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamRecordBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOLS = 4,
+    VT_VERSIONS = 6,
+    VT_STREAMS = 8,
+    VT_STREAM_VERSIONS = 10
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *pools() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_POOLS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *versions() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_VERSIONS);
+  }
+  const flatbuffers::Vector<uint64_t> *streams() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_STREAMS);
+  }
+  const flatbuffers::Vector<uint8_t> *stream_versions() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_STREAM_VERSIONS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOLS) &&
+           verifier.VerifyVector(pools()) &&
+           verifier.VerifyVectorOfStrings(pools()) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           verifier.VerifyVectorOfStrings(versions()) &&
+           VerifyOffset(verifier, VT_STREAMS) &&
+           verifier.VerifyVector(streams()) &&
+           VerifyOffset(verifier, VT_STREAM_VERSIONS) &&
+           verifier.VerifyVector(stream_versions()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StreamRecordBuilder {
+  typedef StreamRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pools(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pools) {
+    fbb_.AddOffset(StreamRecord::VT_POOLS, pools);
+  }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions) {
+    fbb_.AddOffset(StreamRecord::VT_VERSIONS, versions);
+  }
+  void add_streams(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams) {
+    fbb_.AddOffset(StreamRecord::VT_STREAMS, streams);
+  }
+  void add_stream_versions(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> stream_versions) {
+    fbb_.AddOffset(StreamRecord::VT_STREAM_VERSIONS, stream_versions);
+  }
+  explicit StreamRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> pools = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> versions = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> streams = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> stream_versions = 0) {
+  StreamRecordBuilder builder_(_fbb);
+  builder_.add_stream_versions(stream_versions);
+  builder_.add_streams(streams);
+  builder_.add_versions(versions);
+  builder_.add_pools(pools);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *pools = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *versions = nullptr,
+    const std::vector<uint64_t> *streams = nullptr,
+    const std::vector<uint8_t> *stream_versions = nullptr) {
+  auto pools__ = pools ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*pools) : 0;
+  auto versions__ = versions ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*versions) : 0;
+  auto streams__ = streams ? _fbb.CreateVector<uint64_t>(*streams) : 0;
+  auto stream_versions__ = stream_versions ? _fbb.CreateVector<uint8_t>(*stream_versions) : 0;
+  return peridotmill::stagewire::CreateStreamRecord(
+      _fbb,
+      pools__,
+      versions__,
+      streams__,
+      stream_versions__);
+}
+
 struct CrashReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CrashReportBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
--- a/modules/peridotmill_gateway/requests/gateway.h
+++ b/modules/peridotmill_gateway/requests/gateway.h
@@ -21,6 +21,7 @@
 #include "peridotmill_gateway/registry/endpoint_registry.h"
 #include "peridotmill_gateway/retries/pool_retry_budget.h"
 #include "peridotmill_gateway/stages/stage_task.h"
+#include "peridotmill_gateway/streams/stream_versions.h"
 
 namespace peridotmill {
 
@@ -39,6 +40,8 @@
   FailureDomainId failure_domain;
   // May be null.
   CrashQuarantine* quarantine = nullptr;
+  // May be null.
+  StreamVersions* stream_versions = nullptr;
   // Returns whether this node knows that there is a newer configuration. May be
   // empty.
   std::function<bool()> is_configuration_outdated;
--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include "peridotmill_core/hashing/hashing.h"
@@ -74,6 +75,7 @@
 constexpr Duration kPermitCheckInterval = std::chrono::milliseconds(20);
 // The store counts a probe within milliseconds.
 constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(10);
+constexpr Duration kVersionCheckInterval = std::chrono::milliseconds(10);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
 // another node serves: most if it may not be sent again, or if it came after
@@ -176,7 +178,7 @@
 }
 
 void GatewayRequest::Begin() {
-  if (!MayPassQuarantine(&GatewayRequest::Begin)) {
+  if (!MayPassQuarantine(&GatewayRequest::Begin) || !MayTakeUpStream()) {
     return;
   }
   context_.retry_budget.RecordFirstCall(pool_, accepted_at_);
@@ -320,7 +322,7 @@
 
 void GatewayRequest::ChooseStageDomain() {
   const EndpointPtr likely_engine =
-      ChooseEndpoint(context_.endpoints.Serving(pool_), MakePlacementRequest(),
+      ChooseEndpoint(Candidates(), MakePlacementRequest(),
                      kMaxEngineResponseWait, accepted_at_, gateway_->random_);
   preferred_stage_domain_ = likely_engine == nullptr
                                 ? context_.failure_domain
@@ -474,7 +476,7 @@
 
 EndpointPtr GatewayRequest::TakeSuggestedEngine(TimePoint now) {
   const EndpointId id = std::exchange(suggested_engine_, EndpointId());
-  for (const EndpointPtr& endpoint : context_.endpoints.Serving(pool_)) {
+  for (const EndpointPtr& endpoint : Candidates()) {
     const auto& tried = attempt_history_.tried();
     if (endpoint->registration.id == id &&
         std::find(tried.begin(), tried.end(), id) == tried.end() &&
@@ -505,7 +507,7 @@
   endpoint_ = TakeSuggestedEngine(now);
   if (endpoint_ == nullptr) {
     endpoint_ = ChooseEndpoint(
-        context_.endpoints.Serving(pool_), MakePlacementRequest(),
+        Candidates(), MakePlacementRequest(),
         IsStream() ? kMaxEngineResponseWait : kMaxServiceResponseWait, now,
         gateway_->random_);
   }
@@ -544,6 +546,7 @@
   }
   is_paused_ = false;
   attempt_started_at_ = now;
+  attempt_version_ = endpoint_->registration.software_version;
   events_before_attempt_ = event_splitter_.event_count();
   if (context_.endpoints.HasWarmingEndpoints(pool_, now) &&
       !IsWarmingUp(endpoint_->warm_up, now)) {
@@ -569,7 +572,7 @@
 bool GatewayRequest::WaitForPermit() {
   const TimePoint now = context_.clock.Now();
   context_.endpoints.RecordDemand(pool_, now);
-  if (!AwaitsPermit(context_.endpoints.Serving(pool_), now)) {
+  if (!AwaitsPermit(Candidates(), now)) {
     return false;
   }
   if (!permit_wait_end_) {
@@ -603,9 +606,8 @@
 bool GatewayRequest::CanTakeOver(const AttemptHistory& history) const {
   PlacementRequest placement;
   placement.tried = history.tried();
-  return ChooseEndpoint(context_.endpoints.Serving(pool_), placement,
-                        kMaxServiceResponseWait, context_.clock.Now(),
-                        gateway_->random_) != nullptr;
+  return ChooseEndpoint(Candidates(), placement, kMaxServiceResponseWait,
+                        context_.clock.Now(), gateway_->random_) != nullptr;
 }
 
 void GatewayRequest::OnResponseHead(const EndpointResponseHead& head) {
@@ -711,6 +713,7 @@
                                    uint64_t events_before) {
   if (!is_response_head_sent_) {
     first_event_at_ = context_.clock.Now();
+    BindStreamVersion();
     RecordFirstEventTime(gateway_->first_event_times_, route_->name,
                          first_event_at_ - attempt_started_at_);
     SendResponseHead(std::nullopt);
@@ -728,6 +731,16 @@
   PauseResponseIfCallerIsSlow();
 }
 
+void GatewayRequest::BindStreamVersion() {
+  if (stream_version_ || !route_->is_resumable) {
+    return;
+  }
+  stream_version_ = attempt_version_;
+  if (context_.stream_versions != nullptr) {
+    context_.stream_versions->Bind(pool_, team_, request_.id, attempt_version_);
+  }
+}
+
 void GatewayRequest::SendResponseHead(std::optional<uint64_t> content_length) {
   HttpResponseHead head;
   head.status = response_head_.status;
@@ -835,7 +848,7 @@
 }
 
 bool GatewayRequest::HasUntriedEndpoint(const AttemptHistory& history) const {
-  const auto& serving = context_.endpoints.Serving(pool_);
+  const auto& serving = Candidates();
   const TimePoint now = context_.clock.Now();
   return std::any_of(
       serving.begin(), serving.end(), [&](const EndpointPtr& endpoint) {
@@ -912,8 +925,7 @@
 }
 
 std::optional<TimePoint> GatewayRequest::PoolHoldOffEnd() const {
-  return FindHoldOffEnd(context_.endpoints.Serving(pool_),
-                        context_.clock.Now());
+  return FindHoldOffEnd(Candidates(), context_.clock.Now());
 }
 
 Duration GatewayRequest::EndpointRetryAfter() {
@@ -943,6 +955,51 @@
   return *id_;
 }
 
+bool GatewayRequest::MayTakeUpStream() {
+  const bool is_taken_up = route_->is_resumable &&
+                           request_.resume_after_event &&
+                           !request_.resume_after_event->empty();
+  if (!is_taken_up || stream_version_ || context_.stream_versions == nullptr) {
+    return true;
+  }
+  version_timer_.reset();
+  const StreamVersionVerdict verdict = context_.stream_versions->Find(
+      pool_, team_, request_.resumed_request, accepted_at_);
+  switch (verdict.kind) {
+    case StreamVersionVerdict::Kind::kKnown:
+      stream_version_ = verdict.version;
+      context_.stream_versions->Bind(pool_, team_, request_.resumed_request,
+                                     verdict.version);
+      if (Candidates().empty()) {
+        Fail(Reason::kStreamVersionGone, kDefaultRetryAfter);
+        return false;
+      }
+      return true;
+    case StreamVersionVerdict::Kind::kUnknown:
+      Fail(Reason::kStreamVersionUnknown, kDefaultRetryAfter);
+      return false;
+    case StreamVersionVerdict::Kind::kWait:
+      version_timer_ =
+          context_.timers.After(kVersionCheckInterval, [this] { Begin(); });
+      return false;
+  }
+  return true;
+}
+
+const std::vector<EndpointPtr>& GatewayRequest::Candidates() const {
+  const std::vector<EndpointPtr>& serving = context_.endpoints.Serving(pool_);
+  if (!stream_version_) {
+    return serving;
+  }
+  candidates_.clear();
+  std::copy_if(serving.begin(), serving.end(), std::back_inserter(candidates_),
+               [this](const EndpointPtr& endpoint) {
+                 return endpoint->registration.software_version ==
+                        *stream_version_;
+               });
+  return candidates_;
+}
+
 bool GatewayRequest::MayPassQuarantine(void (GatewayRequest::*next)()) {
   quarantine_timer_.reset();
   if (context_.quarantine == nullptr) {
@@ -1071,6 +1128,8 @@
     waits_for = "another engine";
   } else if (quarantine_timer_ != nullptr) {
     waits_for = "probe";
+  } else if (version_timer_ != nullptr) {
+    waits_for = "stream version";
   } else if (is_awaiting_engine_) {
     waits_for = "engine choice";
   } else {
@@ -1110,6 +1169,7 @@
   permit_timer_.reset();
   resume_timer_.reset();
   quarantine_timer_.reset();
+  version_timer_.reset();
   call_.reset();
   stage_tasks_.clear();
   placement_task_.reset();
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -99,6 +99,15 @@
 
   // Attempts.
   void StartAttempt();
+  // Returns the endpoints that may serve the request: those of its pool, or of
+  // the software version that has begun its stream. Valid until the next call.
+  const std::vector<EndpointPtr>& Candidates() const;
+  // Returns whether the request begins no stream that another attempt of the
+  // caller has begun, or the version of that is known. Otherwise it has been
+  // refused, or Begin is called again.
+  bool MayTakeUpStream();
+  // Lets the stream go on only at the version of the present attempt.
+  void BindStreamVersion();
   // Waits for a permit if all endpoints of the pool have limits and a permit
   // can be expected soon. Returns whether it does.
   bool WaitForPermit();
@@ -272,6 +281,13 @@
   std::unique_ptr<Timer> progress_timer_;
   // Set while the request waits for a permit.
   std::unique_ptr<Timer> permit_timer_;
+  // The software version that has begun the stream, once it is known.
+  std::optional<std::string> stream_version_;
+  std::string attempt_version_;
+  // What Candidates returns if the version is known.
+  mutable std::vector<EndpointPtr> candidates_;
+  // Set while the request waits for the version that began its stream.
+  std::unique_ptr<Timer> version_timer_;
   // Set while the request waits for the decision about a probe.
   std::unique_ptr<Timer> quarantine_timer_;
   // Set while a stream waits for an engine that goes on with it.
--- a/modules/peridotmill_gateway/tests/gateway_fixture.h
+++ b/modules/peridotmill_gateway/tests/gateway_fixture.h
@@ -11,6 +11,7 @@
 #include "peridotmill_gateway/tests/fake_endpoint_caller.h"
 #include "peridotmill_gateway/tests/fake_stage_caller.h"
 #include "peridotmill_gateway/tests/manual_timer_queue.h"
+#include "peridotmill_gateway/tests/memory_store.h"
 #include "peridotmill_gateway/tests/recording_events.h"
 
 namespace peridotmill {
@@ -37,17 +38,22 @@
       : timers_(clock_),
         retry_budget_({.ratio = 0.2, .node_allowance = 4}),
         quarantine_(clock_, timers_, events_),
+        memory_store_(timers_),
+        store_(memory_store_, timers_, "n"),
+        stream_versions_({clock_, timers_, store_, endpoints_, events_, "n-1",
+                          [] { return true; }, [] { return size_t{1}; }}),
         coordinator_({clock_, timers_, stage_caller_, endpoints_, retry_budget_,
                       events_, &quarantine_},
                      1),
-        gateway_(
-            {clock_, timers_, endpoint_caller_, stage_caller_, coordinator_,
-             endpoints_, retry_budget_, events_, FailureDomainId("valley"),
-             &quarantine_, [this] { return is_configuration_outdated_; }},
-            2) {
+        gateway_({clock_, timers_, endpoint_caller_, stage_caller_,
+                  coordinator_, endpoints_, retry_budget_, events_,
+                  FailureDomainId("valley"), &quarantine_, &stream_versions_,
+                  [this] { return is_configuration_outdated_; }},
+                 2) {
     auto active = std::make_shared<const ActiveConfiguration>(MakeConfig(1));
     gateway_.SetConfiguration(active);
     coordinator_.SetConfiguration(active);
+    stream_versions_.SetConfiguration(*active);
     for (const char* const id : {"p1", "p2", "p3"}) {
       endpoints_.Put(MakeRegistration(id, "plain", "valley", 6));
     }
@@ -135,6 +141,9 @@
   EndpointRegistry endpoints_;
   PoolRetryBudget retry_budget_;
   CrashQuarantine quarantine_;
+  MemoryStore memory_store_;
+  MemoryStoreChannel store_;
+  StreamVersions stream_versions_;
   StageCoordinator coordinator_;
   Gateway gateway_;
   int sent_request_count_ = 0;
