Reject responses whose status is none of HTTP

An endpoint in trouble that answered 600 or 999 had its status and body passed on as an answer (000 and 099 already gave 502, since they were taken for interim responses). A status outside 100 to 599 now ends the call as one without a response.

TruncatedResponseTest.AResponseWithAnInvalidStatusIsNoAnswer failed before for 600 and 999 and passes now.

--- a/modules/peridotmill_http/client/http_client_connection.cc
+++ b/modules/peridotmill_http/client/http_client_connection.cc
@@ -18,6 +18,10 @@
 // up or down to whole seconds.
 constexpr Duration kIdleTimeoutMargin = std::chrono::milliseconds(1200);
 
+// Range of the status codes of HTTP (RFC 9110, section 15).
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+
 // A body of at most this size is sent with the head in one system call.
 constexpr size_t kMaxJoinedBodyBytes = 16384;
 
@@ -356,7 +360,10 @@
   auto* const self = ConnectionOf(parser);
   self->FinishHeaderField();
   parser->upgrade = 0;
-  if (HasUnknownTransferCoding(self->head_.headers)) {
+  // The caller must not get what is no status of HTTP as an answer.
+  const bool is_valid_status =
+      parser->status_code >= kMinStatus && parser->status_code <= kMaxStatus;
+  if (!is_valid_status || HasUnknownTransferCoding(self->head_.headers)) {
     return -1;
   }
   self->head_.status = parser->status_code;
