Report a reset that a write has noticed as no orderly end

The kernel reports a reset of a connection once. If a write got that report, the read that followed saw the end of the connection, which was taken for an orderly one, so that a part of a response without length or chunks looked complete. The socket now remembers the failed write.

Whether a caller of ours ever got such a part is not known: between real sockets only a write in the same turn of the loop as the reset can consume it.

--- a/modules/peridotmill_http/sockets/stream_socket.cc
+++ b/modules/peridotmill_http/sockets/stream_socket.cc
@@ -135,7 +135,8 @@
     return static_cast<size_t>(sent);
   }
   if (errno != EAGAIN && errno != EINTR) {
-    // OnReadable reports the end of the connection.
+    // OnReadable reports the end of the connection, after what had arrived.
+    has_write_failed_ = true;
     return std::nullopt;
   }
   return 0;
@@ -214,7 +215,9 @@
   if (size > 0) {
     self->listener_->OnSocketData({buffer.data(), static_cast<size_t>(size)});
   } else if (size == 0) {
-    self->CloseAndReportEnd(SocketEnd::kOrderly);
+    // The kernel reports a reset once: here, or to the write that failed.
+    self->CloseAndReportEnd(self->has_write_failed_ ? SocketEnd::kReset
+                                                    : SocketEnd::kOrderly);
   } else if (errno != EAGAIN && errno != EINTR) {
     self->CloseAndReportEnd(SocketEnd::kReset);
   }
--- a/modules/peridotmill_http/sockets/stream_socket.h
+++ b/modules/peridotmill_http/sockets/stream_socket.h
@@ -106,6 +106,8 @@
   // -1 after Close.
   int descriptor_;
   bool is_connected_;
+  // A write that found the connection broken; see OnReadable.
+  bool has_write_failed_ = false;
   Listener* listener_;
   // GLib source ids; 0 while not watched.
   guint read_source_ = 0;
