--- a/modules/peridotmill_gateway/streams/stream_record.cc
+++ b/modules/peridotmill_gateway/streams/stream_record.cc
@@ -5,7 +5,7 @@
 #include <map>
 
 #include "peridotmill_core/hashing/hashing.h"
-#include "peridotmill_gateway/peers/schema/stage_peer_generated.h"
+#include "peridotmill_gateway/peers/schema/stage_wire.h"
 
 namespace peridotmill {
 
