Say suspects where the comments of the quarantine still said parts

Read as a newcomer: the verdict gets a file of its own, the source of news stands with the news, and comments speak of suspects. No change of behaviour.

--- a/modules/peridotmill_gateway/peers/stage_relay.h
+++ b/modules/peridotmill_gateway/peers/stage_relay.h
@@ -102,7 +102,7 @@
   Link& LinkTo(const NodeId& node, const std::string& address);
   // Sends the task to a coordinator, or starts it on this node.
   void Assign(RemoteTaskId id);
-  // Sends a new coordinator all that this node knows about parts of prompts
+  // Sends a new coordinator all that this node knows about requests and parts
   // that crash endpoints, since the one before may be lost.
   void SendCrashNews(Link& link);
   void OnFrame(const NodeId& node, std::string_view frame);
--- a/modules/peridotmill_gateway/quarantine/crash_evidence.h
+++ b/modules/peridotmill_gateway/quarantine/crash_evidence.h
@@ -33,7 +33,8 @@
 struct Suspect {
   SuspectId id;
   TimePoint at;
-  // Answers to prompts with this part that the reporting node had seen before.
+  // Answers to prompts with this part that the reporting node had seen before;
+  // those to whole requests are not counted.
   uint32_t successes = 0;
   // Index of the part in its prompt, or kRequestPosition.
   uint32_t position = 0;
@@ -47,13 +48,13 @@
   return suspect.position == kRequestPosition;
 }
 
-// A seeming crash, with the parts of all requests that may have caused it.
+// A seeming crash, with all that may have caused it.
 struct SuspectedCrash {
   CrashedProcess incarnation;
   std::vector<Suspect> suspects;
 };
 
-// Answers to prompts with one part.
+// Answers to requests with one suspect.
 struct SuspectSuccess {
   TimePoint last_at;
   uint32_t count = 0;
@@ -68,8 +69,8 @@
 // domain takes several endpoints at once, whatever they were processing. An
 // attempt that began after the first of them is an incident of its own.
 inline constexpr Duration kIncidentSpan = std::chrono::milliseconds(50);
-// Incidents without a success in between after which a part is blamed, and the
-// same for a part with kEstablishedSuccesses before: such a part is more likely
+// Incidents without a success in between after which a suspect is blamed, and
+// the same for a part with kEstablishedSuccesses before: it is more likely
 // to have been at engines that failed for another reason.
 inline constexpr int kIncidentsToBlame = 3;
 inline constexpr int kIncidentsToBlameEstablished = 5;
@@ -78,7 +79,7 @@
 // only afterwards, so that the culprit is known before other parts are blamed.
 inline constexpr Duration kReportTime = std::chrono::milliseconds(200);
 
-// Suspected crashes and successes by prompt part, of the whole fleet as far as
+// Suspected crashes and successes, of the whole fleet as far as
 // this node knows. All sizes are bounded; the oldest entries are dropped first.
 struct CrashEvidence {
   std::deque<SuspectedCrash> crashes;
@@ -90,16 +91,16 @@
   std::unordered_map<SuspectId, SuspectSuccess> older_successes;
 };
 
-// Adds a crash, or further suspects of a known one. Skips parts that have
-// succeeded since. Returns the parts that are new.
+// Adds a crash, or further suspects of a known one. Skips those that have
+// succeeded since. Returns the ones that are new.
 std::vector<Suspect> AddCrash(CrashEvidence& evidence,
                               const SuspectedCrash& crash);
 
-// Records an answer to a prompt with `part` and removes all suspicions of the
-// part from before. Returns whether there were any.
+// Records an answer to a request with the suspect `id` and removes all
+// suspicions of it from before. Returns whether there were any.
 bool AddSuccess(CrashEvidence& evidence, SuspectId id, TimePoint at);
 
-// Returns the successes of a part; zeros if none are known.
+// Returns the successes of a suspect; zeros if none are known.
 SuspectSuccess FindSuccess(const CrashEvidence& evidence, SuspectId id);
 
 // Drops suspicions that are older than kEvidenceLifetime.
@@ -129,7 +130,7 @@
 std::optional<TimePoint> FirstCrashAfter(const CrashEvidence& evidence,
                                          TimePoint reported_until);
 
-// Returns the time of the last crash of which the part is suspected.
+// Returns the time of the last crash of which `id` is suspected.
 TimePoint LastCrashAt(const CrashEvidence& evidence, SuspectId id);
 
 }  // namespace peridotmill
--- a/modules/peridotmill_gateway/quarantine/crash_news.h
+++ b/modules/peridotmill_gateway/quarantine/crash_news.h
@@ -1,6 +1,7 @@
 #ifndef PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_NEWS_H_
 #define PERIDOTMILL_GATEWAY_QUARANTINE_CRASH_NEWS_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "peridotmill_gateway/quarantine/crash_evidence.h"
@@ -8,13 +9,17 @@
 
 namespace peridotmill {
 
-// A part that an endpoint has answered without a crash.
+// Where a node has its news from. What a coordinator says is not sent back to
+// coordinators.
+enum class NewsSource : uint8_t { kOwn, kCoordinatedNode, kCoordinator };
+
+// A suspect that an endpoint has answered without a crash.
 struct ClearedSuspect {
   SuspectId id;
   TimePoint at;
 };
 
-// What one node tells another about parts that crash endpoints.
+// What one node tells another about requests and parts that crash endpoints.
 struct CrashNews {
   std::vector<SuspectedCrash> crashes;
   std::vector<ClearedSuspect> cleared;
--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.h
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.h
@@ -11,6 +11,7 @@
 #include "peridotmill_gateway/logging/event_sink.h"
 #include "peridotmill_gateway/quarantine/crash_news.h"
 #include "peridotmill_gateway/quarantine/quarantine_store.h"
+#include "peridotmill_gateway/quarantine/quarantine_verdict.h"
 
 namespace peridotmill {
 
@@ -23,23 +24,6 @@
   uint64_t probes = 0;
 };
 
-// Where a node has its news from. What a coordinator says is not sent back to
-// coordinators.
-enum class NewsSource : uint8_t { kOwn, kCoordinatedNode, kCoordinator };
-
-// Whether a request may run.
-struct QuarantineVerdict {
-  enum class Kind : uint8_t {
-    kRun,
-    kRefuse,
-    // Ask again in a few milliseconds: the request has applied for a probe.
-    kAwaitProbe,
-  };
-  Kind kind = Kind::kRun;
-  // Time after which a refused request may be tried again.
-  Duration retry_after = Duration::zero();
-};
-
 // Finds requests, and parts of prompts, that crash the endpoints which process
 // them, and stops them. Nodes exchange what they observe through their
 // coordinators, so that all of them come to the same conclusion.
