Know no version for a take-up that names no stream

A take-up without Resumes was bound under an empty id, so that the next one without it got that version, also after another version had come: a yes without knowing. Streams without an id are no longer remembered.

StreamRecordsTest.AStreamWithoutANameIsUnknown failed before and passes now.

--- a/modules/peridotmill_gateway/streams/stream_versions.cc
+++ b/modules/peridotmill_gateway/streams/stream_versions.cc
@@ -89,6 +89,10 @@
                           const TeamId& team,
                           const RequestId& request,
                           const std::string& version) {
+  if (request.empty()) {
+    // Nothing tells the streams of such requests apart.
+    return;
+  }
   const TimePoint now = dependencies_.clock.Now();
   const StreamKey key(pool, team, request);
   const auto [found, is_new] = streams_.try_emplace(key);
--- a/modules/peridotmill_gateway/tests/stream_records_test.cc
+++ b/modules/peridotmill_gateway/tests/stream_records_test.cc
@@ -158,6 +158,16 @@
   EXPECT_EQ(Find(0, "t"), "?");
 }
 
+// Guards against a take-up that names no stream and is answered by the version
+// of another one.
+TEST_F(StreamRecordsTest, AStreamWithoutANameIsUnknown) {
+  Begin(0, "", "v1");
+  EXPECT_EQ(Find(0, ""), "v1");
+  Register("e2", "v2");
+  timers_.Advance(1s);
+  EXPECT_EQ(Find(0, ""), "?");
+}
+
 // Guards against streams that are never recorded because the store was away.
 TEST_F(StreamRecordsTest, RecordsStreamsAfterAnOutage) {
   Register("e2", "v2");
