Keep the wait for another node's probe when the store denies one

A denial shortened the wait to a second if news of another node's probe had come while the write was on its way, so that a second probe could follow too early. The longer wait now stays. Found by reading; no test shows it.

--- a/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
+++ b/modules/peridotmill_gateway/quarantine/crash_quarantine.cc
@@ -201,8 +201,10 @@
     }
     return;
   }
+  // News of another node's probe may have come meanwhile.
   quarantine->probe_until =
-      clock_.Now() + (has_new_probe ? kProbeLimit : kMinRetryAfter);
+      std::max(quarantine->probe_until,
+               clock_.Now() + (has_new_probe ? kProbeLimit : kMinRetryAfter));
   events_.Write("probe_denied", {{"request", request.value()},
                                  {"suspect", ToString(id)},
                                  {"probes", std::to_string(grant.probes)}});
