Bound what a process remembers of quarantine records

Removals and known revisions were kept for the life of the process. A removal is forgotten with its answer, and the revisions when there are too many: a write learns them again from its conflict. Found by reading.

--- a/modules/peridotmill_gateway/quarantine/quarantine_records.cc
+++ b/modules/peridotmill_gateway/quarantine/quarantine_records.cc
@@ -13,6 +13,8 @@
 // A new lease is requested for a write when the current one is older, so that
 // each record lasts for most of kLeaseDuration after its last write.
 constexpr Duration kMaxLeaseAge = std::chrono::minutes(1);
+// Records whose revision this node remembers.
+constexpr size_t kMaxRecords = 4 * kMaxQuarantines;
 // Conflicts after which a write gives up: each is a write of another node.
 constexpr int kMaxConflicts = 4;
 
@@ -110,6 +112,10 @@
 void QuarantineRecords::Start(SuspectId id,
                               int probes,
                               std::function<void(ProbeGrant)> callback) {
+  if (records_.size() >= kMaxRecords) {
+    // A write without a known revision learns it from its conflict.
+    records_.clear();
+  }
   const uint64_t write = next_write_++;
   writes_[write] = {.id = id,
                     .probes = probes,
@@ -208,7 +214,8 @@
     return write.second.id == id && write.second.callback == nullptr;
   });
   records_.erase(id);
-  removals_[id] = dependencies_.store.Remove(KeyOf(id), [](StoreCallStatus) {});
+  removals_[id] = dependencies_.store.Remove(
+      KeyOf(id), [this, id](StoreCallStatus) { removals_.erase(id); });
 }
 
 }  // namespace peridotmill
