--- a/modules/peridotmill_gateway/requests/gateway_request.cc
+++ b/modules/peridotmill_gateway/requests/gateway_request.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <iterator>
 #include <utility>
 
 #include "peridotmill_core/hashing/hashing.h"
@@ -15,7 +14,6 @@
 namespace peridotmill {
 namespace {
 
-constexpr int kFirstNonSuccess = 300;
 constexpr int kServerError = 500;
 constexpr int kConflict = 409;
 // Non-stream responses up to this size are buffered and checked as a whole
@@ -73,18 +71,12 @@
 // another node grants within milliseconds if there is one.
 constexpr Duration kMaxPermitWait = std::chrono::milliseconds(300);
 constexpr Duration kPermitCheckInterval = std::chrono::milliseconds(20);
-// The store counts a probe within milliseconds.
-constexpr Duration kProbeCheckInterval = std::chrono::milliseconds(10);
-constexpr Duration kVersionCheckInterval = std::chrono::milliseconds(10);
 // A stopping node begins a request if this share of similar ones would finish
 // in time. A cut request costs its caller more than a refused one, which
 // another node serves: most if it may not be sent again, or if it came after
 // the load balancer had removed the node.
 constexpr double kCompletionQuantile = 0.9;
 constexpr double kStrictCompletionQuantile = 0.99;
-// A stream with this many events shows that the engine does not crash on the
-// request. The first event may still leave an engine that crashes.
-constexpr uint64_t kEventsThatClearRequest = 2;
 
 // Returns whether callers take a response with this status as a promise that
 // their request has not run and never will.
@@ -731,16 +723,6 @@
   PauseResponseIfCallerIsSlow();
 }
 
-void GatewayRequest::BindStreamVersion() {
-  if (stream_version_ || !route_->is_resumable) {
-    return;
-  }
-  stream_version_ = attempt_version_;
-  if (context_.stream_versions != nullptr) {
-    context_.stream_versions->Bind(pool_, team_, request_.id, attempt_version_);
-  }
-}
-
 void GatewayRequest::SendResponseHead(std::optional<uint64_t> content_length) {
   HttpResponseHead head;
   head.status = response_head_.status;
@@ -939,143 +921,6 @@
                           gateway_->random_.Unit());
 }
 
-const std::vector<SuspectId>& GatewayRequest::Suspects() {
-  if (!id_ && context_.quarantine != nullptr &&
-      context_.quarantine->MayConcern(fingerprint_)) {
-    Identify();
-  }
-  return suspects_;
-}
-
-SuspectId GatewayRequest::Identify() {
-  if (!id_) {
-    id_ = IdentifyRequest(team_, request_);
-    suspects_.push_back(*id_);
-  }
-  return *id_;
-}
-
-bool GatewayRequest::MayTakeUpStream() {
-  const bool is_taken_up = route_->is_resumable &&
-                           request_.resume_after_event &&
-                           !request_.resume_after_event->empty();
-  if (!is_taken_up || stream_version_ || context_.stream_versions == nullptr) {
-    return true;
-  }
-  version_timer_.reset();
-  const StreamVersionVerdict verdict = context_.stream_versions->Find(
-      pool_, team_, request_.resumed_request, accepted_at_);
-  switch (verdict.kind) {
-    case StreamVersionVerdict::Kind::kKnown:
-      stream_version_ = verdict.version;
-      context_.stream_versions->Bind(pool_, team_, request_.resumed_request,
-                                     verdict.version);
-      if (Candidates().empty()) {
-        Fail(Reason::kStreamVersionGone, kDefaultRetryAfter);
-        return false;
-      }
-      return true;
-    case StreamVersionVerdict::Kind::kUnknown:
-      Fail(Reason::kStreamVersionUnknown, kDefaultRetryAfter);
-      return false;
-    case StreamVersionVerdict::Kind::kWait:
-      version_timer_ =
-          context_.timers.After(kVersionCheckInterval, [this] { Begin(); });
-      return false;
-  }
-  return true;
-}
-
-const std::vector<EndpointPtr>& GatewayRequest::Candidates() const {
-  const std::vector<EndpointPtr>& serving = context_.endpoints.Serving(pool_);
-  if (!stream_version_) {
-    return serving;
-  }
-  candidates_.clear();
-  std::copy_if(serving.begin(), serving.end(), std::back_inserter(candidates_),
-               [this](const EndpointPtr& endpoint) {
-                 return endpoint->registration.software_version ==
-                        *stream_version_;
-               });
-  return candidates_;
-}
-
-bool GatewayRequest::MayPassQuarantine(void (GatewayRequest::*next)()) {
-  quarantine_timer_.reset();
-  if (context_.quarantine == nullptr) {
-    return true;
-  }
-  const QuarantineVerdict verdict =
-      context_.quarantine->TryRun(request_.id, Suspects());
-  switch (verdict.kind) {
-    case QuarantineVerdict::Kind::kRun:
-      return true;
-    case QuarantineVerdict::Kind::kRefuse:
-      Fail(Reason::kRequestQuarantined, verdict.retry_after);
-      return false;
-    case QuarantineVerdict::Kind::kAwaitProbe:
-      quarantine_timer_ = context_.timers.After(
-          kProbeCheckInterval, [this, next] { (this->*next)(); });
-      return false;
-  }
-  return true;
-}
-
-void GatewayRequest::OnQuarantined(const std::vector<SuspectId>& quarantined) {
-  if (is_ended_) {
-    return;
-  }
-  const std::vector<SuspectId>& own = Suspects();
-  if (std::find_first_of(own.begin(), own.end(), quarantined.begin(),
-                         quarantined.end()) == own.end()) {
-    return;
-  }
-  const auto left = context_.quarantine->QuarantineLeft(own);
-  if (!left) {
-    // Another node has reported a quarantine that is over.
-    return;
-  }
-  if (call_ != nullptr) {
-    if (AttemptEventCount() > 0 || is_response_head_sent_) {
-      return;
-    }
-    EndAttempt(CallOutcome::kCancelled, AttemptOutcome::kOutcomeUnknown);
-  }
-  Fail(Reason::kRequestQuarantined, *left);
-}
-
-void GatewayRequest::RecordProgress(uint64_t events_before) {
-  const uint64_t before = events_before - events_before_attempt_;
-  if (context_.quarantine != nullptr && before < kEventsThatClearRequest &&
-      AttemptEventCount() >= kEventsThatClearRequest) {
-    context_.quarantine->RecordSuccess(Suspects());
-  }
-}
-
-void GatewayRequest::RecordAttemptEnd(HttpCallEnd end) {
-  if (context_.quarantine == nullptr || end == HttpCallEnd::kNotSent) {
-    return;
-  }
-  // A response that ends with its connection looks complete after a crash too.
-  const bool is_cut_stream =
-      IsAuthenticStreamResponse() &&
-      (AttemptEventCount() == 0 || event_splitter_.ends_inside_event());
-  if (end == HttpCallEnd::kComplete && !is_cut_stream) {
-    if (response_head_.status < kFirstNonSuccess &&
-        response_head_.is_authentic) {
-      context_.quarantine->RecordSuccess(Suspects());
-    }
-    return;
-  }
-  if (AttemptEventCount() < kEventsThatClearRequest) {
-    is_crash_suspect_ = true;
-    context_.quarantine->RecordCrash(
-        request_.id,
-        {endpoint_->registration.id, endpoint_->registration.started_at_ms},
-        attempt_started_at_, Identify(), prompt_parts_);
-  }
-}
-
 void GatewayRequest::OnCallerDisconnected() {
   ++gateway_->counters_.caller_gone;
   if (call_ != nullptr) {
--- a/modules/peridotmill_gateway/requests/gateway_request.h
+++ b/modules/peridotmill_gateway/requests/gateway_request.h
@@ -185,7 +185,7 @@
   void ForwardCompleteResponse();
   void SendResponseHead(std::optional<uint64_t> content_length);
 
-  // Quarantine.
+  // Quarantine (request_quarantine.cc).
   // Returns the parts of the prompt, and the id of the whole request if it may
   // be suspected.
   const std::vector<SuspectId>& Suspects();
