--- a/modules/peridotmill_gateway/streams/stream_versions.cc
+++ b/modules/peridotmill_gateway/streams/stream_versions.cc
@@ -20,6 +20,9 @@
 constexpr Duration kMaxRecordDelay = std::chrono::seconds(2);
 // Streams that one process remembers and records.
 constexpr size_t kMaxStreams = 20'000;
+// Streams of all processes that are read. The pools of all records are read
+// also beyond that.
+constexpr size_t kMaxRecordedStreams = 200'000;
 
 }  // namespace
 
@@ -275,6 +278,10 @@
           }
           reading_.pools.insert(record->pools.begin(), record->pools.end());
           for (const RecordedStream& stream : record->streams) {
+            if (reading_.streams.size() >= kMaxRecordedStreams) {
+              // A stream that is left out is unknown.
+              break;
+            }
             const auto [found, is_new] =
                 reading_.streams.try_emplace(stream.key, stream.version);
             if (!is_new && found->second != stream.version) {
