--- a/modules/peridotmill_gateway/tests/crash_evidence_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_evidence_test.cc
@@ -12,7 +12,7 @@
 using namespace std::chrono_literals;
 
 const SuspectId kCommon(1);
-const SuspectId kDeadly(2);
+const SuspectId kCulprit(2);
 const SuspectId kOther(3);
 constexpr TimePoint kStart = TimePoint(1h);
 constexpr TimePoint kEnd = TimePoint(2h);
@@ -45,10 +45,10 @@
   CrashEvidence evidence;
   for (int i = 0; i < 3; ++i) {
     AddCrash(evidence, MakeCrash("e" + std::to_string(i), kStart + i * 1s,
-                                 {kCommon, kDeadly}));
+                                 {kCommon, kCulprit}));
     AddSuccess(evidence, kCommon, kStart + i * 1s + 500ms);
   }
-  EXPECT_EQ(FindCulprit(evidence, kEnd, Nothing), kDeadly);
+  EXPECT_EQ(FindCulprit(evidence, kEnd, Nothing), kCulprit);
 }
 
 // Guards against blaming a common part in a burst of crashes that leaves no
@@ -57,13 +57,13 @@
   CrashEvidence evidence;
   for (int i = 0; i < 3; ++i) {
     AddCrash(evidence, MakeCrash("e" + std::to_string(i), kStart + i * 300ms,
-                                 {kDeadly, kCommon}, {0, 40}));
+                                 {kCulprit, kCommon}, {0, 40}));
   }
   // The common part was at one more engine that failed.
   AddCrash(evidence, MakeCrash("e9", kStart + 2s, {kCommon}, {40}));
-  ASSERT_EQ(FindCulprit(evidence, kEnd, Nothing), kDeadly);
+  ASSERT_EQ(FindCulprit(evidence, kEnd, Nothing), kCulprit);
   EXPECT_FALSE(FindCulprit(evidence, kEnd,
-                           [](SuspectId part) { return part == kDeadly; }));
+                           [](SuspectId part) { return part == kCulprit; }));
 }
 
 // Guards against blaming a prompt for the failure of a host or failure domain.
@@ -162,15 +162,15 @@
       const TimePoint at = kStart + i * 15ms;
       SuspectedCrash crash = MakeCrash("e" + std::to_string(i), at, {});
       crash.suspects.push_back(
-          {.id = kDeadly,
+          {.id = kCulprit,
            .at = at,
            .position = kRequestPosition,
            .attempt_started_at = is_retry ? at - 10ms : kStart - 1s});
       AddCrash(evidence, crash);
     }
-    EXPECT_EQ(CountIncidents(evidence, kDeadly, Nothing), is_retry ? 3 : 1);
+    EXPECT_EQ(CountIncidents(evidence, kCulprit, Nothing), is_retry ? 3 : 1);
     EXPECT_EQ(FindCulprit(evidence, kEnd, Nothing),
-              is_retry ? std::optional(kDeadly) : std::nullopt);
+              is_retry ? std::optional(kCulprit) : std::nullopt);
   }
 }
 
@@ -187,14 +187,14 @@
     AddCrash(evidence, crash);
   };
   for (int i = 0; i < 3; ++i) {
-    add_crash(i, kDeadly);
+    add_crash(i, kCulprit);
   }
-  EXPECT_EQ(FindCulprit(evidence, kEnd, Nothing), kDeadly);
-  const auto is_deadly = [](SuspectId id) { return id == kDeadly; };
-  EXPECT_FALSE(FindCulprit(evidence, kEnd, is_deadly));
-  EXPECT_EQ(CountIncidents(evidence, kOther, is_deadly), 0);
+  EXPECT_EQ(FindCulprit(evidence, kEnd, Nothing), kCulprit);
+  const auto is_culprit = [](SuspectId id) { return id == kCulprit; };
+  EXPECT_FALSE(FindCulprit(evidence, kEnd, is_culprit));
+  EXPECT_EQ(CountIncidents(evidence, kOther, is_culprit), 0);
   add_crash(3, SuspectId(77));
-  EXPECT_EQ(FindCulprit(evidence, kEnd, is_deadly), kOther);
+  EXPECT_EQ(FindCulprit(evidence, kEnd, is_culprit), kOther);
 }
 
 // Guards against probes that come as often after the third probe as after the
@@ -204,11 +204,11 @@
   TimePoint crash = kStart;
   Duration expected = kFirstQuarantine;
   for (int i = 0; i <= kMaxProbes; ++i) {
-    Quarantine(quarantines, kDeadly, crash);
-    QuarantineEntry& entry = *FindQuarantine(quarantines, kDeadly);
+    Quarantine(quarantines, kCulprit, crash);
+    QuarantineEntry& entry = *FindQuarantine(quarantines, kCulprit);
     EXPECT_EQ(entry.until - crash, expected);
     // A request that was sent before the quarantine began is no probe.
-    Quarantine(quarantines, kDeadly, crash + 1s);
+    Quarantine(quarantines, kCulprit, crash + 1s);
     EXPECT_EQ(entry.until - crash, expected + 1s);
     EXPECT_EQ(TimeUntilProbe(entry, entry.until),
               i < kMaxProbes ? Duration::zero() : Duration(kMaxQuarantine));
@@ -223,8 +223,8 @@
 // for a probe whose caller has gone.
 TEST(QuarantineEntryTest, OneRequestAtATimeIsTheProbe) {
   QuarantineEntries quarantines;
-  Quarantine(quarantines, kDeadly, kStart);
-  QuarantineEntry& entry = *FindQuarantine(quarantines, kDeadly);
+  Quarantine(quarantines, kCulprit, kStart);
+  QuarantineEntry& entry = *FindQuarantine(quarantines, kCulprit);
   const TimePoint end = kStart + kFirstQuarantine;
   EXPECT_EQ(TimeUntilProbe(entry, end - 4s), 4s);
   EXPECT_EQ(TimeUntilProbe(entry, end), 0s);
--- a/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_fleet_test.cc
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 
 const SuspectId kCommon(1);
-const SuspectId kDeadly(2);
+const SuspectId kCulprit(2);
 
 std::string AddressOf(size_t node) {
   return "10.0.0." + std::to_string(node) + ":7";
@@ -134,7 +134,7 @@
     ++crash_count_;
     nodes_[node]->quarantine.RecordCrash(
         RequestId("c"), {EndpointId("e" + std::to_string(crash_count_)), 1},
-        clock_.Now(), SuspectId(1000 + crash_count_), {kCommon, kDeadly});
+        clock_.Now(), SuspectId(1000 + crash_count_), {kCommon, kCulprit});
     timers_.Advance(300ms);
   }
   // Returns the index of a node that does not coordinate.
@@ -162,7 +162,7 @@
     nodes_[Other(5)]->quarantine.RecordSuccess({kCommon});
     timers_.Advance(100ms);
   }
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes);
   EXPECT_EQ(RefusingNodes(kCommon), 0u);
 }
 
@@ -176,7 +176,7 @@
   SubmitAtAll();
   Crash(Other(2));
   timers_.Advance(100ms);
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes - 1);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes - 1);
 }
 
 // Guards against a node that learns nothing after a partition.
@@ -186,14 +186,14 @@
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
   }
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes - 1);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes - 1);
   SubmitAtAll();
   timers_.Advance(3s);
-  EXPECT_FALSE(nodes_[cut_off]->IsRefused(kDeadly));
+  EXPECT_FALSE(nodes_[cut_off]->IsRefused(kCulprit));
   network_.Reconnect(AddressOf(cut_off));
   SubmitAtAll();
   timers_.Advance(500ms);
-  EXPECT_TRUE(nodes_[cut_off]->IsRefused(kDeadly));
+  EXPECT_TRUE(nodes_[cut_off]->IsRefused(kCulprit));
 }
 
 // Guards against nodes that serve no streams, and see one crash each.
@@ -206,7 +206,7 @@
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
   }
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes);
 }
 
 // Guards against a lost coordinator that nodes without tasks do not replace.
@@ -222,7 +222,7 @@
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
   }
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes - 1);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes - 1);
 }
 
 // Guards against evidence that stays with the nodes of one coordinator while
@@ -239,7 +239,7 @@
   for (size_t i = 0; i < 3; ++i) {
     Crash(Other(i));
   }
-  EXPECT_EQ(RefusingNodes(kDeadly), kNodes);
+  EXPECT_EQ(RefusingNodes(kCulprit), kNodes);
 }
 
 // Guards against reports that are lost or changed by encoding and decoding.
@@ -247,10 +247,10 @@
   const TimePoint now = TimePoint(1h);
   CrashNews news;
   news.crashes.push_back(
-      {{EndpointId("e"), 77}, {{kDeadly, now - 40ms, 12, 3, now - 90ms}}});
+      {{EndpointId("e"), 77}, {{kCulprit, now - 40ms, 12, 3, now - 90ms}}});
   news.cleared.push_back({kCommon, now - 60ms});
   news.quarantines.push_back(
-      {.id = kDeadly, .since = now - 3s, .until = now + 17s, .probes = 1});
+      {.id = kCulprit, .since = now - 3s, .until = now + 17s, .probes = 1});
   const auto message =
       DecodeStageMessage(EncodeStageMessage(news, now), now + 1h);
   ASSERT_TRUE(message);
@@ -258,7 +258,7 @@
   ASSERT_EQ(decoded.crashes.size(), 1u);
   EXPECT_EQ(decoded.crashes[0].incarnation, news.crashes[0].incarnation);
   ASSERT_EQ(decoded.crashes[0].suspects.size(), 1u);
-  EXPECT_EQ(decoded.crashes[0].suspects[0].id, kDeadly);
+  EXPECT_EQ(decoded.crashes[0].suspects[0].id, kCulprit);
   EXPECT_EQ(decoded.crashes[0].suspects[0].at, now + 1h - 40ms);
   EXPECT_EQ(decoded.crashes[0].suspects[0].successes, 12u);
   EXPECT_EQ(decoded.crashes[0].suspects[0].position, 3u);
@@ -267,7 +267,7 @@
   EXPECT_EQ(decoded.cleared[0].id, kCommon);
   EXPECT_EQ(decoded.cleared[0].at, now + 1h - 60ms);
   ASSERT_EQ(decoded.quarantines.size(), 1u);
-  EXPECT_EQ(decoded.quarantines[0].id, kDeadly);
+  EXPECT_EQ(decoded.quarantines[0].id, kCulprit);
   EXPECT_EQ(decoded.quarantines[0].since, now + 1h - 3s);
   EXPECT_EQ(decoded.quarantines[0].until, now + 1h + 17s);
   EXPECT_EQ(decoded.quarantines[0].probes, 1);
@@ -278,8 +278,8 @@
   Random random(12);
   const TimePoint now = TimePoint(1h);
   CrashNews news;
-  news.crashes.push_back({{EndpointId("e"), 77}, {{kDeadly, now, 12, 3}}});
-  news.quarantines.push_back({.id = kDeadly, .since = now, .until = now});
+  news.crashes.push_back({{EndpointId("e"), 77}, {{kCulprit, now, 12, 3}}});
+  news.quarantines.push_back({.id = kCulprit, .since = now, .until = now});
   const std::string valid_frame = EncodeStageMessage(news, now);
   for (int i = 0; i < 20'000; ++i) {
     std::string damaged = valid_frame;
--- a/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
+++ b/modules/peridotmill_gateway/tests/crash_quarantine_test.cc
@@ -7,7 +7,7 @@
 
 using namespace std::chrono_literals;
 
-// A node whose engines crash on prompts with the part "deadly".
+// A node whose engines crash on prompts with the part "culprit".
 class CrashQuarantineTest : public GatewayFixture {
  protected:
   // Sends a request whose prompt has these parts and one of its own.
@@ -65,16 +65,16 @@
     endpoint_caller_.listener(last).OnResponseEnd(HttpCallEnd::kComplete);
     timers_.Advance(5ms);
   }
-  // Crashes `count` engines with requests on the part "deadly".
+  // Crashes `count` engines with requests on the part "culprit".
   void CrashEngines(int count) {
     for (int i = 0; i < count; ++i) {
-      SendPrompt("chat", {"common", "deadly"});
+      SendPrompt("chat", {"common", "culprit"});
       CrashEngine();
       SendPrompt("chat", {"common"});
       Answer();
     }
   }
-  // Reports one crash under a request of another node with the part "deadly".
+  // Reports one crash under a request of another node with the part "culprit".
   void ReportCrash(const std::string& engine) {
     EndpointRegistration registration;
     registration.id = EndpointId(engine);
@@ -83,7 +83,7 @@
   }
   void ReportCrashAt(const EndpointRegistration& engine) {
     GenerationDemand demand;
-    demand.parts = {{"deadly", 1}, {"own", 1}};
+    demand.parts = {{"culprit", 1}, {"own", 1}};
     CrashNews news;
     news.crashes.push_back(
         {{engine.id, engine.started_at_ms},
@@ -102,7 +102,7 @@
 TEST_F(CrashQuarantineTest, RefusesAPromptPartThatCrashesEngines) {
   CrashEngines(3);
   const size_t calls = endpoint_caller_.calls.size();
-  const auto refused = SendPrompt("chat", {"common", "deadly"});
+  const auto refused = SendPrompt("chat", {"common", "culprit"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls);
   ASSERT_TRUE(IsRefusal(*refused));
   EXPECT_TRUE(refused->heads[0].headers.Find("Retry-After"));
@@ -137,7 +137,7 @@
   CrashEngine(/*events=*/0, /*pause=*/100ms);
   ReportCrashAt(last);
   timers_.Advance(300ms);
-  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"deadly"})));
+  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"culprit"})));
   const size_t calls = endpoint_caller_.calls.size();
   SendPrompt("chat", {"subject"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
@@ -150,11 +150,11 @@
     SCOPED_TRACE(events);
     const std::string engine = "other" + std::to_string(events);
     const size_t calls = endpoint_caller_.calls.size();
-    const auto first = SendPrompt("resume", {"deadly" + engine});
+    const auto first = SendPrompt("resume", {"culprit" + engine});
     CrashEngine(events);
     EXPECT_EQ(endpoint_caller_.calls.size(), calls + 2);
     CrashEngine(events);
-    const auto second = SendPrompt("resume", {"deadly" + engine});
+    const auto second = SendPrompt("resume", {"culprit" + engine});
     EXPECT_EQ(endpoint_caller_.calls.size(), calls + 3);
     CrashEngine(events);
     EXPECT_EQ(endpoint_caller_.calls.size(), calls + 3);
@@ -194,8 +194,8 @@
 // Guards against waiting requests that reach engines after their part was
 // quarantined.
 TEST_F(CrashQuarantineTest, EndsWaitingRequestsAtOnce) {
-  const auto waiting = SendPrompt("staged", {"deadly"});
-  const auto sent = SendPrompt("chat", {"deadly"});
+  const auto waiting = SendPrompt("staged", {"culprit"});
+  const auto sent = SendPrompt("chat", {"culprit"});
   const auto sound = SendPrompt("staged", {"common"});
   ASSERT_EQ(endpoint_caller_.calls.size(), 1u);
   for (const char* const engine : {"x1", "x2", "x3"}) {
@@ -210,9 +210,9 @@
 // Guards against requests that lose their attempt, and never end, because of a
 // quarantine that is already over when the node hears of it.
 TEST_F(CrashQuarantineTest, KeepsAttemptsWhenTheReportedQuarantineIsOver) {
-  const auto sent = SendPrompt("chat", {"deadly"});
+  const auto sent = SendPrompt("chat", {"culprit"});
   GenerationDemand demand;
-  demand.parts = {{"deadly", 1}, {"own", 1}};
+  demand.parts = {{"culprit", 1}, {"own", 1}};
   CrashNews news;
   news.quarantines.push_back({.id = HashSharedParts(demand)[0],
                               .since = clock_.Now() - 12s,
@@ -229,16 +229,16 @@
 TEST_F(CrashQuarantineTest, AProbeClearsAHarmlessPart) {
   CrashEngines(3);
   timers_.Advance(9s);
-  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "deadly"})));
+  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "culprit"})));
   timers_.Advance(1s);
   const size_t calls = endpoint_caller_.calls.size();
-  SendPrompt("chat", {"common", "deadly"});
+  SendPrompt("chat", {"common", "culprit"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
-  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "deadly"})));
+  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "culprit"})));
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
   Answer();
   EXPECT_TRUE(events_.Has("suspect_cleared"));
-  SendPrompt("chat", {"common", "deadly"});
+  SendPrompt("chat", {"common", "culprit"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 2);
 }
 
@@ -246,14 +246,14 @@
 TEST_F(CrashQuarantineTest, AFailedProbeLengthensTheQuarantine) {
   CrashEngines(3);
   timers_.Advance(10s);
-  SendPrompt("resume", {"common", "deadly"});
+  SendPrompt("resume", {"common", "culprit"});
   const size_t calls = endpoint_caller_.calls.size();
   CrashEngine();
   EXPECT_EQ(endpoint_caller_.calls.size(), calls);
   timers_.Advance(39s);
-  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "deadly"})));
+  EXPECT_TRUE(IsRefusal(*SendPrompt("chat", {"common", "culprit"})));
   timers_.Advance(1s);
-  SendPrompt("chat", {"common", "deadly"});
+  SendPrompt("chat", {"common", "culprit"});
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
 }
 
@@ -271,7 +271,7 @@
   };
   CrashEngines(3);
   GenerationDemand demand;
-  demand.parts = {{"deadly", 1}, {"own", 1}};
+  demand.parts = {{"culprit", 1}, {"own", 1}};
   StageTask task;
   task.request = RequestId("foreign");
   task.pool = PoolId("engines");
--- a/modules/peridotmill_gateway/tests/quarantine_records_test.cc
+++ b/modules/peridotmill_gateway/tests/quarantine_records_test.cc
@@ -10,7 +10,7 @@
 
 using namespace std::chrono_literals;
 
-const SuspectId kDeadly(0x1234000000000007);
+const SuspectId kCulprit(0x1234000000000007);
 using Kind = QuarantineVerdict::Kind;
 
 // Nodes without links to one another, which share only the store.
@@ -49,7 +49,7 @@
   void Crash(size_t node) {
     nodes_[node]->quarantine.RecordCrash(
         RequestId("q"), {EndpointId("e" + std::to_string(++crash_count_)), 1},
-        clock_.Now(), kDeadly, {});
+        clock_.Now(), kCulprit, {});
     timers_.Advance(300ms);
   }
   void QuarantineAtAll() {
@@ -63,7 +63,7 @@
   Kind Ask(size_t node, const std::string& request) {
     CrashQuarantine& quarantine = nodes_[node]->quarantine;
     for (int i = 0; i < 300; ++i) {
-      const auto verdict = quarantine.TryRun(RequestId(request), {kDeadly});
+      const auto verdict = quarantine.TryRun(RequestId(request), {kCulprit});
       if (verdict.kind != Kind::kAwaitProbe) {
         return verdict.kind;
       }
@@ -170,7 +170,7 @@
   }
   timers_.Advance(11s);
   ASSERT_EQ(Ask(3, "probe"), Kind::kRun);
-  nodes_[3]->quarantine.RecordSuccess({kDeadly});
+  nodes_[3]->quarantine.RecordSuccess({kCulprit});
   timers_.Advance(100ms);
   StartAll();
   EXPECT_EQ(CountRuns(), 4);
--- a/modules/peridotmill_gateway/tests/repeated_request_test.cc
+++ b/modules/peridotmill_gateway/tests/repeated_request_test.cc
@@ -89,9 +89,9 @@
 TEST_F(RepeatedRequestTest, RefusesAPlainRequestThatCrashesEndpoints) {
   for (const std::string route : {"book", "look"}) {
     SCOPED_TRACE(route);
-    CrashEndpoints(route, "deadly", 3);
+    CrashEndpoints(route, "culprit", 3);
     const size_t calls = endpoint_caller_.calls.size();
-    EXPECT_TRUE(IsRefusal(*SendBody(route, "deadly")));
+    EXPECT_TRUE(IsRefusal(*SendBody(route, "culprit")));
     EXPECT_EQ(endpoint_caller_.calls.size(), calls);
   }
 }
@@ -100,13 +100,13 @@
 // are sound.
 TEST_F(RepeatedRequestTest, RefusesAPromptWhoseSharedPartsAreSound) {
   for (int i = 0; i < 3; ++i) {
-    SendBody("chat", "deadly");
+    SendBody("chat", "culprit");
     CrashLast();
     SendBody("chat", "sound" + std::to_string(i));
     AnswerStream();
   }
   const size_t calls = endpoint_caller_.calls.size();
-  EXPECT_TRUE(IsRefusal(*SendBody("chat", "deadly")));
+  EXPECT_TRUE(IsRefusal(*SendBody("chat", "culprit")));
   EXPECT_EQ(endpoint_caller_.calls.size(), calls);
   SendBody("chat", "sound");
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 1);
@@ -115,11 +115,11 @@
 // Guards against the quarantine of requests that only share the path, the team
 // or the body with the culprit.
 TEST_F(RepeatedRequestTest, ServesOtherRequestsOfTheRoute) {
-  CrashEndpoints("book", "deadly", 3);
+  CrashEndpoints("book", "culprit", 3);
   const size_t calls = endpoint_caller_.calls.size();
   SendBody("book", "sound");
-  SendBody("book", "deadly", "y");
-  SendBody("look", "deadly");
+  SendBody("book", "culprit", "y");
+  SendBody("look", "culprit");
   EXPECT_EQ(endpoint_caller_.calls.size(), calls + 3);
 }
 
